Set up the workspace, the model with its ports, frames and statement classification

The model package holds the ports behind which every clock, socket, store and peer stands, so that tests can replace the adapters.

--- /dev/null
+++ b/packages/model/src/index.ts
@@ -0,0 +1,6 @@
+export * from './failure.js';
+export * from './ports.js';
+export * from './position.js';
+export * from './resources.js';
+export * from './system.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,2 @@
+export * from './classify.js';
+export * from './frames.js';
