Add membership with heartbeats, rendezvous holders and the peer transport

Heartbeats go to at most 6 ring neighbours. Taking dead hosts off the ring made a dead neighbour count as live again, so they stay on it until they are forgotten.

Settings, logs, metrics and traces of the daemon come with it.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,2 +1,2 @@
-/** Placeholder until the package has exports. */
-export type Placeholder = never;
+export * from './settings.js';
+export * from './tracing.js';
--- /dev/null
+++ b/packages/daemon/src/logging.ts
@@ -0,0 +1,25 @@
+import bunyan from 'bunyan';
+import {type Log} from '@crocusloom/model';
+import {type Settings} from './settings.js';
+
+/** Adapter of the log port to bunyan, which writes JSON lines to standard output. */
+export function createLog(settings: Settings): Log {
+	const logger = bunyan.createLogger({
+		name: 'crocusloomd',
+		level: settings.log.level,
+		entryHost: settings.host.name,
+		deployment: settings.host.deployment,
+		failureDomain: settings.host.failureDomain,
+	});
+	return {
+		info(fields, message) {
+			logger.info(fields, message);
+		},
+		warn(fields, message) {
+			logger.warn(fields, message);
+		},
+		error(fields, message) {
+			logger.error(fields, message);
+		},
+	};
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,2 +1,5 @@
-/** Placeholder until the package has exports. */
-export type Placeholder = never;
+export * from './hostListReader.js';
+export * from './membershipService.js';
+export * from './memberTable.js';
+export * from './peerTransport.js';
+export * from './rendezvous.js';
--- /dev/null
+++ b/packages/membership/src/membershipService.ts
@@ -0,0 +1,214 @@
+import {
+	type Clock, type Log, type Member, type Membership, type Metrics, type PeerCalls, type RandomSource,
+} from '@crocusloom/model';
+import {MemberTable, type MemberRecord} from './memberTable.js';
+import {type PeerAddress} from './peerTransport.js';
+import {rendezvousFirst} from './rendezvous.js';
+
+/** Time between two heartbeats to one partner. */
+export const heartbeatIntervalMs = 500;
+/** Heartbeat partners of a host, its neighbours on the ring of host names. */
+export const maximumPartners = 6;
+/** Records of other members carried in a heartbeat; needed only where not all members are partners. */
+const digestsPerHeartbeat = 2;
+
+const heartbeatMethod = 'membership.heartbeat';
+
+/** A heartbeat; records are arrays in `recordFields` order, because field names would be most of its bytes. */
+type Heartbeat = {readonly r: ReadonlyArray<readonly unknown[]>};
+
+const recordFields = [
+	'host', 'incarnation', 'counter', 'failureDomain', 'address', 'peerPort', 'workPort', 'operatorPort', 'leaving', 'configurationRevision',
+] as const satisfies ReadonlyArray<keyof MemberRecord>;
+
+export type MembershipOptions = {
+	readonly self: Omit<MemberRecord, 'counter' | 'leaving' | 'configurationRevision'>;
+	/** Peers to which the first heartbeats go when the host list does not answer. */
+	readonly seeds: readonly PeerAddress[];
+	readonly peers: PeerCalls;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly log: Log;
+	readonly metrics: Metrics;
+	/** Revision of the configuration that this host has. */
+	readonly configurationRevision: () => number;
+};
+
+/** Prefix of the names under which peers are addressed before their host name is known. */
+const seedPrefix = 'seed:';
+
+/** Live view of the proxies, from direct heartbeats and from records that partners pass on. */
+export class MembershipService implements Membership {
+	private readonly table: MemberTable;
+	private readonly listeners = new Set<() => void>();
+	private readonly seeds = new Map<string, PeerAddress>();
+	private counter = 0;
+	private isLeaving = false;
+
+	constructor(private readonly options: MembershipOptions) {
+		this.table = new MemberTable(options.clock);
+		for (const seed of options.seeds) {
+			this.addSeed(seed);
+		}
+
+		options.peers.handle(heartbeatMethod, parameters => {
+			this.receive(parameters as Heartbeat);
+		});
+	}
+
+	get self(): Member {
+		const {counter, ...record} = this.ownRecord();
+		return {...record, state: 'alive', silentMs: 0};
+	}
+
+	/** Sends heartbeats until the signal aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		let usable = '';
+		while (!signal.aborted) {
+			this.heartbeat();
+			this.table.prune();
+			usable = this.announceIfChanged(usable);
+			await this.options.clock.sleep(heartbeatIntervalMs, signal);
+		}
+	}
+
+	/** Tells peers that this host leaves, so that they take its databases over at once. */
+	leave(): void {
+		this.isLeaving = true;
+		this.heartbeat();
+		this.announce();
+	}
+
+	members(): readonly Member[] {
+		return [this.self, ...this.table.members()];
+	}
+
+	holderOf(database: string, failureDomain: string): Member {
+		const records = this.table.usableRecords();
+		const candidates = this.isLeaving ? records : [this.ownRecord(), ...records];
+		const local = candidates.filter(record => record.failureDomain === failureDomain);
+		const pool = local.length > 0 ? local : candidates;
+		const host = rendezvousFirst(database, pool.map(record => record.host));
+		return this.members().find(member => member.host === host) ?? this.self;
+	}
+
+	reportUnreachable(host: string): void {
+		if (this.table.markUnreachable(host)) {
+			this.options.metrics.count('membership_unreachable_total');
+			this.announce();
+		}
+	}
+
+	onChange(listener: () => void, signal: AbortSignal): void {
+		this.listeners.add(listener);
+		signal.addEventListener('abort', () => {
+			this.listeners.delete(listener);
+		}, {once: true});
+	}
+
+	/** Finds where a host listens for peers. */
+	resolve(host: string): PeerAddress | undefined {
+		const record = this.table.record(host);
+		return record ? {address: record.address, port: record.peerPort} : this.seeds.get(host);
+	}
+
+	/** Adds a peer to which heartbeats go until it answers. */
+	addSeed(seed: PeerAddress): void {
+		const {address, peerPort} = this.options.self;
+		if (seed.address !== address || seed.port !== peerPort) {
+			this.seeds.set(`${seedPrefix}${seed.address}:${seed.port}`, seed);
+		}
+	}
+
+	private ownRecord(): MemberRecord {
+		return {
+			...this.options.self,
+			counter: this.counter,
+			leaving: this.isLeaving,
+			configurationRevision: this.options.configurationRevision(),
+		};
+	}
+
+	private heartbeat(): void {
+		this.counter++;
+		const own = this.ownRecord();
+		const others = this.table.liveRecords();
+		for (const partner of this.partners(others)) {
+			const digests = pickRandom(others.filter(record => record.host !== partner), digestsPerHeartbeat, this.options.random);
+			this.options.peers.notify(partner, heartbeatMethod, {r: [own, ...digests].map(record => encodeRecord(record))} satisfies Heartbeat);
+		}
+	}
+
+	/** Neighbours on the ring of host names, and seeds from which nothing has been heard yet. */
+	private partners(others: readonly MemberRecord[]): string[] {
+		// Dead hosts stay on the ring, because a partner that left it would be judged by the longer times again.
+		const neighbours = ringNeighbours(this.options.self.host, this.table.knownHosts());
+		this.table.setPartners(neighbours);
+		const known = new Set(others.map(record => `${record.address}:${record.peerPort}`));
+		const silentSeeds = [...this.seeds].filter(([, seed]) => !known.has(`${seed.address}:${seed.port}`)).map(([name]) => name);
+		return [...neighbours, ...silentSeeds];
+	}
+
+	private receive(heartbeat: Heartbeat): void {
+		const records = heartbeat.r.map(fields => decodeRecord(fields)).filter(record => record.host !== this.options.self.host);
+		let hasNews = false;
+		for (const [index, record] of records.entries()) {
+			const isNews = this.table.merge(record, index === 0);
+			hasNews ||= isNews;
+		}
+
+		if (hasNews) {
+			this.announce();
+		}
+	}
+
+	/** Members also change by falling silent, which no message tells. */
+	private announceIfChanged(before: string): string {
+		const after = this.table.usableRecords().map(record => record.host).toSorted().join(',');
+		if (after !== before) {
+			this.options.log.info({hosts: after}, 'the set of live peers changed');
+			this.options.metrics.gauge('membership_live_peers', after === '' ? 0 : after.split(',').length);
+			this.announce();
+		}
+
+		return after;
+	}
+
+	private announce(): void {
+		for (const listener of this.listeners) {
+			listener();
+		}
+	}
+}
+
+/**
+ * Gives the neighbours of a host on the ring of host names, half before it and half behind it.
+ */
+export function ringNeighbours(self: string, others: readonly string[]): string[] {
+	if (others.length <= maximumPartners) {
+		return [...others];
+	}
+
+	const ring = [self, ...others].toSorted();
+	const at = ring.indexOf(self);
+	const offsets = Array.from({length: maximumPartners}, (_, index) => index < maximumPartners / 2 ? index + 1 : -(index + 1 - (maximumPartners / 2)));
+	return offsets.map(offset => ring[(at + offset + ring.length) % ring.length]!);
+}
+
+function pickRandom<T>(items: readonly T[], count: number, random: RandomSource): T[] {
+	const pool = [...items];
+	const picked: T[] = [];
+	while (picked.length < count && pool.length > 0) {
+		picked.push(...pool.splice(Math.floor(random.next() * pool.length), 1));
+	}
+
+	return picked;
+}
+
+function encodeRecord(record: MemberRecord): unknown[] {
+	return recordFields.map(field => record[field]);
+}
+
+function decodeRecord(fields: readonly unknown[]): MemberRecord {
+	return Object.fromEntries(recordFields.map((field, index) => [field, fields[index]])) as unknown as MemberRecord;
+}
