Add a thin group monitor with majority wait, commit-position probe and directory

GroupMonitor polls, proves ages, shares position waits and probes. Directory merges the states of peers.

--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -1,2 +1,4 @@
-/** Placeholder until the package has exports. */
-export type Placeholder = never;
+export * from './directory.js';
+export * from './groupMonitor.js';
+export * from './sqlDatabaseControl.js';
+export * from './stateMessage.js';
--- /dev/null
+++ b/packages/group/src/waitUntil.ts
@@ -0,0 +1,42 @@
+import {type Clock} from '@crocusloom/model';
+import {deferred} from './deferred.js';
+
+export type WaitOptions<T> = {
+	readonly clock: Clock;
+	readonly limitMs: number;
+	/** Ends the wait with its reason. */
+	readonly signal: AbortSignal;
+	/** Set to which the check is added while it waits. */
+	readonly listeners: Set<() => void>;
+	/** Gives the value, or undefined as long as there is none. */
+	readonly settle: () => T | undefined;
+};
+
+/**
+ * Waits until a condition gives a value, checked at each call of a listener.
+ * @returns the value; undefined at the limit
+ */
+export async function waitUntil<T>(options: WaitOptions<T>): Promise<T | undefined> {
+	const {clock, limitMs, signal, listeners, settle} = options;
+	const settled = deferred<T>();
+	const check = () => {
+		const value = settle();
+		if (value !== undefined) {
+			settled.resolve(value);
+		}
+	};
+
+	const timer = new AbortController();
+	listeners.add(check);
+	try {
+		return await Promise.race([settled.promise, endAfter(clock, limitMs, AbortSignal.any([signal, timer.signal]))]);
+	} finally {
+		listeners.delete(check);
+		timer.abort();
+	}
+}
+
+async function endAfter(clock: Clock, limitMs: number, signal: AbortSignal): Promise<undefined> {
+	await clock.sleep(limitMs, signal);
+	return undefined;
+}
