--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -1,4 +1,7 @@
 export * from './directory.js';
 export * from './groupMonitor.js';
+export * from './groupMonitors.js';
+export * from './promoter.js';
 export * from './sqlDatabaseControl.js';
 export * from './stateMessage.js';
+export * from './statusPublisher.js';
--- a/packages/group/src/waitUntil.ts
+++ b/packages/group/src/waitUntil.ts
@@ -13,7 +13,7 @@
 };
 
 /**
- * Waits until a condition gives a value, checked at each call of a listener.
+ * Waits until a condition gives a value, checked at the start and at each call of a listener.
  * @returns the value; undefined at the limit
  */
 export async function waitUntil<T>(options: WaitOptions<T>): Promise<T | undefined> {
@@ -28,6 +28,7 @@
 
 	const timer = new AbortController();
 	listeners.add(check);
+	check();
 	try {
 		return await Promise.race([settled.promise, endAfter(clock, limitMs, AbortSignal.any([signal, timer.signal]))]);
 	} finally {
