--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -1,2 +1,7 @@
-/** Placeholder until the package has exports. */
-export type Placeholder = never;
+export * from './directory.js';
+export * from './groupMonitor.js';
+export * from './groupMonitors.js';
+export * from './promoter.js';
+export * from './sqlDatabaseControl.js';
+export * from './stateMessage.js';
+export * from './statusPublisher.js';
