--- /dev/null
+++ b/packages/control/src/httpHostList.ts
@@ -0,0 +1,50 @@
+import {z} from 'zod';
+import {
+	FailureError, type Clock, type HostList, type ListedHost,
+} from '@crocusloom/model';
+import {withTimeLimit} from './timeLimit.js';
+
+const listedHostSchema = z.object({
+	host: z.string().min(1),
+	kind: z.enum(['entry', 'backend']),
+	failureDomain: z.string().min(1),
+	address: z.string().min(1),
+	port: z.int().min(1).max(65_535),
+	state: z.enum(['live', 'leaving']),
+});
+const hostsSchema = z.union([z.array(listedHostSchema), z.object({hosts: z.array(listedHostSchema)}).transform(({hosts}) => hosts)]);
+
+const defaultCallLimitMs = 2000;
+
+export type HttpHostListOptions = {
+	/** Base URL of the platform, without a path. */
+	readonly url: string;
+	readonly clock: Clock;
+	/** Limit of one call in milliseconds. */
+	readonly callLimitMs?: number;
+};
+
+/** The platform's host list, accessed through `GET /hosts`. */
+export class HttpHostList implements HostList {
+	constructor(private readonly options: HttpHostListOptions) {}
+
+	async list(signal: AbortSignal): Promise<readonly ListedHost[]> {
+		const {clock, url, callLimitMs = defaultCallLimitMs} = this.options;
+		try {
+			return await withTimeLimit(clock, callLimitMs, signal, async callSignal => {
+				const response = await fetch(new URL('/hosts', url), {signal: callSignal});
+				if (!response.ok) {
+					await response.body?.cancel();
+					throw new Error(`status ${response.status}`);
+				}
+
+				return hostsSchema.parse(await response.json());
+			});
+		} catch (error) {
+			const message = error instanceof Error ? error.message : String(error);
+			throw new FailureError({
+				kind: 'platform', step: 'platform', peer: url, message: `/hosts: ${message}`, effect: 'none',
+			}, {cause: error});
+		}
+	}
+}
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,2 +1,16 @@
-/** Placeholder until the package has exports. */
-export type Placeholder = never;
+export {EtcdKeyValueStore, type EtcdOptions} from './etcdKeyValueStore.js';
+export {HttpHostList, type HttpHostListOptions} from './httpHostList.js';
+export {ConfigurationStore, type ConfigurationStoreOptions} from './configurationStore.js';
+export {type ChangeOutcome, type ConfigurationChange} from './changeAcceptor.js';
+export {
+	type ChangeSet, type ConfigurationEntry, type EntryKey, type InvalidEntry,
+} from './configurationState.js';
+export {type RendezvousOrder} from './peerPropagation.js';
+export {type PlatformHealth} from './platformFollower.js';
+export {
+	startResourceApi, type ExplainRequest, type ResourceApi, type ResourceApiOptions,
+} from './resourceApi.js';
+export {type StatusReport} from './statusReporter.js';
+export {
+	computeConditions, type Condition, type ConditionInput, type ConditionType, type Severity,
+} from './conditions.js';
--- /dev/null
+++ b/packages/control/src/resourceApi.ts
@@ -0,0 +1,129 @@
+import {type AddressInfo} from 'node:net';
+import fastify, {type FastifyInstance} from 'fastify';
+import {z} from 'zod';
+import {
+	FailureError, type Clock, type GroupDirectory, type Log,
+} from '@crocusloom/model';
+import {deferred} from './deferred.js';
+import {registerResourceRoutes, requestSignal, type ResourceStore} from './resourceRoutes.js';
+import {StatusReporter, type StatusReporterOptions} from './statusReporter.js';
+
+/** A question why a statement goes where it goes. */
+export type ExplainRequest = {
+	/** Database name of the caller's startup message. */
+	readonly database: string;
+	readonly statement: string;
+	readonly user?: string;
+	readonly application?: string;
+	/** Session token of the caller; absent when it supplied none. */
+	readonly session?: string;
+};
+
+export type ResourceApiOptions = Omit<StatusReporterOptions, 'store' | 'directory'> & {
+	readonly address: string;
+	/** 0 chooses a free port. */
+	readonly port: number;
+	readonly store: ResourceStore;
+	readonly directory: Pick<GroupDirectory, 'stateOf' | 'states' | 'promotions'>;
+	readonly clock: Clock;
+	readonly log: Log;
+	/** Answers `GET /v1/explain`; the daemon classifies the statement and asks its dispatcher. */
+	readonly explain: (request: ExplainRequest, signal: AbortSignal) => Promise<unknown> | unknown;
+	/** Answers `GET /metrics`, for example with the registry of prom-client. */
+	readonly metrics?: () => Promise<{readonly contentType: string; readonly body: string}>;
+};
+
+export type ResourceApi = {
+	readonly address: string;
+	readonly port: number;
+	/** Resolves when the API has stopped after its signal was aborted. */
+	readonly closed: Promise<void>;
+};
+
+/** A resource is a few kilobytes; the store holds values up to a megabyte. */
+const bodyLimitBytes = 1024 * 1024;
+
+const explainQuerySchema = z.object({
+	database: z.string().min(1), statement: z.string().min(1), user: z.string().optional(), application: z.string().optional(), session: z.string().optional(),
+});
+
+/**
+ * Starts the resource API.
+ * @param signal - stops the API; requests in progress are ended
+ * @returns address and port on which it listens
+ * @throws Error of the socket if the port can't be bound
+ */
+export async function startResourceApi(options: ResourceApiOptions, signal: AbortSignal): Promise<ResourceApi> {
+	const server = fastify({bodyLimit: bodyLimitBytes, forceCloseConnections: true});
+	const reporter = new StatusReporter(options);
+	registerErrors(server, options.log);
+	registerResourceRoutes(server, {...options, conditions: async given => reporter.conditions(given)}, signal);
+	registerReports(server, options, reporter, signal);
+	await server.listen({host: options.address, port: options.port});
+	const address = server.addresses()[0] as AddressInfo;
+	void runReporter(reporter, options.log, signal);
+	return {address: address.address, port: address.port, closed: closeOnAbort(server, signal)};
+}
+
+function registerReports(server: FastifyInstance, options: ResourceApiOptions, reporter: StatusReporter, signal: AbortSignal): void {
+	server.get('/v1/status', async request => reporter.report(requestSignal(request, signal)));
+	server.get('/v1/promotions', async () => ({items: options.directory.promotions()}));
+	server.get('/v1/explain', async (request, reply) => {
+		const query = explainQuerySchema.safeParse(request.query);
+		if (!query.success) {
+			const problems = query.error.issues.map(({path, message}) => ({path: path.join('.'), message}));
+			return reply.code(400).send({error: 'invalid', message: 'the request has invalid fields', problems});
+		}
+
+		return reply.send(await options.explain(query.data, requestSignal(request, signal)));
+	});
+	const {metrics} = options;
+	if (metrics) {
+		server.get('/metrics', async (_request, reply) => {
+			const {body, contentType} = await metrics();
+			return reply.type(contentType).send(body);
+		});
+	}
+}
+
+const statusCodes: Readonly<Record<string, number>> = {
+	notRun: 503, platform: 503, peer: 503, conflict: 409, invalid: 400, protocol: 400,
+};
+
+function registerErrors(server: FastifyInstance, log: Log): void {
+	server.setNotFoundHandler(async (request, reply) => reply.code(404).send({error: 'notFound', message: `${request.method} ${request.url} is not an endpoint`}));
+	server.setErrorHandler(async (error: Error & {readonly statusCode?: number}, request, reply) => {
+		if (error instanceof FailureError) {
+			return reply.code(statusCodes[error.failure.kind] ?? 500).send({error: error.failure.kind, message: error.message});
+		}
+
+		const statusCode = error.statusCode ?? 500;
+		if (statusCode >= 500) {
+			log.error({method: request.method, url: request.url, error: error.message}, 'a request to the resource API failed');
+		}
+
+		return reply.code(statusCode).send({error: statusCode < 500 ? 'invalid' : 'internal', message: error.message});
+	});
+}
+
+async function runReporter(reporter: StatusReporter, log: Log, signal: AbortSignal): Promise<void> {
+	try {
+		await reporter.run(signal);
+	} catch (error) {
+		if (!signal.aborted) {
+			log.error({error: String(error)}, 'conditions are no longer evaluated');
+		}
+	}
+}
+
+async function closeOnAbort(server: FastifyInstance, signal: AbortSignal): Promise<void> {
+	if (!signal.aborted) {
+		const aborted = deferred<void>();
+		signal.addEventListener('abort', () => {
+			aborted.resolve();
+		}, {once: true});
+		await aborted.promise;
+	}
+
+	await server.close();
+}
