Add a thin callers' side: startup, routes, exchanges and transactions

Callers connect, are routed, and run simple and extended exchanges through the Dispatcher; a unit of work is kept while a transaction is open.

ExchangeOptions gains an optional cancelSignal: a first exchange runs inside dispatch(), before Work.cancel is at hand, and could not be cancelled.

--- /dev/null
+++ b/packages/callers/src/callerWork.ts
@@ -0,0 +1,73 @@
+import {
+	type Dispatcher, type ExchangeOptions, type ExchangeResult, type FrameSink, type Work, type WorkIntent,
+} from '@crocusloom/model';
+import {type TransactionStatus} from './types.js';
+
+/** The unit of work that a session has open, and its transaction status. */
+export class CallerWork {
+	status: TransactionStatus = 'I';
+	private work: Work | undefined;
+	private running: 'no' | 'first' | 'later' = 'no';
+	private cancelling = new AbortController();
+
+	constructor(private readonly dispatcher: Dispatcher) {}
+
+	get isOpen(): boolean {
+		return this.work !== undefined;
+	}
+
+	/** True when the transaction ended by a failure of the system that the caller has not answered with ROLLBACK yet. */
+	get isLost(): boolean {
+		return this.status === 'E' && this.work === undefined;
+	}
+
+	/**
+	 * Runs one exchange, on the open unit of work or on a new one, and ends the unit with its transaction.
+	 * @throws FailureError `notRun` or `unknown`; the unit of work is over then
+	 */
+	async run(frames: Buffer, sink: FrameSink, options: Pick<ExchangeOptions, 'preparedStatements' | 'mayCommit' | 'signal'>, intent: () => WorkIntent): Promise<ExchangeResult> {
+		try {
+			const result = this.work ? await this.runLater(this.work, frames, sink, options) : await this.runFirst(frames, sink, options, intent());
+			this.status = result.transactionStatus;
+			if (this.status === 'I') {
+				this.release();
+			}
+
+			return result;
+		} catch (error) {
+			this.release();
+			throw error;
+		} finally {
+			this.running = 'no';
+		}
+	}
+
+	/** Asks the backend server to cancel the running exchange; nothing is done between exchanges. */
+	cancel(): void {
+		if (this.running === 'later') {
+			this.work?.cancel();
+		} else if (this.running === 'first') {
+			this.cancelling.abort();
+			this.cancelling = new AbortController();
+		}
+	}
+
+	/** Ends the unit of work; an open transaction is rolled back. */
+	release(): void {
+		const {work} = this;
+		this.work = undefined;
+		work?.release();
+	}
+
+	private async runLater(work: Work, frames: Buffer, sink: FrameSink, options: ExchangeOptions): Promise<ExchangeResult> {
+		this.running = 'later';
+		return work.exchange(frames, sink, options);
+	}
+
+	private async runFirst(frames: Buffer, sink: FrameSink, options: ExchangeOptions, intent: WorkIntent): Promise<ExchangeResult> {
+		this.running = 'first';
+		const {work, result} = await this.dispatcher.dispatch(intent, frames, sink, {...options, cancelSignal: this.cancelling.signal});
+		this.work = work;
+		return result;
+	}
+}
--- /dev/null
+++ b/packages/callers/src/commandRunner.ts
@@ -0,0 +1,88 @@
+import {type Configuration} from '@crocusloom/model';
+import {
+	backend, buildFrame, commandComplete, dataRow, errorResponse, rowDescription,
+} from '@crocusloom/wire';
+import {callerSqlStates, refusal} from './errors.js';
+import {type LocalCommand} from './localCommands.js';
+import {type SessionStatements} from './preparedStatements.js';
+import {type SessionSettings} from './settings.js';
+
+const noData = buildFrame(backend.noData, Buffer.alloc(0));
+const noTransaction = Buffer.from(errorResponse({severity: 'WARNING', sqlState: '25P01', message: 'there is no transaction in progress'}));
+noTransaction[0] = backend.noticeResponse;
+
+/** What commands act on. */
+export type CommandContext = {
+	readonly peer: string;
+	readonly settings: SessionSettings;
+	readonly statements: SessionStatements;
+	readonly configuration: () => Configuration;
+	/** Ends a lost transaction; true if there was one. */
+	readonly endFailed: () => boolean;
+};
+
+/** Answers statements about the session. */
+export class CommandRunner {
+	private readonly runners: {readonly [K in LocalCommand['kind']]: (command: Extract<LocalCommand, {kind: K}>, isSimple: boolean) => Buffer} = {
+		set: ({name, value}) => {
+			this.context.settings.set(name, value, this.context.configuration());
+			return commandComplete('SET');
+		},
+		reset: ({name}) => {
+			this.context.settings.reset(name);
+			return commandComplete('RESET');
+		},
+		resetAll: () => {
+			this.context.settings.resetAll();
+			return commandComplete('RESET');
+		},
+		show: (command, isSimple) => this.show(command.name, isSimple),
+		discardAll: () => {
+			this.context.settings.resetAll();
+			this.context.statements.clear();
+			return commandComplete('DISCARD ALL');
+		},
+		deallocate: ({name}) => {
+			this.context.statements.get(name);
+			this.context.statements.remove(name);
+			return commandComplete('DEALLOCATE');
+		},
+		deallocateAll: () => {
+			this.context.statements.clear();
+			return commandComplete('DEALLOCATE ALL');
+		},
+		endFailed: () => this.context.endFailed() ? commandComplete('ROLLBACK') : Buffer.concat([noTransaction, commandComplete('ROLLBACK')]),
+	};
+
+	constructor(private readonly context: CommandContext) {}
+
+	/** Frames that describe the answer. */
+	describe(commands: readonly LocalCommand[]): Buffer {
+		const [command] = commands;
+		return command?.kind === 'show' ? rowDescription([{name: command.name}]) : noData;
+	}
+
+	/**
+	 * Runs commands.
+	 * @param isSimple - true to put the description before the rows, as the simple protocol does
+	 * @returns frames of the answer, without ReadyForQuery
+	 * @throws FailureError for a bad name or value
+	 */
+	run(commands: readonly LocalCommand[], isSimple: boolean): Buffer {
+		return Buffer.concat(commands.map(command => this.runOne(command, isSimple)));
+	}
+
+	private runOne(command: LocalCommand, isSimple: boolean): Buffer {
+		return (this.runners[command.kind] as (command: LocalCommand, isSimple: boolean) => Buffer)(command, isSimple);
+	}
+
+	private show(name: string, isSimple: boolean): Buffer {
+		const value = this.context.settings.show(name);
+		if (value === undefined) {
+			throw refusal('classify', this.context.peer, callerSqlStates.invalidParameterValue, `unrecognized option "${name}"`);
+		}
+
+		const rows = [dataRow([value]), commandComplete('SHOW')];
+		return Buffer.concat(isSimple ? [rowDescription([{name}]), ...rows] : rows);
+	}
+}
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -1,2 +1,5 @@
-/** Placeholder until the package has exports. */
-export type Placeholder = never;
+export {CallerServer} from './server.js';
+export {cancelMethod, type CancelKey} from './cancel.js';
+export {
+	defaultCallerLimits, type CallerLimits, type CallerServerOptions, type CallerUsers,
+} from './types.js';
--- a/packages/model/src/ports.ts
+++ b/packages/model/src/ports.ts
@@ -87,7 +87,10 @@
 	readonly preparedStatements?: readonly PreparedStatement[];
 	/** True if a commit may happen in this exchange. */
 	readonly mayCommit: boolean;
+	/** Aborts when the caller is gone. */
 	readonly signal: AbortSignal;
+	/** Aborts when the caller asks to cancel a first exchange, for which `Work.cancel` is not at hand yet; the answer still comes. */
+	readonly cancelSignal?: AbortSignal;
 };
 
 /** One unit of work at a database: a statement outside a transaction, or one whole transaction. */
