--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -1,3 +1,4 @@
+export {chooseRoute, type CallerIdentity, type Route} from './routes.js';
 export {CallerServer} from './server.js';
 export {cancelMethod, type CancelKey} from './cancel.js';
 export {
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -20,7 +20,7 @@
 		maximumCallers: z.coerce.number().int().min(1).default(10_000),
 		tlsCertificateFile: z.string().optional(),
 		tlsKeyFile: z.string().optional(),
-		authentication: z.enum(['trust', 'cleartext', 'md5', 'scram']).optional(),
+		authentication: z.enum(['trust', 'cleartext', 'md5', 'scram-sha-256']).optional(),
 	}).prefault({}),
 	peers: z.strictObject({
 		address: z.string().default('127.0.0.1'),
