Add a thin backend server and platform store for tests

Other packages need a PostgreSQL server with terms, log positions and replication, and a store with the etcd v3 JSON gateway, before these stand-ins are complete.

--- /dev/null
+++ b/packages/standins/src/backendServer/selects.ts
@@ -0,0 +1,330 @@
+/**
+ * SELECT, and the targets of RETURNING.
+ */
+import {
+	lastName, nodeAt, nodesAt, tagged, textAt, valueAt, type Node, type Statement,
+} from './ast.js';
+import {
+	lock, returningOf, rowLockKey, scopeOf, type Execution,
+} from './execution.js';
+import {evaluate, holds, type Row} from './expressions.js';
+import {
+	callServerFunction, functionColumns, functionTypeId, isServerFunction,
+} from './functions.js';
+import {type Result, type ResultColumn} from './result.js';
+import {serverSqlStates, SqlError} from './sqlError.js';
+import {fromFunction} from './statements.js';
+import {uniqueKeyOf, type Overlay, type TableDefinition} from './tables.js';
+import {
+	coerce, compareValues, typeIdOf, type Value,
+} from './values.js';
+
+const typeId = {
+	boolean: 16, bigint: 20, integer: 23, text: 25,
+} as const;
+
+/** Runs a SELECT. */
+export async function select(body: Node, execution: Execution): Promise<Result> {
+	if (fromFunction(body)) {
+		return selectFromFunction(body, execution);
+	}
+
+	const rows = body.fromClause ? await tableRows(body, execution) : undefined;
+	return rows ? project(body, rows, execution) : selectConstants(body, execution);
+}
+
+/**
+ * Columns of a statement's result without running it.
+ * @returns undefined for a statement without rows
+ */
+export function describeColumns({tag, body}: Statement, overlay: Overlay): readonly ResultColumn[] | undefined {
+	if (tag === 'VariableShowStmt') {
+		return [{name: textAt(body, 'name'), typeId: typeId.text}];
+	}
+
+	const targets = tag === 'SelectStmt' ? targetsOf(body) : returningOf(body);
+	if (!targets) {
+		return undefined;
+	}
+
+	const call = fromFunction(body);
+	if (call) {
+		return functionTargetColumns(targets, lastName(nodesAt(call, 'funcname')));
+	}
+
+	const table = textAt(body, 'relation', 'relname') || textAt(body, 'fromClause', 0, 'RangeVar', 'relname');
+	return targetColumns(targets, table === '' ? undefined : overlay.table(table).definition);
+}
+
+/** Ids and rows that match a WHERE clause; an equality on a unique key uses its index. */
+export function matchRows(table: string, where: Node | undefined, execution: Execution): ReadonlyArray<readonly [number, Row]> {
+	const {overlay} = execution.transaction;
+	const found = findByUniqueKey(table, where, execution);
+	const candidates = found ? found.ids.map(id => [id, overlay.row(table, id)!] as const) : overlay.visibleRows(table);
+	return [...candidates].filter(([, row]) => holds(where, scopeOf(execution, row)));
+}
+
+/** Columns of select targets. */
+export function targetColumns(targets: readonly Node[], definition: TableDefinition | undefined): readonly ResultColumn[] {
+	return targets.flatMap(target => {
+		const expression = nodeAt(target, 'ResTarget', 'val')!;
+		if (isStar(expression)) {
+			return (definition?.columns ?? []).map(column => ({name: column.name, typeId: typeIdOf(column.typeName)}));
+		}
+
+		const value = tagged(expression);
+		return [{name: textAt(target, 'ResTarget', 'name') || defaultName(value), typeId: expressionTypeId(value, definition)}];
+	});
+}
+
+/** Values of select targets for one row. */
+export function targetValues(targets: readonly Node[], row: Row, definition: TableDefinition, execution: Execution): readonly Value[] {
+	return targets.flatMap(target => {
+		const value = nodeAt(target, 'ResTarget', 'val')!;
+		return isStar(value)
+			? definition.columns.map(column => row[column.name] ?? null)
+			: [evaluate(value, scopeOf(execution, row))];
+	});
+}
+
+function targetsOf(body: Node): readonly Node[] {
+	return (body.targetList ?? []) as readonly Node[];
+}
+
+function isStar(value: Node): boolean {
+	return nodesAt(value, 'ColumnRef', 'fields').at(-1)?.A_Star !== undefined;
+}
+
+function defaultName({tag, body}: Statement): string {
+	if (tag === 'ColumnRef') {
+		return lastName(nodesAt(body, 'fields'));
+	}
+
+	return tag === 'FuncCall' ? lastName(nodesAt(body, 'funcname')) : '?column?';
+}
+
+function expressionTypeId({tag, body}: Statement, definition: TableDefinition | undefined): number {
+	switch (tag) {
+		case 'ColumnRef': {
+			const name = lastName(nodesAt(body, 'fields'));
+			const column = definition?.columns.find(candidate => candidate.name === name);
+			if (!column) {
+				throw new SqlError(serverSqlStates.undefinedColumn, `column "${name}" does not exist`);
+			}
+
+			return typeIdOf(column.typeName);
+		}
+
+		case 'A_Const': {
+			return body.ival ? typeId.integer : (body.boolval ? typeId.boolean : typeId.text);
+		}
+
+		case 'TypeCast': {
+			return typeIdOf(lastName(nodesAt(body, 'typeName', 'names')));
+		}
+
+		case 'FuncCall': {
+			const name = lastName(nodesAt(body, 'funcname'));
+			return isAggregate(name) ? aggregateTypeId(name, body, definition) : functionTypeId(name);
+		}
+
+		case 'BoolExpr':
+		case 'NullTest': {
+			return typeId.boolean;
+		}
+
+		case 'A_Expr': {
+			return operatorTypeId(lastName(nodesAt(body, 'name')));
+		}
+
+		default: {
+			return typeId.text;
+		}
+	}
+}
+
+function operatorTypeId(operator: string): number {
+	if (operator === '||') {
+		return typeId.text;
+	}
+
+	return ['+', '-', '*', '/', '%'].includes(operator) ? typeId.bigint : typeId.boolean;
+}
+
+async function selectFromFunction(body: Node, execution: Execution): Promise<Result> {
+	const call = fromFunction(body)!;
+	const name = lastName(nodesAt(call, 'funcname'));
+	const answer = await callServerFunction(name, execution.database, argumentsOf(call, execution), execution.signal);
+	const columns = functionTargetColumns(targetsOf(body), name);
+	const values = columns.map(column => answer.row[answer.columns.findIndex(candidate => candidate.name === column.name)] ?? null);
+	return {columns, rows: [values], tag: 'SELECT 1'};
+}
+
+function functionTargetColumns(targets: readonly Node[], name: string): readonly ResultColumn[] {
+	const known = functionColumns[name] ?? [{name, typeId: functionTypeId(name)}];
+	return targets.flatMap(target => {
+		const value = nodeAt(target, 'ResTarget', 'val')!;
+		if (isStar(value)) {
+			return known;
+		}
+
+		const wanted = defaultName(tagged(value));
+		const column = known.find(candidate => candidate.name === wanted);
+		if (!column) {
+			throw new SqlError(serverSqlStates.undefinedColumn, `column "${wanted}" does not exist`);
+		}
+
+		return [column];
+	});
+}
+
+async function selectConstants(body: Node, execution: Execution): Promise<Result> {
+	const targets = targetsOf(body);
+	const values: Value[] = [];
+	for (const target of targets) {
+		const {tag, body: value} = tagged(nodeAt(target, 'ResTarget', 'val')!);
+		const name = tag === 'FuncCall' ? lastName(nodesAt(value, 'funcname')) : '';
+		if (isServerFunction(name)) {
+			const answer = await callServerFunction(name, execution.database, argumentsOf(value, execution), execution.signal);
+			values.push(answer.row[0] ?? null);
+		} else {
+			values.push(evaluate(nodeAt(target, 'ResTarget', 'val')!, scopeOf(execution)));
+		}
+	}
+
+	const rows = holds(nodeAt(body, 'whereClause'), scopeOf(execution)) ? [values] : [];
+	return {columns: targetColumns(targets, undefined), rows, tag: `SELECT ${rows.length}`};
+}
+
+function argumentsOf(call: Node, execution: Execution): readonly Value[] {
+	return nodesAt(call, 'args').map(arg => evaluate(arg, scopeOf(execution)));
+}
+
+async function tableRows(body: Node, execution: Execution): Promise<readonly Row[]> {
+	const table = textAt(body, 'fromClause', 0, 'RangeVar', 'relname');
+	if (table === '' || nodesAt(body, 'fromClause').length > 1 || body.groupClause) {
+		throw new SqlError(serverSqlStates.featureNotSupported, 'only a SELECT from one table is supported');
+	}
+
+	execution.transaction.overlay.table(table);
+	const matches = matchRows(table, nodeAt(body, 'whereClause'), execution);
+	if (!body.lockingClause) {
+		return matches.map(([, row]) => row);
+	}
+
+	const rows: Row[] = [];
+	for (const [id] of matches) {
+		await lock(execution, rowLockKey(table, id));
+		const row = execution.transaction.overlay.row(table, id);
+		if (row && holds(nodeAt(body, 'whereClause'), scopeOf(execution, row))) {
+			rows.push(row);
+		}
+	}
+
+	return rows;
+}
+
+function project(body: Node, rows: readonly Row[], execution: Execution): Result {
+	const {definition} = execution.transaction.overlay.table(textAt(body, 'fromClause', 0, 'RangeVar', 'relname'));
+	const targets = targetsOf(body);
+	const columns = targetColumns(targets, definition);
+	if (targets.some(target => isAggregate(lastName(nodesAt(target, 'ResTarget', 'val', 'FuncCall', 'funcname'))))) {
+		const values = targets.map(target => aggregate(nodeAt(target, 'ResTarget', 'val')!, rows, execution));
+		return {columns, rows: [values], tag: 'SELECT 1'};
+	}
+
+	const limited = limit(body, sort(body, rows, execution), execution);
+	return {columns, rows: limited.map(row => targetValues(targets, row, definition, execution)), tag: `SELECT ${limited.length}`};
+}
+
+function sort(body: Node, rows: readonly Row[], execution: Execution): readonly Row[] {
+	const keys = nodesAt(body, 'sortClause').map(key => nodeAt(key, 'SortBy')!);
+	if (keys.length === 0) {
+		return rows;
+	}
+
+	const targets = targetsOf(body).map(target => nodeAt(target, 'ResTarget')!);
+	const nodes = keys.map(key => {
+		const name = lastName(nodesAt(key, 'node', 'ColumnRef', 'fields'));
+		const target = targets.find(candidate => candidate.name !== undefined && candidate.name === name);
+		return nodeAt(target, 'val') ?? nodeAt(key, 'node')!;
+	});
+	return rows.toSorted((a, b) => {
+		for (const [index, node] of nodes.entries()) {
+			const order = compareForSort(evaluate(node, scopeOf(execution, a)), evaluate(node, scopeOf(execution, b)));
+			if (order !== 0) {
+				return keys[index]!.sortby_dir === 'SORTBY_DESC' ? -order : order;
+			}
+		}
+
+		return 0;
+	});
+}
+
+/** Nulls sort last in ascending order. */
+function compareForSort(left: Value, right: Value): number {
+	return compareValues(left, right) ?? (Number(left === null) - Number(right === null));
+}
+
+function limit(body: Node, rows: readonly Row[], execution: Execution): readonly Row[] {
+	const offset = body.limitOffset ? Number(evaluate(nodeAt(body, 'limitOffset')!, scopeOf(execution))) : 0;
+	const count = body.limitCount ? evaluate(nodeAt(body, 'limitCount')!, scopeOf(execution)) : null;
+	return rows.slice(offset, count === null ? undefined : offset + Number(count));
+}
+
+function findByUniqueKey(table: string, where: Node | undefined, execution: Execution): {readonly ids: readonly number[]} | undefined {
+	const equalities = where ? equalitiesOf(where, execution) : {};
+	const {overlay} = execution.transaction;
+	const {definition} = overlay.table(table);
+	const key = definition.uniqueKeys.find(candidate => candidate.columns.every(column => equalities[column] !== undefined && equalities[column] !== null));
+	if (!key) {
+		return undefined;
+	}
+
+	const types = new Map(definition.columns.map(column => [column.name, column.type]));
+	const row = Object.fromEntries(key.columns.map(column => [column, coerce(equalities[column]!, types.get(column)!)]));
+	const id = overlay.findUnique(table, key, uniqueKeyOf(key, row)!);
+	return {ids: id === undefined ? [] : [id]};
+}
+
+/** Columns that a condition sets equal to a value that does not depend on the row. */
+function equalitiesOf(where: Node, execution: Execution): Readonly<Record<string, Value>> {
+	const {tag, body} = tagged(where);
+	if (tag === 'BoolExpr' && body.boolop === 'AND_EXPR') {
+		return Object.assign({}, ...nodesAt(body, 'args').map(arg => equalitiesOf(arg, execution))) as Readonly<Record<string, Value>>;
+	}
+
+	const isEquality = tag === 'A_Expr' && body.kind === 'AEXPR_OP' && lastName(nodesAt(body, 'name')) === '=';
+	const isConstant = valueAt(body, 'rexpr', 'A_Const') ?? valueAt(body, 'rexpr', 'ParamRef');
+	if (!isEquality || !valueAt(body, 'lexpr', 'ColumnRef') || !isConstant) {
+		return {};
+	}
+
+	return {[lastName(nodesAt(body, 'lexpr', 'ColumnRef', 'fields'))]: evaluate(nodeAt(body, 'rexpr')!, scopeOf(execution))};
+}
+
+const aggregates: Readonly<Record<string, (values: readonly Value[]) => Value>> = {
+	count: values => values.length,
+	sum: values => values.length === 0 ? null : values.reduce<number>((total, value) => total + Number(value), 0),
+	min: values => values.toSorted((a, b) => compareValues(a, b) ?? 0)[0] ?? null,
+	max: values => values.toSorted((a, b) => compareValues(b, a) ?? 0)[0] ?? null,
+};
+
+function isAggregate(name: string): boolean {
+	return Object.hasOwn(aggregates, name);
+}
+
+function aggregateTypeId(name: string, body: Node, definition: TableDefinition | undefined): number {
+	return name === 'count' || name === 'sum' ? typeId.bigint : expressionTypeId(tagged(nodeAt(body, 'args', 0)!), definition);
+}
+
+function aggregate(value: Node, rows: readonly Row[], execution: Execution): Value {
+	const call = nodeAt(value, 'FuncCall');
+	const name = lastName(nodesAt(call, 'funcname'));
+	if (!call || !isAggregate(name)) {
+		return evaluate(value, scopeOf(execution));
+	}
+
+	const values = call.agg_star ? rows.map(() => 1) : rows.map(row => evaluate(nodeAt(call, 'args', 0)!, scopeOf(execution, row)));
+	return aggregates[name]!(values.filter(candidate => candidate !== null));
+}
--- /dev/null
+++ b/packages/standins/src/platform/store.ts
@@ -0,0 +1,117 @@
+/**
+ * The key-value store: one revision for all keys, and the history that watches need.
+ */
+import {EventEmitter} from 'node:events';
+
+export type StoredEntry = {
+	readonly key: string;
+	readonly value: string;
+	readonly createRevision: number;
+	readonly modRevision: number;
+	readonly version: number;
+	readonly lease: string;
+};
+
+export type StoreEvent = {readonly type: 'PUT' | 'DELETE'; readonly entry: StoredEntry};
+
+/** A range of keys: one key, or from `key` up to and without `end`. */
+export type KeyRange = {readonly key: string; readonly end?: string};
+
+/** End of a range that stands for all keys from its start on. */
+const openEnd = '\0';
+
+/** True if a range has the key. Keys are binary texts (one character a byte), so that they sort as bytes. */
+export function inRange(key: string, range: KeyRange): boolean {
+	if (range.end === undefined || range.end === '') {
+		return key === range.key;
+	}
+
+	return key >= range.key && (range.end === openEnd || key < range.end);
+}
+
+/** Writes of one transaction; all get the same revision. */
+export type Write
+	= | {readonly kind: 'put'; readonly key: string; readonly value: string; readonly lease: string}
+		| {readonly kind: 'delete'; readonly range: KeyRange};
+
+/** What one write did. */
+export type WriteResult = {readonly previous: readonly StoredEntry[]};
+
+// eslint-disable-next-line unicorn/prefer-event-target -- an EventTarget would need an event object for each record
+export class Store extends EventEmitter<{change: []}> {
+	private readonly entries = new Map<string, StoredEntry>();
+	private readonly history: StoreEvent[] = [];
+	private currentRevision = 1;
+
+	constructor() {
+		super();
+		this.setMaxListeners(0);
+	}
+
+	get revision(): number {
+		return this.currentRevision;
+	}
+
+	get(key: string): StoredEntry | undefined {
+		return this.entries.get(key);
+	}
+
+	/** Entries of a range in the order of their keys. */
+	range(range: KeyRange): readonly StoredEntry[] {
+		if (range.end === undefined || range.end === '') {
+			const entry = this.entries.get(range.key);
+			return entry ? [entry] : [];
+		}
+
+		return [...this.entries.values()]
+			.filter(entry => inRange(entry.key, range))
+			.toSorted((a, b) => a.key < b.key ? -1 : 1);
+	}
+
+	/** Applies writes at one new revision; the revision stays if nothing changed. */
+	apply(writes: readonly Write[]): readonly WriteResult[] {
+		const revision = this.currentRevision + 1;
+		const eventsBefore = this.history.length;
+		const results = writes.map(write => write.kind === 'put' ? this.put(write, revision) : this.delete(write.range, revision));
+		if (this.history.length > eventsBefore) {
+			this.currentRevision = revision;
+			this.emit('change');
+		}
+
+		return results;
+	}
+
+	/** Events of a range from a revision on, in order. */
+	eventsSince(revision: number, range: KeyRange): readonly StoreEvent[] {
+		let start = this.history.length;
+		while (start > 0 && this.history[start - 1]!.entry.modRevision >= revision) {
+			start--;
+		}
+
+		return this.history.slice(start).filter(event => inRange(event.entry.key, range));
+	}
+
+	private put({key, value, lease}: Extract<Write, {kind: 'put'}>, revision: number): WriteResult {
+		const previous = this.entries.get(key);
+		const entry = {
+			key, value, lease, createRevision: previous?.createRevision ?? revision, modRevision: revision, version: (previous?.version ?? 0) + 1,
+		};
+		this.entries.set(key, entry);
+		this.history.push({type: 'PUT', entry});
+		return {previous: previous ? [previous] : []};
+	}
+
+	private delete(range: KeyRange, revision: number): WriteResult {
+		const previous = this.range(range);
+		for (const entry of previous) {
+			this.entries.delete(entry.key);
+			this.history.push({
+				type: 'DELETE', entry: {
+					...entry, value: '', createRevision: 0, version: 0, modRevision: revision, lease: '0',
+				},
+			});
+		}
+
+		return {previous};
+	}
+}
