Add a thin holder side and dispatcher

Dialer, connection pool, admission queue, holder, work channel and dispatcher behind the ports of the model, so that the other packages can integrate. The work channel and the dispatcher have no tests yet.

--- /dev/null
+++ b/packages/work/src/dispatchRun.ts
@@ -0,0 +1,84 @@
+import {
+	FailureError, toFailure, type ExchangeOptions, type FrameSink, type GroupState, type LogPosition, type NotRunReason, type WorkIntent,
+} from '@crocusloom/model';
+
+/** What one call of `dispatch` knows of its attempts. */
+export type DispatchRun = {
+	readonly intent: WorkIntent;
+	readonly frames: Buffer;
+	readonly sink: FrameSink;
+	readonly options: ExchangeOptions;
+	readonly deadlineMs: number;
+	/** Databases that refused this read. */
+	readonly excluded: Set<string>;
+	commitPosition?: LogPosition;
+	/** True once a replica refused the read, so that only the primary is left. */
+	primaryOnly: boolean;
+	/** True once a replica that was behind was asked to wait. */
+	triedReplicaBehind: boolean;
+	pauseMs: number;
+	/** Term and primary at the last attempt. */
+	seen: string;
+};
+
+/** First pause before an attempt is repeated; it doubles up to the longest. */
+export const firstPauseMs = 20;
+export const longestPauseMs = 320;
+
+/** Identifies who leads, so that a change of it is noticed. */
+export function leadershipOf(state: GroupState | undefined): string {
+	return `${state?.term ?? 0} ${state?.primary ?? ''}`;
+}
+
+/** What to do after a refusal; nothing ran in any case. */
+export type Remedy
+	/** Try another database at once, at the expense of the retry budget. */
+	= | 'elsewhere'
+	/** Try the primary at once; costs nothing, because a replica that is behind is no failure. */
+		| 'primary'
+	/** Wait until the leadership changes or a pause is over; costs nothing. */
+		| 'awaitLeader'
+	/** Wait likewise, and take a retry from the budget unless the leadership changed. */
+		| 'pause'
+		| 'giveUp';
+
+const writeRemedies: Readonly<Record<NotRunReason, Remedy>> = {
+	notPrimary: 'awaitLeader',
+	noPrimary: 'awaitLeader',
+	unreachable: 'pause',
+	leaving: 'pause',
+	draining: 'pause',
+	tooStale: 'pause',
+	shed: 'giveUp',
+	limit: 'giveUp',
+	noRoute: 'giveUp',
+};
+
+const readRemedies: Readonly<Record<NotRunReason, Remedy>> = {
+	...writeRemedies,
+	unreachable: 'elsewhere',
+	leaving: 'elsewhere',
+	draining: 'elsewhere',
+	tooStale: 'primary',
+	shed: 'elsewhere',
+};
+
+/** Looks up what to do after a refusal. */
+export function remedyFor({intent}: DispatchRun, reason: NotRunReason): Remedy {
+	return (intent.mode === 'read' ? readRemedies : writeRemedies)[reason];
+}
+
+/** Builds a refusal of the dispatcher's own. */
+export function refuse(reason: NotRunReason, group: string, message: string, step: 'route' | 'probe' = 'route'): FailureError {
+	return new FailureError({
+		kind: 'notRun', reason, step, peer: group, message,
+	});
+}
+
+/** Gives the reason if an error says that nothing ran. */
+export function notRunReason(error: unknown): NotRunReason | undefined {
+	const failure = toFailure(error, message => ({
+		kind: 'unknown', step: 'route', peer: '', message,
+	}));
+	return failure.kind === 'notRun' ? failure.reason : undefined;
+}
--- a/packages/work/src/index.ts
+++ b/packages/work/src/index.ts
@@ -1,2 +1,11 @@
-/** Placeholder until the package has exports. */
-export type Placeholder = never;
+export * from './admissionQueue.js';
+export * from './connectionPool.js';
+export {freshnessWaitMs, type HolderPorts} from './heldDatabase.js';
+export * from './holder.js';
+export {majorityWaitMs} from './localWork.js';
+export * from './retryBudget.js';
+export * from './stallGuard.js';
+export * from './tcpBackendDialer.js';
+export * from './workChannelPool.js';
+export * from './workDispatcher.js';
+export * from './workServer.js';
--- /dev/null
+++ b/packages/work/src/workDispatcher.ts
@@ -0,0 +1,366 @@
+import {
+	FailureError, type Clock, type ConfigurationSource, type DatabaseGroupSpec, type Dispatcher, type ExchangeOptions, type ExchangeResult,
+	type FrameSink, type GroupDirectory, type GroupState, type HolderStats, type Membership, type Metrics, type RandomSource,
+	type RoutingExplanation, type Work, type WorkIntent, type WorkRequest,
+} from '@crocusloom/model';
+import {
+	demandsOf, judgeCandidates, needsProbe, type Candidate, type Demands,
+} from './candidates.js';
+import {DatabaseLoads} from './databaseLoad.js';
+import {
+	firstPauseMs, leadershipOf, longestPauseMs, notRunReason, refuse, remedyFor, type DispatchRun,
+} from './dispatchRun.js';
+import {FirstAnswerSink} from './firstAnswerSink.js';
+import {type Holder} from './holder.js';
+import {RetryBudget} from './retryBudget.js';
+import {TrackedWork} from './trackedWork.js';
+import {type WorkChannelPool} from './workChannelPool.js';
+
+/** SQLSTATE of a write in a read-only transaction, which a replica answers. */
+const readOnlyTransaction = '25006';
+
+export type DispatcherPorts = {
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly configuration: ConfigurationSource;
+	readonly directory: GroupDirectory;
+	readonly membership: Membership;
+	readonly metrics: Metrics;
+};
+
+type Dispatched = {readonly work: Work; readonly result: ExchangeResult};
+
+/** Chooses a database for each unit of work, opens it at the holder, and repeats only what was not run. */
+export class WorkDispatcher implements Dispatcher {
+	private readonly loads = new DatabaseLoads();
+	private readonly budget = new RetryBudget();
+
+	/**
+	 * @param ports - configuration, directory, membership and the like
+	 * @param holder - the databases held by this process
+	 * @param channels - channels to other holders
+	 */
+	constructor(
+		private readonly ports: DispatcherPorts,
+		private readonly holder: Pick<Holder, 'openNow' | 'stats'>,
+		private readonly channels: Pick<WorkChannelPool, 'open'>,
+	) {}
+
+	async dispatch(intent: WorkIntent, frames: Buffer, sink: FrameSink, options: ExchangeOptions): Promise<Dispatched> {
+		this.budget.noteRequest(intent.group, intent.callerKey);
+		const run: DispatchRun = {
+			intent,
+			frames,
+			sink,
+			options,
+			deadlineMs: this.ports.clock.nowMs() + intent.waitLimitMs,
+			excluded: new Set(),
+			primaryOnly: false,
+			triedReplicaBehind: false,
+			pauseMs: firstPauseMs,
+			seen: '',
+		};
+		for (;;) {
+			try {
+				const dispatched = await this.attempt(run);
+				if (dispatched) {
+					return dispatched;
+				}
+			} catch (error) {
+				if (!await this.mayRepeat(run, error)) {
+					throw error;
+				}
+			}
+		}
+	}
+
+	explain(intent: WorkIntent): RoutingExplanation {
+		const state = this.ports.directory.stateOf(intent.group);
+		const spec = this.ports.configuration.current().databaseGroups.get(intent.group)?.spec;
+		if (!state || !spec) {
+			return {candidates: [], reason: 'the group is not configured or has not been monitored yet'};
+		}
+
+		const candidates = judgeCandidates(spec, state, demandsOf(intent));
+		const chosen = this.pick(candidates, spec);
+		return {
+			database: chosen?.database,
+			holder: chosen && this.holderOf(spec, chosen.database).host,
+			candidates: candidates.map(candidate => ({database: candidate.database, verdict: this.describe(candidate)})),
+			reason: chosen ? explainChoice(chosen, needsProbe(intent)) : 'no database fulfils the demands',
+		};
+	}
+
+	holderStats(): readonly HolderStats[] {
+		return this.holder.stats();
+	}
+
+	/** Makes one attempt; nothing is returned when the read has to be run again at the primary. */
+	private async attempt(run: DispatchRun): Promise<Dispatched | undefined> {
+		const {intent, options} = run;
+		if (needsProbe(intent) && !run.commitPosition) {
+			await this.probe(run);
+		}
+
+		const demands = demandsOf(intent, run.commitPosition);
+		const {spec, candidate} = this.choose(run, demands);
+		const {database} = candidate;
+		try {
+			const opened = this.open(spec, this.requestFor(run, database, demands), options.signal);
+			const work = new TrackedWork(opened instanceof Promise ? await opened : opened, database, this.loads);
+			return await (intent.mode === 'read' && !candidate.isPrimary ? this.runAtReplica(run, work) : this.runFirst(run, work, run.sink));
+		} catch (error) {
+			run.excluded.add(database);
+			this.noteShed(error, database);
+			throw error;
+		}
+	}
+
+	private async runFirst({frames, options}: DispatchRun, work: Work, sink: FrameSink): Promise<Dispatched> {
+		try {
+			return {work, result: await work.exchange(frames, sink, options)};
+		} catch (error) {
+			work.release();
+			throw error;
+		}
+	}
+
+	private async runAtReplica(run: DispatchRun, work: Work): Promise<Dispatched | undefined> {
+		const first = new FirstAnswerSink(run.sink);
+		const dispatched = await this.runFirst(run, work, first.sink);
+		if (dispatched.result.sqlState === readOnlyTransaction && first.isUntouched) {
+			work.release();
+			run.primaryOnly = true;
+			this.ports.metrics.count('reads_rerun_at_primary', {group: run.intent.group});
+			return undefined;
+		}
+
+		await first.flush();
+		return dispatched;
+	}
+
+	private async probe(run: DispatchRun): Promise<void> {
+		const {group} = run.intent;
+		run.seen = leadershipOf(this.ports.directory.stateOf(group));
+		try {
+			run.commitPosition = await this.ports.directory.commitPosition(group, run.options.signal);
+		} catch (error) {
+			throw refuse('noPrimary', group, `the commit position is not known: ${String(error)}`, 'probe');
+		}
+	}
+
+	/** @throws FailureError `notRun` when no database fulfils the demands */
+	private choose(run: DispatchRun, demands: Demands): {readonly spec: DatabaseGroupSpec; readonly candidate: Candidate} {
+		const {group} = run.intent;
+		const spec = this.ports.configuration.current().databaseGroups.get(group)?.spec;
+		if (!spec) {
+			throw refuse('noRoute', group, 'the group is not configured');
+		}
+
+		const state = this.ports.directory.stateOf(group);
+		run.seen = leadershipOf(state);
+		if (!state) {
+			throw refuse('noPrimary', group, 'the group has not been monitored yet');
+		}
+
+		const needsPrimary = demands.needsPrimary || run.primaryOnly;
+		const judged = judgeCandidates(spec, state, {...demands, needsPrimary});
+		const open = run.intent.mode === 'read' ? judged.filter(({database}) => !run.excluded.has(database)) : judged;
+		const candidate = this.replicaBehind(run, open, spec) ?? this.pick(open, spec);
+		if (!candidate) {
+			throw this.noCandidate(group, state, judged);
+		}
+
+		return {spec, candidate};
+	}
+
+	private noCandidate(group: string, state: GroupState, judged: readonly Candidate[]): FailureError {
+		const verdicts = judged.map(({database, verdict}) => `${database} is ${verdict}`).join(', ');
+		if (!state.primary) {
+			return refuse('noPrimary', group, `no primary is known: ${verdicts}`);
+		}
+
+		const isStale = judged.some(({verdict}) => verdict === 'tooOld' || verdict === 'behind');
+		return refuse(isStale ? 'tooStale' : 'unreachable', group, `no database may serve: ${verdicts}`);
+	}
+
+	/** Two random replicas are compared; the primary takes reads only when it has clearly less to do. */
+	private pick(candidates: readonly Candidate[], spec: DatabaseGroupSpec): Candidate | undefined {
+		const fresh = candidates.filter(({verdict}) => verdict === 'fresh');
+		const primary = fresh.find(({isPrimary}) => isPrimary);
+		const replica = this.betterOfTwo(fresh.filter(({isPrimary}) => !isPrimary));
+		if (!primary || !replica) {
+			return replica ?? primary;
+		}
+
+		return this.loads.score(replica.database) > this.loads.score(primary.database) + spec.slotsPerDatabase ? primary : replica;
+	}
+
+	private betterOfTwo(replicas: readonly Candidate[]): Candidate | undefined {
+		if (replicas.length < 2) {
+			return replicas[0];
+		}
+
+		const {random} = this.ports;
+		const first = Math.floor(random.next() * replicas.length);
+		const second = (first + 1 + Math.floor(random.next() * (replicas.length - 1))) % replicas.length;
+		const [a, b] = [replicas[first]!, replicas[second]!];
+		return this.loads.score(a.database) <= this.loads.score(b.database) ? a : b;
+	}
+
+	/** While the primary is busy and no replica is fresh, the replica that is closest is given a bounded time to catch up. */
+	private replicaBehind(run: DispatchRun, candidates: readonly Candidate[], spec: DatabaseGroupSpec): Candidate | undefined {
+		const primary = candidates.find(({isPrimary}) => isPrimary);
+		const hasFreshReplica = candidates.some(({isPrimary, verdict}) => !isPrimary && verdict === 'fresh');
+		const isBusy = primary !== undefined && this.loads.inFlight(primary.database) >= spec.slotsPerDatabase;
+		if (run.triedReplicaBehind || hasFreshReplica || !isBusy) {
+			return undefined;
+		}
+
+		run.triedReplicaBehind = true;
+		return candidates
+			.filter(({verdict}) => verdict === 'behind')
+			.toSorted((a, b) => (b.position.term - a.position.term) || (b.position.offsetBytes - a.position.offsetBytes))
+			.at(0);
+	}
+
+	private requestFor({intent, deadlineMs}: DispatchRun, database: string, {minimumPosition, maxAgeMs}: Demands): WorkRequest {
+		const {group, mode, rank, callerKey, traceparent} = intent;
+		const waitLimitMs = Math.max(0, deadlineMs - this.ports.clock.nowMs());
+		return {
+			group, database, mode, rank, callerKey, waitLimitMs, minimumPosition, maxAgeMs, traceparent,
+		};
+	}
+
+	private open(spec: DatabaseGroupSpec, request: WorkRequest, signal: AbortSignal): Work | Promise<Work> {
+		const member = this.holderOf(spec, request.database);
+		return member.host === this.ports.membership.self.host
+			? this.holder.openNow(request)
+			: this.openAtPeer(member, request, signal);
+	}
+
+	private async openAtPeer(member: Parameters<WorkChannelPool['open']>[0], request: WorkRequest, signal: AbortSignal): Promise<Work> {
+		try {
+			return await this.channels.open(member, request, signal);
+		} catch (error) {
+			if (notRunReason(error) === 'unreachable' && !signal.aborted) {
+				this.ports.membership.reportUnreachable(member.host);
+			}
+
+			throw error;
+		}
+	}
+
+	private holderOf(spec: DatabaseGroupSpec, database: string) {
+		const failureDomain = spec.databases.find(({name}) => name === database)?.failureDomain ?? '';
+		return this.ports.membership.holderOf(database, failureDomain);
+	}
+
+	/** Applies the remedy for a refusal. Anything that may have run is never repeated. */
+	private async mayRepeat(run: DispatchRun, error: unknown): Promise<boolean> {
+		const reason = notRunReason(error);
+		if (!reason || run.options.signal.aborted || this.ports.clock.nowMs() >= run.deadlineMs) {
+			return false;
+		}
+
+		switch (remedyFor(run, reason)) {
+			case 'giveUp': {
+				return false;
+			}
+
+			case 'primary': {
+				return this.turnToPrimary(run);
+			}
+
+			case 'elsewhere': {
+				return this.tryElsewhere(run, reason);
+			}
+
+			case 'awaitLeader': {
+				return await this.pause(run) !== 'expired';
+			}
+
+			case 'pause': {
+				const outcome = await this.pause(run);
+				return outcome === 'changed' || (outcome === 'elapsed' && this.takeRetry(run));
+			}
+		}
+	}
+
+	private async turnToPrimary(run: DispatchRun): Promise<boolean> {
+		if (run.primaryOnly || run.intent.freshness.mode === 'bounded') {
+			// The primary, or every database whose age is proven, has been considered already.
+			return this.tryLater(run);
+		}
+
+		run.primaryOnly = true;
+		return true;
+	}
+
+	private async tryElsewhere(run: DispatchRun, reason: string): Promise<boolean> {
+		const state = this.ports.directory.stateOf(run.intent.group);
+		if (state?.databases.some(({database}) => !run.excluded.has(database))) {
+			return this.takeRetry(run);
+		}
+
+		return reason !== 'shed' && this.tryLater(run);
+	}
+
+	/** Starts again with all databases after a pause. */
+	private async tryLater(run: DispatchRun): Promise<boolean> {
+		const outcome = await this.pause(run);
+		run.excluded.clear();
+		run.primaryOnly = false;
+		return outcome !== 'expired' && this.takeRetry(run);
+	}
+
+	private takeRetry({intent}: DispatchRun): boolean {
+		const isAllowed = this.budget.tryRetry(intent.group, intent.callerKey);
+		this.ports.metrics.count(isAllowed ? 'retries' : 'retries_refused', {group: intent.group});
+		return isAllowed;
+	}
+
+	/** Waits until the leadership differs from what the attempt saw, the pause is over, or the wait limit is reached. */
+	private async pause(run: DispatchRun): Promise<'changed' | 'elapsed' | 'expired'> {
+		const {clock, random, directory} = this.ports;
+		const endMs = clock.nowMs() + (run.pauseMs * (0.5 + random.next()));
+		run.pauseMs = Math.min(longestPauseMs, run.pauseMs * 2);
+		while (clock.nowMs() < endMs) {
+			const leftMs = Math.min(endMs, run.deadlineMs) - clock.nowMs();
+			if (leftMs <= 0 || !await this.sleep(Math.min(firstPauseMs, leftMs), run.options.signal)) {
+				return 'expired';
+			}
+
+			if (leadershipOf(directory.stateOf(run.intent.group)) !== run.seen) {
+				run.pauseMs = firstPauseMs;
+				return 'changed';
+			}
+		}
+
+		return clock.nowMs() < run.deadlineMs ? 'elapsed' : 'expired';
+	}
+
+	private async sleep(durationMs: number, signal: AbortSignal): Promise<boolean> {
+		try {
+			await this.ports.clock.sleep(durationMs, signal);
+			return true;
+		} catch {
+			return false;
+		}
+	}
+
+	private noteShed(error: unknown, database: string): void {
+		if (error instanceof FailureError && error.failure.kind === 'notRun' && error.failure.retryAfterMs !== undefined) {
+			this.loads.observeWait(database, error.failure.retryAfterMs);
+		}
+	}
+
+	private describe({database, verdict}: Candidate): string {
+		return `${verdict}, ${this.loads.inFlight(database)} in flight, load ${this.loads.score(database).toFixed(1)}`;
+	}
+}
+
+function explainChoice({isPrimary}: Candidate, isProbed: boolean): string {
+	const choice = isPrimary ? 'the primary serves it' : 'the less loaded of two fresh replicas serves it';
+	return isProbed ? `${choice}, once the group's commit position is confirmed` : choice;
+}
