Join callers, dispatcher, holders and monitors into one process

The membership and the configuration store need each other at construction, which made the container recurse without end; the revision that heartbeats report is now set after the store exists.

--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -1,4 +1,3 @@
-import 'reflect-metadata';
 import {readFileSync} from 'node:fs';
 import {
 	container, instanceCachingFactory, type DependencyContainer, type InjectionToken,
@@ -20,6 +19,13 @@
 import {tokens} from './tokens.js';
 import {createTracer, type RunningTracer} from './tracing.js';
 
+/**
+ * Revision that heartbeats report. The membership exists before the configuration store, whose constructor asks it who
+ * this host is.
+ */
+type RevisionReport = {current: () => number};
+
+const configurationRevision = Symbol('RevisionReport') as InjectionToken<RevisionReport>;
 const runningTracer = Symbol('RunningTracer') as InjectionToken<RunningTracer>;
 
 /**
@@ -95,7 +101,7 @@
 		random: from.resolve(tokens.random),
 		log: from.resolve(tokens.log),
 		metrics: from.resolve(tokens.metrics),
-		configurationRevision: () => from.resolve(ConfigurationStore).revision(),
+		configurationRevision: () => from.resolve(configurationRevision).current(),
 	}));
 	once(child, HostListReader, from => new HostListReader({
 		hostList: from.resolve(tokens.hostList),
@@ -115,16 +121,21 @@
 
 function registerControl(child: DependencyContainer): void {
 	const {host} = child.resolve(tokens.settings);
-	once(child, ConfigurationStore, from => new ConfigurationStore({
-		deployment: host.deployment,
-		store: from.resolve(tokens.keyValueStore),
-		peers: from.resolve(PeerTransport),
-		membership: from.resolve(MembershipService),
-		clock: from.resolve(tokens.clock),
-		random: from.resolve(tokens.random),
-		log: from.resolve(tokens.log),
-		rendezvousOrder,
-	}));
+	child.register(configurationRevision, {useValue: {current: () => 0}});
+	once(child, ConfigurationStore, from => {
+		const store = new ConfigurationStore({
+			deployment: host.deployment,
+			store: from.resolve(tokens.keyValueStore),
+			peers: from.resolve(PeerTransport),
+			membership: from.resolve(MembershipService),
+			clock: from.resolve(tokens.clock),
+			random: from.resolve(tokens.random),
+			log: from.resolve(tokens.log),
+			rendezvousOrder,
+		});
+		from.resolve(configurationRevision).current = () => store.revision();
+		return store;
+	});
 	once(child, tokens.configuration, from =>
 		new LeavingOverlay(from.resolve(ConfigurationStore), from.resolve(HostListReader), from.resolve(tokens.signal)));
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -60,6 +60,7 @@
 		await this.store.start(this.signal);
 		this.directory.start();
 		this.monitors.start(this.directory);
+		this.holder.followMembership(this.membership, this.signal);
 		const port = await this.callers.listen(this.signal);
 		this.log.info({callersPort: port, operatorsPort: operators.port, revision: this.store.revision()}, 'ready');
 	}
@@ -70,7 +71,7 @@
 		this.log.info({deadlineMs, callers: this.callers.callerCount}, 'draining');
 		this.membership.leave();
 		await this.callers.drain(deadlineMs);
-		await this.holder.drain(deadlineMs);
+		this.holder.drain();
 		this.monitors.close();
 		this.directory.close();
 		this.log.info({}, 'drained');
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,8 +1,8 @@
 #!/usr/bin/env node
-import 'reflect-metadata';
-import process from 'node:process';
+import {setMaxListeners} from 'node:events';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import './decoratorMetadata.js';
 import {createContainer} from './composition.js';
 import {Daemon} from './daemon.js';
 import {formatProblem, readSettings, type Settings} from './settings.js';
@@ -28,7 +28,8 @@
 
 async function run(settings: Settings): Promise<void> {
 	const lifetime = new AbortController();
-	// Every connection and task may listen to the signal of the whole process.
+	// Every part of the process listens to this signal, so the warning for a leak of listeners does not apply.
+	setMaxListeners(0, lifetime.signal);
 	const daemon = createContainer(settings, lifetime.signal).resolve(Daemon);
 	let isStopping = false;
 	const stop = async () => {
@@ -44,8 +45,12 @@
 		process.exit(0);
 	};
 
-	process.on('SIGTERM', stop);
-	process.on('SIGINT', stop);
+	for (const name of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(name, () => {
+			void stop();
+		});
+	}
+
 	await daemon.start();
 }
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -19,6 +19,7 @@
 			// A package exports from its one index.ts.
 			'@typescript-eslint/consistent-type-exports': 'off',
 			'max-lines': 'off',
+			'import-x/no-unassigned-import': ['error', {allow: ['reflect-metadata', '**/decoratorMetadata.js']}],
 			// XO's rule, but names that other protocols and parsers fix may stand as keys of object literals.
 			'@typescript-eslint/naming-convention': [
 				'error',
