--- /dev/null
+++ b/packages/standins/src/launcher/deployments.ts
@@ -0,0 +1,77 @@
+/**
+ * Both deployments of the design at their size of today.
+ */
+import {type DeploymentTopology, type GroupTopology, type ProxyTopology} from './types.js';
+
+const groupCount = 3;
+const databasesPerGroup = 3;
+
+/** Spreads groups over failure domains so that each primary stands in another one. */
+function groups(prefix: string, failureDomains: readonly string[]): readonly GroupTopology[] {
+	return Array.from({length: groupCount}, (_, group) => ({
+		name: `${prefix}-${group + 1}`,
+		databases: Array.from({length: databasesPerGroup}, (_, database) => {
+			const failureDomain = failureDomains[(group + database) % failureDomains.length]!;
+			return {name: `${prefix}-${group + 1}-${failureDomain}`, failureDomain};
+		}),
+	}));
+}
+
+function proxies(deployment: string, failureDomains: readonly string[]): readonly ProxyTopology[] {
+	return failureDomains.map((failureDomain, index) => ({name: `${deployment}-proxy-${index + 1}`, failureDomain}));
+}
+
+const freshnessClasses = {
+	session: {mode: 'session'},
+	primary: {mode: 'primary'},
+	'bounded-1s': {mode: 'bounded', maxAgeMs: 1000},
+	'bounded-5s': {mode: 'bounded', maxAgeMs: 5000},
+} as const;
+
+/** Brazos Valley Interpreting Services Authority. */
+export const brazos: DeploymentTopology = {
+	name: 'brazos',
+	region: 'tx-central',
+	proxies: proxies('brazos', ['bryan', 'bryan', 'waco', 'waco', 'temple']),
+	groups: groups('booking-db', ['bryan', 'waco', 'temple']),
+	connectionsPerDatabase: 20,
+	slotsPerDatabase: 3,
+	work: [
+		{
+			application: 'bookings', targetMs: 150, floorShare: 0.4, freshness: 'session',
+		},
+		{
+			application: 'boards', targetMs: 500, floorShare: 0.2, freshness: 'bounded-1s',
+		},
+		{
+			application: 'reconciliation', targetMs: 2000, floorShare: 0.1, freshness: 'session',
+		},
+	],
+	freshnessClasses,
+};
+
+const raizFailureDomains = ['ar-centro-a', 'ar-centro-b', 'ar-centro-c', 'ar-centro-d'] as const;
+
+/** Raíz Común Compromisos S.A. */
+export const raizComun: DeploymentTopology = {
+	name: 'raiz-comun',
+	region: 'ar-centro',
+	proxies: proxies('raiz-comun', [...raizFailureDomains, raizFailureDomains[0]]),
+	groups: groups('pledge-ledger', raizFailureDomains),
+	connectionsPerDatabase: 40,
+	slotsPerDatabase: 3,
+	work: [
+		{
+			application: 'pledges', targetMs: 200, floorShare: 0.4, freshness: 'session',
+		},
+		{
+			application: 'dashboards', targetMs: 1000, floorShare: 0.1, freshness: 'bounded-5s',
+		},
+		{
+			application: 'reconciliation', targetMs: 3000, floorShare: 0.2, freshness: 'session',
+		},
+	],
+	freshnessClasses,
+};
+
+export const deployments: readonly DeploymentTopology[] = [brazos, raizComun];
