--- a/packages/standins/src/backendServer/runner.ts
+++ b/packages/standins/src/backendServer/runner.ts
@@ -2,9 +2,7 @@
  * Runs the statements of one connection: slots, service time and transactions.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {
-	nodeAt, textAt, valueAt, visitNodes, type Statement,
-} from './ast.js';
+import {textAt, type Statement} from './ast.js';
 import {type Counters} from './counters.js';
 import {type Database} from './database.js';
 import {createTable, dropTables} from './definitions.js';
@@ -12,9 +10,12 @@
 import {type Faults} from './faults.js';
 import {type Result} from './result.js';
 import {select} from './selects.js';
+import {SessionSettings} from './sessionSettings.js';
 import {type Slot, type SlotQueue} from './slots.js';
 import {serverSqlStates, SqlError} from './sqlError.js';
-import {isWrite, kindOf} from './statements.js';
+import {
+	endsTransaction, hasReadOnlyOption, isRollback, isWrite, kindOf,
+} from './statements.js';
 import {type Transaction} from './transaction.js';
 import {type Value} from './values.js';
 import {deleteRows, insert, update} from './writes.js';
@@ -43,7 +44,7 @@
 	private running?: AbortController;
 	/** Abort by the server that was reported last. */
 	private lastAbort?: SqlError;
-	private readonly settings = new Map<string, string>();
+	private readonly settings = new SessionSettings();
 
 	constructor(private readonly parts: ServerParts) {}
 
@@ -184,7 +185,7 @@
 		}
 
 		if (kindOf(statement) === 'setting') {
-			return this.accessSetting(statement);
+			return this.settings.run(statement);
 		}
 
 		const handler = handlers[tag];
@@ -293,31 +294,4 @@
 
 		throw new SqlError(serverSqlStates.featureNotSupported, 'two-phase commit is not supported');
 	}
-
-	private accessSetting({tag, body}: Statement): Result {
-		const name = textAt(body, 'name');
-		if (tag === 'VariableShowStmt') {
-			return {columns: [{name, typeId: 25}], rows: [[this.settings.get(name) ?? '']], tag: 'SHOW'};
-		}
-
-		const constant = nodeAt(body, 'args', 0, 'A_Const');
-		this.settings.set(name, textAt(constant, 'sval', 'sval') || textAt(constant, 'ival', 'ival'));
-		return {rows: [], tag: tag === 'VariableSetStmt' ? 'SET' : (tag === 'DiscardStmt' ? 'DISCARD ALL' : 'DEALLOCATE')};
-	}
-}
-
-function isRollback({tag, body}: Statement): boolean {
-	return tag === 'TransactionStmt' && body.kind === 'TRANS_STMT_ROLLBACK';
-}
-
-function endsTransaction(statement: Statement): boolean {
-	return isRollback(statement) || statement.body.kind === 'TRANS_STMT_COMMIT';
-}
-
-function hasReadOnlyOption(body: Statement['body']): boolean {
-	let isReadOnly = false;
-	visitNodes(body.options, (tag, option) => {
-		isReadOnly ||= tag === 'DefElem' && option.defname === 'transaction_read_only' && valueAt(option, 'arg', 'A_Const', 'ival', 'ival') === 1;
-	});
-	return isReadOnly;
 }
--- a/packages/standins/src/backendServer/selects.ts
+++ b/packages/standins/src/backendServer/selects.ts
@@ -2,26 +2,21 @@
  * SELECT, and the targets of RETURNING.
  */
 import {
-	lastName, nodeAt, nodesAt, tagged, textAt, valueAt, type Node, type Statement,
+	lastName, nodeAt, nodesAt, tagged, textAt, valueAt, type Node,
 } from './ast.js';
 import {
-	lock, returningOf, rowLockKey, scopeOf, type Execution,
+	functionTargetColumns, isAggregate, isStar, targetColumns, targetsOf,
+} from './columns.js';
+import {
+	lock, rowLockKey, scopeOf, type Execution,
 } from './execution.js';
 import {evaluate, holds, type Row} from './expressions.js';
-import {
-	callServerFunction, functionColumns, functionTypeId, isServerFunction,
-} from './functions.js';
-import {type Result, type ResultColumn} from './result.js';
+import {callServerFunction, isServerFunction} from './functions.js';
+import {type Result} from './result.js';
 import {serverSqlStates, SqlError} from './sqlError.js';
 import {fromFunction} from './statements.js';
-import {uniqueKeyOf, type Overlay, type TableDefinition} from './tables.js';
-import {
-	coerce, compareValues, typeIdOf, type Value,
-} from './values.js';
-
-const typeId = {
-	boolean: 16, bigint: 20, integer: 23, text: 25,
-} as const;
+import {uniqueKeyOf, type TableDefinition} from './tables.js';
+import {coerce, compareValues, type Value} from './values.js';
 
 /** Runs a SELECT. */
 export async function select(body: Node, execution: Execution): Promise<Result> {
@@ -33,29 +28,6 @@
 	return rows ? project(body, rows, execution) : selectConstants(body, execution);
 }
 
-/**
- * Columns of a statement's result without running it.
- * @returns undefined for a statement without rows
- */
-export function describeColumns({tag, body}: Statement, overlay: Overlay): readonly ResultColumn[] | undefined {
-	if (tag === 'VariableShowStmt') {
-		return [{name: textAt(body, 'name'), typeId: typeId.text}];
-	}
-
-	const targets = tag === 'SelectStmt' ? targetsOf(body) : returningOf(body);
-	if (!targets) {
-		return undefined;
-	}
-
-	const call = fromFunction(body);
-	if (call) {
-		return functionTargetColumns(targets, lastName(nodesAt(call, 'funcname')));
-	}
-
-	const table = textAt(body, 'relation', 'relname') || textAt(body, 'fromClause', 0, 'RangeVar', 'relname');
-	return targetColumns(targets, table === '' ? undefined : overlay.table(table).definition);
-}
-
 /** Ids and rows that match a WHERE clause; an equality on a unique key uses its index. */
 export function matchRows(table: string, where: Node | undefined, execution: Execution): ReadonlyArray<readonly [number, Row]> {
 	const {overlay} = execution.transaction;
@@ -64,19 +36,6 @@
 	return [...candidates].filter(([, row]) => holds(where, scopeOf(execution, row)));
 }
 
-/** Columns of select targets. */
-export function targetColumns(targets: readonly Node[], definition: TableDefinition | undefined): readonly ResultColumn[] {
-	return targets.flatMap(target => {
-		const expression = nodeAt(target, 'ResTarget', 'val')!;
-		if (isStar(expression)) {
-			return (definition?.columns ?? []).map(column => ({name: column.name, typeId: typeIdOf(column.typeName)}));
-		}
-
-		const value = tagged(expression);
-		return [{name: textAt(target, 'ResTarget', 'name') || defaultName(value), typeId: expressionTypeId(value, definition)}];
-	});
-}
-
 /** Values of select targets for one row. */
 export function targetValues(targets: readonly Node[], row: Row, definition: TableDefinition, execution: Execution): readonly Value[] {
 	return targets.flatMap(target => {
@@ -87,70 +46,6 @@
 	});
 }
 
-function targetsOf(body: Node): readonly Node[] {
-	return (body.targetList ?? []) as readonly Node[];
-}
-
-function isStar(value: Node): boolean {
-	return nodesAt(value, 'ColumnRef', 'fields').at(-1)?.A_Star !== undefined;
-}
-
-function defaultName({tag, body}: Statement): string {
-	if (tag === 'ColumnRef') {
-		return lastName(nodesAt(body, 'fields'));
-	}
-
-	return tag === 'FuncCall' ? lastName(nodesAt(body, 'funcname')) : '?column?';
-}
-
-function expressionTypeId({tag, body}: Statement, definition: TableDefinition | undefined): number {
-	switch (tag) {
-		case 'ColumnRef': {
-			const name = lastName(nodesAt(body, 'fields'));
-			const column = definition?.columns.find(candidate => candidate.name === name);
-			if (!column) {
-				throw new SqlError(serverSqlStates.undefinedColumn, `column "${name}" does not exist`);
-			}
-
-			return typeIdOf(column.typeName);
-		}
-
-		case 'A_Const': {
-			return body.ival ? typeId.integer : (body.boolval ? typeId.boolean : typeId.text);
-		}
-
-		case 'TypeCast': {
-			return typeIdOf(lastName(nodesAt(body, 'typeName', 'names')));
-		}
-
-		case 'FuncCall': {
-			const name = lastName(nodesAt(body, 'funcname'));
-			return isAggregate(name) ? aggregateTypeId(name, body, definition) : functionTypeId(name);
-		}
-
-		case 'BoolExpr':
-		case 'NullTest': {
-			return typeId.boolean;
-		}
-
-		case 'A_Expr': {
-			return operatorTypeId(lastName(nodesAt(body, 'name')));
-		}
-
-		default: {
-			return typeId.text;
-		}
-	}
-}
-
-function operatorTypeId(operator: string): number {
-	if (operator === '||') {
-		return typeId.text;
-	}
-
-	return ['+', '-', '*', '/', '%'].includes(operator) ? typeId.bigint : typeId.boolean;
-}
-
 async function selectFromFunction(body: Node, execution: Execution): Promise<Result> {
 	const call = fromFunction(body)!;
 	const name = lastName(nodesAt(call, 'funcname'));
@@ -160,24 +55,6 @@
 	return {columns, rows: [values], tag: 'SELECT 1'};
 }
 
-function functionTargetColumns(targets: readonly Node[], name: string): readonly ResultColumn[] {
-	const known = functionColumns[name] ?? [{name, typeId: functionTypeId(name)}];
-	return targets.flatMap(target => {
-		const value = nodeAt(target, 'ResTarget', 'val')!;
-		if (isStar(value)) {
-			return known;
-		}
-
-		const wanted = defaultName(tagged(value));
-		const column = known.find(candidate => candidate.name === wanted);
-		if (!column) {
-			throw new SqlError(serverSqlStates.undefinedColumn, `column "${wanted}" does not exist`);
-		}
-
-		return [column];
-	});
-}
-
 async function selectConstants(body: Node, execution: Execution): Promise<Result> {
 	const targets = targetsOf(body);
 	const values: Value[] = [];
@@ -310,14 +187,6 @@
 	max: values => values.toSorted((a, b) => compareValues(b, a) ?? 0)[0] ?? null,
 };
 
-function isAggregate(name: string): boolean {
-	return Object.hasOwn(aggregates, name);
-}
-
-function aggregateTypeId(name: string, body: Node, definition: TableDefinition | undefined): number {
-	return name === 'count' || name === 'sum' ? typeId.bigint : expressionTypeId(tagged(nodeAt(body, 'args', 0)!), definition);
-}
-
 function aggregate(value: Node, rows: readonly Row[], execution: Execution): Value {
 	const call = nodeAt(value, 'FuncCall');
 	const name = lastName(nodesAt(call, 'funcname'));
--- a/packages/standins/src/backendServer/session.ts
+++ b/packages/standins/src/backendServer/session.ts
@@ -10,9 +10,9 @@
 import {
 	readBind, readExecute, readNamed, readParse, readText,
 } from './messages.js';
-import {type Result, type ResultColumn} from './result.js';
+import {type Result} from './result.js';
 import {StatementRunner, type ServerParts} from './runner.js';
-import {describeColumns} from './selects.js';
+import {describeColumns} from './columns.js';
 import {serverSqlStates, SqlError} from './sqlError.js';
 import {kindOf, parameterCount, type StatementKind} from './statements.js';
 import {toText, type Value} from './values.js';
--- a/packages/standins/src/backendServer/statements.ts
+++ b/packages/standins/src/backendServer/statements.ts
@@ -1,9 +1,9 @@
-import {
-	lastName, nodeAt, nodesAt, tagged, visitNodes, type Node, type Statement,
-} from './ast.js';
 /**
  * What a statement is, as far as the server has to know before it runs it.
  */
+import {
+	lastName, nodeAt, nodesAt, tagged, visitNodes, valueAt, type Node, type Statement,
+} from './ast.js';
 
 /** Kinds of statement by which the server counts. */
 export type StatementKind
@@ -79,3 +79,22 @@
 		return value.tag === 'FuncCall' && controlFunctions.test(lastName(nodesAt(value.body, 'funcname')));
 	});
 }
+
+/** True for ROLLBACK. */
+export function isRollback({tag, body}: Statement): boolean {
+	return tag === 'TransactionStmt' && body.kind === 'TRANS_STMT_ROLLBACK';
+}
+
+/** True for COMMIT and ROLLBACK. */
+export function endsTransaction(statement: Statement): boolean {
+	return isRollback(statement) || statement.body.kind === 'TRANS_STMT_COMMIT';
+}
+
+/** True if a BEGIN says READ ONLY. */
+export function hasReadOnlyOption(body: Node): boolean {
+	let isReadOnly = false;
+	visitNodes(body.options, (tag, option) => {
+		isReadOnly ||= tag === 'DefElem' && option.defname === 'transaction_read_only' && valueAt(option, 'arg', 'A_Const', 'ival', 'ival') === 1;
+	});
+	return isReadOnly;
+}
--- a/packages/standins/src/backendServer/writes.ts
+++ b/packages/standins/src/backendServer/writes.ts
@@ -9,7 +9,8 @@
 } from './execution.js';
 import {evaluate, holds, type Row} from './expressions.js';
 import {type Result} from './result.js';
-import {matchRows, targetColumns, targetValues} from './selects.js';
+import {targetColumns} from './columns.js';
+import {matchRows, targetValues} from './selects.js';
 import {serverSqlStates, SqlError} from './sqlError.js';
 import {
 	uniqueKeyOf, type Table, type TableDefinition, type UniqueKey,
