--- a/packages/work/src/__tests__/fakes.ts
+++ b/packages/work/src/__tests__/fakes.ts
@@ -4,7 +4,7 @@
 import {serialize} from 'pg-protocol';
 import {
 	emptyConfiguration, FailureError, noMetrics, noTracer, type BackendConnection, type BackendDialer, type Clock, type Configuration, type ConfigurationSource,
-	type DatabaseView, type ExchangeOptions, type Failure, type GroupState, type GroupView, type LogPosition, type RankSpec, type WaitAnswer, type WorkRequest,
+	type DatabaseView, type ExchangeOptions, type Failure, type GroupState, type GroupView, type LogPosition, type Member, type RankSpec, type WaitAnswer, type WorkRequest,
 } from '@crocusloom/model';
 import {
 	backend, buildFrame, commandComplete, dataRow, errorResponse, FrameReader, frontend, readCString, readyForQuery, rowDescription, type Frame,
@@ -28,12 +28,20 @@
 	async sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
 		signal?.throwIfAborted();
 		await new Promise<void>((resolve, reject) => {
-			const sleeper = {atMs: this.now + durationMs, wake: resolve};
-			this.sleepers.push(sleeper);
-			signal?.addEventListener('abort', () => {
+			const abort = () => {
 				this.sleepers = this.sleepers.filter(other => other !== sleeper);
-				reject(signal.reason as Error);
-			}, {once: true});
+				reject(signal!.reason as Error);
+			};
+
+			const sleeper = {
+				atMs: this.now + durationMs,
+				wake() {
+					signal?.removeEventListener('abort', abort);
+					resolve();
+				},
+			};
+			this.sleepers.push(sleeper);
+			signal?.addEventListener('abort', abort, {once: true});
 		});
 	}
 
@@ -72,6 +80,11 @@
 	}
 }
 
+/** A signal that never aborts. */
+export function endlessSignal(): AbortSignal {
+	return new AbortController().signal;
+}
+
 /** A promise that does not settle. */
 export async function never<T = void>(): Promise<T> {
 	return new Promise(() => {
@@ -501,10 +514,11 @@
 	};
 }
 
-/** The failure with which a promise rejects. */
-export async function failureOf(promise: Promise<unknown>): Promise<Failure> {
+/** The failure with which a promise rejects; undefined when it resolves. */
+export async function outcomeOf(promise: Promise<unknown>): Promise<Failure | undefined> {
 	try {
 		await promise;
+		return undefined;
 	} catch (error) {
 		if (error instanceof FailureError) {
 			return error.failure;
@@ -512,6 +526,21 @@
 
 		throw error;
 	}
+}
+
+/** The failure with which a promise rejects. */
+export async function failureOf(promise: Promise<unknown>): Promise<Failure> {
+	const failure = await outcomeOf(promise);
+	if (failure) {
+		return failure;
+	}
 
 	throw new Error('no failure');
 }
+
+/** A live peer with a work port on this machine. */
+export function member(workPort: number): Member {
+	return {
+		host: 'peer', incarnation: 1, failureDomain: 'd', address: '127.0.0.1', peerPort: 0, workPort, operatorPort: 0, state: 'alive', leaving: false, configurationRevision: 0, silentMs: 0,
+	};
+}
--- a/packages/work/src/trackedWork.ts
+++ b/packages/work/src/trackedWork.ts
@@ -3,13 +3,16 @@
 } from '@crocusloom/model';
 import {type DatabaseLoads} from './databaseLoad.js';
 
-/** A unit of work that is counted as in flight at its database until it is released. */
+/** A unit of work that stays counted as in flight at its database until it is released. */
 export class TrackedWork implements Work {
 	private isReleased = false;
 
-	constructor(private readonly work: Work, private readonly database: string, private readonly loads: DatabaseLoads) {
-		loads.start(database);
-	}
+	/**
+	 * @param work - the open unit of work
+	 * @param database - where it runs
+	 * @param loads - counts the unit already
+	 */
+	constructor(private readonly work: Work, private readonly database: string, private readonly loads: DatabaseLoads) {}
 
 	async exchange(frames: Buffer, sink: FrameSink, options: ExchangeOptions): Promise<ExchangeResult> {
 		const result = await this.work.exchange(frames, sink, options);
--- a/packages/work/src/workDispatcher.ts
+++ b/packages/work/src/workDispatcher.ts
@@ -106,8 +106,7 @@
 		const {spec, candidate} = this.choose(run, demands);
 		const {database} = candidate;
 		try {
-			const opened = this.open(spec, this.requestFor(run, database, demands), options.signal);
-			const work = new TrackedWork(opened instanceof Promise ? await opened : opened, database, this.loads);
+			const work = await this.openTracked(spec, this.requestFor(run, database, demands), options.signal);
 			return await (intent.mode === 'read' && !candidate.isPrimary ? this.runAtReplica(run, work) : this.runFirst(run, work, run.sink));
 		} catch (error) {
 			run.excluded.add(database);
@@ -232,6 +231,19 @@
 		};
 	}
 
+	/** Counts the unit as in flight before it is open, so that choices made meanwhile see it. */
+	private async openTracked(spec: DatabaseGroupSpec, request: WorkRequest, signal: AbortSignal): Promise<Work> {
+		const {database} = request;
+		this.loads.start(database);
+		try {
+			const opened = this.open(spec, request, signal);
+			return new TrackedWork(opened instanceof Promise ? await opened : opened, database, this.loads);
+		} catch (error) {
+			this.loads.stop(database);
+			throw error;
+		}
+	}
+
 	private open(spec: DatabaseGroupSpec, request: WorkRequest, signal: AbortSignal): Work | Promise<Work> {
 		const member = this.holderOf(spec, request.database);
 		return member.host === this.ports.membership.self.host
