Split the large files of the holder side, and refuse bounded reads at once when nothing is proven

A read that found no database at all spent retries without a pause: the refusal came before an attempt, so that no database was excluded. Such reads now pause, or are refused at once when a bounded class cannot be proven.

--- a/packages/work/src/__tests__/admissionQueue.test.ts
+++ b/packages/work/src/__tests__/admissionQueue.test.ts
@@ -1,8 +1,7 @@
 import {expect} from 'chai';
 import {FailureError, type Failure} from '@crocusloom/model';
-import {
-	AdmissionQueue, type RankPolicy, type SlotGrant, type SlotRequest,
-} from '../admissionQueue.js';
+import {AdmissionQueue} from '../admissionQueue.js';
+import {type RankPolicy, type SlotGrant, type SlotRequest} from '../rankState.js';
 import {
 	endlessSignal, ManualClock, outcomeOf, seededRandom, settle, threeRanks,
 } from './fakes.js';
--- a/packages/work/src/admissionQueue.ts
+++ b/packages/work/src/admissionQueue.ts
@@ -1,79 +1,15 @@
 import {
 	FailureError, type Clock, type HolderStats, type NotRunReason,
 } from '@crocusloom/model';
-import {SlotUse} from './slotUse.js';
-import {TurnQueue} from './turnQueue.js';
+import {
+	estimateWaitMs, newRankState, noteRunTime, openGate, unknownRank, type AdmissionLimits, type ConnectionGate, type RankState, type SlotGrant, type SlotRequest, type Ticket,
+} from './rankState.js';
+import {type TurnQueue} from './turnQueue.js';
 
 /** Statements that may wait per rank, so that memory stays bounded. */
 export const maximumQueuedPerRank = 1024;
 /** Interval of the one shared check for statements whose wait limit has passed. */
 const sweepIntervalMs = 5;
-/** Run time assumed before any statement of a rank was measured. */
-const initialRunMs = 2;
-/** Weight of the newest run time in the moving mean. */
-const runMeanWeight = 0.1;
-/** Least share of slot time assumed in estimates, so that an expected wait stays finite. */
-const leastShare = 0.01;
-
-export type RankPolicy = {
-	readonly rank: string;
-	/** 1 is the most urgent. */
-	readonly order: number;
-	readonly targetMs: number;
-	readonly floorShare: number;
-};
-
-/** A statement that asks for a slot. */
-export type SlotRequest = {
-	readonly rank: string;
-	readonly callerKey: string;
-	/** True if the unit of work has a connection with an open transaction. */
-	readonly inTransaction: boolean;
-	readonly waitLimitMs: number;
-};
-
-/** A slot, to be released once the answer is in. */
-export type SlotGrant = {
-	readonly waitMs: number;
-	release(): void;
-};
-
-export type AdmissionLimits = {readonly slotLimit: number; readonly ranks: readonly RankPolicy[]};
-
-type Ticket = {
-	readonly request: SlotRequest;
-	readonly arrivedMs: number;
-	readonly deadlineMs: number;
-	readonly resolve: (grant: SlotGrant) => void;
-	readonly reject: (error: FailureError) => void;
-};
-
-type RankState = {
-	policy: RankPolicy;
-	readonly transactions: TurnQueue<Ticket>;
-	readonly fresh: TurnQueue<Ticket>;
-	readonly use: SlotUse;
-	meanRunMs: number;
-	served: number;
-	shed: number;
-};
-
-/** Connections for new units of work; work inside a transaction has one already. */
-export type ConnectionGate = {
-	/** True if a connection is left for a rank; `moreUrgentRanks` counts the ranks before it. */
-	mayReserve(moreUrgentRanks: number): boolean;
-	/** Promises a connection to the unit of work that is being granted a slot. */
-	reserve(): void;
-};
-
-const openGate: ConnectionGate = {mayReserve: () => true, reserve: () => undefined};
-
-/** Policy of a rank that the configuration does not name: behind all others, without a floor. */
-function unknownRank(rank: string): RankPolicy {
-	return {
-		rank, order: Number.MAX_SAFE_INTEGER, targetMs: 1000, floorShare: 0,
-	};
-}
 
 /** Grants the slots of one database by rank (design section 9). */
 export class AdmissionQueue {
@@ -161,24 +97,7 @@
 	 * @returns milliseconds
 	 */
 	expectedWaitMs(request: SlotRequest): number {
-		const state = this.stateOf(request.rank);
-		const queue = request.inTransaction ? state.transactions : state.fresh;
-		const ahead = queue.aheadOf(request.callerKey) + (request.inTransaction ? 0 : state.transactions.length);
-		return ((ahead + 1) * state.meanRunMs) / (this.slotLimit * this.shareLeftFor(state));
-	}
-
-	/** Share of slot time that the rank can count on: what more urgent ranks and the floors of the others leave. */
-	private shareLeftFor(state: RankState): number {
-		const nowMs = this.clock.nowMs();
-		let left = 1;
-		for (const other of this.ordered) {
-			if (other !== state) {
-				const share = other.use.share(nowMs, this.slotLimit);
-				left -= other.policy.order < state.policy.order ? share : Math.min(share, other.policy.floorShare);
-			}
-		}
-
-		return Math.max(left, state.policy.floorShare, leastShare);
+		return estimateWaitMs(this.stateOf(request.rank), this.ordered, request, {slotLimit: this.slotLimit, nowMs: this.clock.nowMs()});
 	}
 
 	private nobodyWaitsBefore(state: RankState, request: SlotRequest): boolean {
@@ -249,7 +168,7 @@
 		this.busy--;
 		state.use.stop(nowMs);
 		state.served++;
-		state.meanRunMs += ((nowMs - startedMs) - state.meanRunMs) * runMeanWeight;
+		noteRunTime(state, nowMs - startedMs);
 		this.grantWaiting();
 	}
 
@@ -342,15 +261,7 @@
 	private stateOf(rank: string): RankState {
 		let state = this.states.get(rank);
 		if (!state) {
-			state = {
-				policy: unknownRank(rank),
-				transactions: new TurnQueue(),
-				fresh: new TurnQueue(),
-				use: new SlotUse(this.clock.nowMs()),
-				meanRunMs: initialRunMs,
-				served: 0,
-				shed: 0,
-			};
+			state = newRankState(rank, this.clock.nowMs());
 			this.states.set(rank, state);
 			this.sortRanks();
 		}
--- a/packages/work/src/connectionPool.ts
+++ b/packages/work/src/connectionPool.ts
@@ -1,6 +1,8 @@
 import {
 	FailureError, type BackendConnection, type BackendDialer, type Clock, type RandomSource,
 } from '@crocusloom/model';
+import {Backoff} from './backoff.js';
+import {dialWithin} from './dialWithin.js';
 
 /** Connections of a database's limit that stay free for monitors. */
 const monitorConnections = 4;
@@ -8,11 +10,6 @@
 const simultaneousHolders = 2;
 /** Connections that are being opened at a time; more would slow the server down for running statements. */
 const maximumOpening = 2;
-/** First and longest pause after a failed attempt to connect. */
-const firstBackoffMs = 50;
-const longestBackoffMs = 2000;
-/** Time after which an attempt to connect is given up; the statement that waits for it holds a slot meanwhile. */
-const dialTimeoutMs = 1000;
 /** Longest random pause before each connection of the warm-up, so that holders that start together spread their logins. */
 const warmUpJitterMs = 200;
 
@@ -52,15 +49,16 @@
 	private reserved = 0;
 	private keepsIdle = true;
 	private opening = 0;
-	private failures = 0;
-	private blockedUntilMs = 0;
+	private readonly backoff: Backoff;
 
 	/**
 	 * @param target - database and budget
 	 * @param ports - dialer, clock and random source
 	 * @param onAvailable - called when a connection may have become available
 	 */
-	constructor(private target: PoolTarget, private readonly ports: PoolPorts, private readonly onAvailable: () => void = () => undefined) {}
+	constructor(private target: PoolTarget, private readonly ports: PoolPorts, private readonly onAvailable: () => void = () => undefined) {
+		this.backoff = new Backoff(ports.clock, ports.random);
+	}
 
 	get openCount(): number {
 		return this.leased + this.idle.length + this.opening;
@@ -99,8 +97,7 @@
 		this.target = target;
 		if (moved) {
 			this.closeIdle();
-			this.blockedUntilMs = 0;
-			this.failures = 0;
+			this.backoff.reset();
 		}
 
 		while (this.openCount > target.budget && this.idle.length > 0) {
@@ -137,7 +134,7 @@
 			return pooled;
 		}
 
-		if (this.stop.signal.aborted || this.ports.clock.nowMs() < this.blockedUntilMs) {
+		if (this.stop.signal.aborted || this.backoff.isBlocked) {
 			this.cancelReservation();
 			throw this.unreachable('connections failed and the next attempt is not due yet');
 		}
@@ -202,7 +199,7 @@
 				return;
 			}
 
-			if (this.openCount >= goal || this.ports.clock.nowMs() < this.blockedUntilMs) {
+			if (this.openCount >= goal || this.backoff.isBlocked) {
 				return;
 			}
 
@@ -242,7 +239,7 @@
 
 	private openForWaiters(): void {
 		while (this.opening < maximumOpening && this.opening < this.waiters.length && this.openCount < this.target.budget) {
-			if (this.ports.clock.nowMs() < this.blockedUntilMs) {
+			if (this.backoff.isBlocked) {
 				this.rejectWaiters('connections failed and the next attempt is not due yet');
 				return;
 			}
@@ -255,13 +252,13 @@
 		const {target} = this;
 		this.opening++;
 		try {
-			const connection = await this.dial(target);
+			const connection = await dialWithin(this.ports, target, this.stop.signal);
 			this.opening--;
-			this.failures = 0;
+			this.backoff.reset();
 			this.admit(target, connection);
 		} catch (error) {
 			this.opening--;
-			this.noteFailure();
+			this.backoff.noteFailure();
 			this.rejectWaiters(String(error));
 		}
 
@@ -269,23 +266,6 @@
 		this.onAvailable();
 	}
 
-	private async dial(target: PoolTarget): Promise<BackendConnection> {
-		const attempt = new AbortController();
-		const finished = new AbortController();
-		const abort = () => {
-			attempt.abort(new Error('the attempt to connect was given up'));
-		};
-
-		this.stop.signal.addEventListener('abort', abort, {once: true});
-		void this.ports.clock.sleep(dialTimeoutMs, finished.signal).then(abort, () => undefined);
-		try {
-			return await this.ports.dialer.dial(target.database, target.address, target.port, attempt.signal);
-		} finally {
-			this.stop.signal.removeEventListener('abort', abort);
-			finished.abort();
-		}
-	}
-
 	private admit(target: PoolTarget, connection: BackendConnection): void {
 		const moved = target.address !== this.target.address || target.port !== this.target.port;
 		if (moved || this.stop.signal.aborted || this.openCount >= this.target.budget) {
@@ -310,12 +290,6 @@
 		}
 	}
 
-	private noteFailure(): void {
-		const longestMs = Math.min(longestBackoffMs, firstBackoffMs * (2 ** this.failures));
-		this.failures = Math.min(this.failures + 1, 16);
-		this.blockedUntilMs = this.ports.clock.nowMs() + (longestMs * (0.5 + (this.ports.random.next() / 2)));
-	}
-
 	private removeWaiter(waiter: Waiter): void {
 		const index = this.waiters.indexOf(waiter);
 		if (index !== -1) {
--- a/packages/work/src/dispatchRun.ts
+++ b/packages/work/src/dispatchRun.ts
@@ -12,6 +12,8 @@
 	/** Databases that refused this read. */
 	readonly excluded: Set<string>;
 	commitPosition?: LogPosition;
+	/** True if the last attempt found a database; false if it was refused before that. */
+	hasChosen: boolean;
 	/** True once a replica refused the read, so that only the primary is left. */
 	primaryOnly: boolean;
 	/** True once a replica that was behind was asked to wait. */
--- a/packages/work/src/heldDatabase.ts
+++ b/packages/work/src/heldDatabase.ts
@@ -3,7 +3,8 @@
 	type GroupView, type GroupViews, type HolderStats, type Metrics, type NotRunReason, type RandomSource, type Tracer, type WorkRequest,
 	holdsPosition,
 } from '@crocusloom/model';
-import {AdmissionQueue, type AdmissionLimits} from './admissionQueue.js';
+import {AdmissionQueue} from './admissionQueue.js';
+import {type AdmissionLimits} from './rankState.js';
 import {connectionBudget, ConnectionPool, type PoolTarget} from './connectionPool.js';
 
 /** Longest wait for a replica to reach the position that a read needs. */
--- a/packages/work/src/localWork.ts
+++ b/packages/work/src/localWork.ts
@@ -9,7 +9,7 @@
 import {rollBack} from './rollBack.js';
 import {StallGuard} from './stallGuard.js';
 import {queryMessage} from './startup.js';
-import {type SlotGrant} from './admissionQueue.js';
+import {type SlotGrant} from './rankState.js';
 
 /** Longest wait for a majority before a commit's outcome is reported as unknown. */
 export const majorityWaitMs = 5000;
--- a/packages/work/src/workDispatcher.ts
+++ b/packages/work/src/workDispatcher.ts
@@ -1,11 +1,10 @@
 import {
 	FailureError, type Clock, type ConfigurationSource, type DatabaseGroupSpec, type Dispatcher, type ExchangeOptions, type ExchangeResult,
-	type FrameSink, type GroupDirectory, type GroupState, type HolderStats, type Membership, type Metrics, type RandomSource,
+	type FrameSink, type GroupDirectory, type HolderStats, type Membership, type Metrics, type RandomSource,
 	type RoutingExplanation, type Work, type WorkIntent, type WorkRequest,
 } from '@crocusloom/model';
-import {
-	demandsOf, judgeCandidates, needsProbe, type Candidate, type Demands,
-} from './candidates.js';
+import {demandsOf, needsProbe, type Demands} from './candidates.js';
+import {DatabaseChoice} from './databaseChoice.js';
 import {DatabaseLoads} from './databaseLoad.js';
 import {
 	firstPauseMs, leadershipOf, longestPauseMs, notRunReason, refuse, remedyFor, type DispatchRun,
@@ -34,6 +33,7 @@
 export class WorkDispatcher implements Dispatcher {
 	private readonly loads = new DatabaseLoads();
 	private readonly budget = new RetryBudget();
+	private readonly choice: DatabaseChoice;
 
 	/**
 	 * @param ports - configuration, directory, membership and the like
@@ -44,7 +44,9 @@
 		private readonly ports: DispatcherPorts,
 		private readonly holder: Pick<Holder, 'openNow' | 'stats'>,
 		private readonly channels: Pick<WorkChannelPool, 'open'>,
-	) {}
+	) {
+		this.choice = new DatabaseChoice(ports, this.loads);
+	}
 
 	async dispatch(intent: WorkIntent, frames: Buffer, sink: FrameSink, options: ExchangeOptions): Promise<Dispatched> {
 		this.budget.noteRequest(intent.group, intent.callerKey);
@@ -55,6 +57,7 @@
 			options,
 			deadlineMs: this.ports.clock.nowMs() + intent.waitLimitMs,
 			excluded: new Set(),
+			hasChosen: false,
 			primaryOnly: false,
 			triedReplicaBehind: false,
 			pauseMs: firstPauseMs,
@@ -75,20 +78,7 @@
 	}
 
 	explain(intent: WorkIntent): RoutingExplanation {
-		const state = this.ports.directory.stateOf(intent.group);
-		const spec = this.ports.configuration.current().databaseGroups.get(intent.group)?.spec;
-		if (!state || !spec) {
-			return {candidates: [], reason: 'the group is not configured or has not been monitored yet'};
-		}
-
-		const candidates = judgeCandidates(spec, state, demandsOf(intent));
-		const chosen = this.pick(candidates, spec);
-		return {
-			database: chosen?.database,
-			holder: chosen && this.holderOf(spec, chosen.database).host,
-			candidates: candidates.map(candidate => ({database: candidate.database, verdict: this.describe(candidate)})),
-			reason: chosen ? explainChoice(chosen, needsProbe(intent)) : 'no database fulfils the demands',
-		};
+		return this.choice.explain(intent);
 	}
 
 	holderStats(): readonly HolderStats[] {
@@ -98,13 +88,15 @@
 	/** Makes one attempt; nothing is returned when the read has to be run again at the primary. */
 	private async attempt(run: DispatchRun): Promise<Dispatched | undefined> {
 		const {intent, options} = run;
+		run.hasChosen = false;
 		if (needsProbe(intent) && !run.commitPosition) {
 			await this.probe(run);
 		}
 
 		const demands = demandsOf(intent, run.commitPosition);
-		const {spec, candidate} = this.choose(run, demands);
+		const {spec, candidate} = this.choice.choose(run, demands);
 		const {database} = candidate;
+		run.hasChosen = true;
 		try {
 			const work = await this.openTracked(spec, this.requestFor(run, database, demands), options.signal);
 			return await (intent.mode === 'read' && !candidate.isPrimary ? this.runAtReplica(run, work) : this.runFirst(run, work, run.sink));
@@ -148,81 +140,6 @@
 		}
 	}
 
-	/** @throws FailureError `notRun` when no database fulfils the demands */
-	private choose(run: DispatchRun, demands: Demands): {readonly spec: DatabaseGroupSpec; readonly candidate: Candidate} {
-		const {group} = run.intent;
-		const spec = this.ports.configuration.current().databaseGroups.get(group)?.spec;
-		if (!spec) {
-			throw refuse('noRoute', group, 'the group is not configured');
-		}
-
-		const state = this.ports.directory.stateOf(group);
-		run.seen = leadershipOf(state);
-		if (!state) {
-			throw refuse('noPrimary', group, 'the group has not been monitored yet');
-		}
-
-		const needsPrimary = demands.needsPrimary || run.primaryOnly;
-		const judged = judgeCandidates(spec, state, {...demands, needsPrimary});
-		const open = run.intent.mode === 'read' ? judged.filter(({database}) => !run.excluded.has(database)) : judged;
-		const candidate = this.replicaBehind(run, open, spec) ?? this.pick(open, spec);
-		if (!candidate) {
-			throw this.noCandidate(group, state, judged);
-		}
-
-		return {spec, candidate};
-	}
-
-	private noCandidate(group: string, state: GroupState, judged: readonly Candidate[]): FailureError {
-		const verdicts = judged.map(({database, verdict}) => `${database} is ${verdict}`).join(', ');
-		if (!state.primary) {
-			return refuse('noPrimary', group, `no primary is known: ${verdicts}`);
-		}
-
-		const isStale = judged.some(({verdict}) => verdict === 'tooOld' || verdict === 'behind');
-		return refuse(isStale ? 'tooStale' : 'unreachable', group, `no database may serve: ${verdicts}`);
-	}
-
-	/** Two random replicas are compared; the primary takes reads only when it has clearly less to do. */
-	private pick(candidates: readonly Candidate[], spec: DatabaseGroupSpec): Candidate | undefined {
-		const fresh = candidates.filter(({verdict}) => verdict === 'fresh');
-		const primary = fresh.find(({isPrimary}) => isPrimary);
-		const replica = this.betterOfTwo(fresh.filter(({isPrimary}) => !isPrimary));
-		if (!primary || !replica) {
-			return replica ?? primary;
-		}
-
-		return this.loads.score(replica.database) > this.loads.score(primary.database) + spec.slotsPerDatabase ? primary : replica;
-	}
-
-	private betterOfTwo(replicas: readonly Candidate[]): Candidate | undefined {
-		if (replicas.length < 2) {
-			return replicas[0];
-		}
-
-		const {random} = this.ports;
-		const first = Math.floor(random.next() * replicas.length);
-		const second = (first + 1 + Math.floor(random.next() * (replicas.length - 1))) % replicas.length;
-		const [a, b] = [replicas[first]!, replicas[second]!];
-		return this.loads.score(a.database) <= this.loads.score(b.database) ? a : b;
-	}
-
-	/** While the primary is busy and no replica is fresh, the replica that is closest is given a bounded time to catch up. */
-	private replicaBehind(run: DispatchRun, candidates: readonly Candidate[], spec: DatabaseGroupSpec): Candidate | undefined {
-		const primary = candidates.find(({isPrimary}) => isPrimary);
-		const hasFreshReplica = candidates.some(({isPrimary, verdict}) => !isPrimary && verdict === 'fresh');
-		const isBusy = primary !== undefined && this.loads.inFlight(primary.database) >= spec.slotsPerDatabase;
-		if (run.triedReplicaBehind || hasFreshReplica || !isBusy) {
-			return undefined;
-		}
-
-		run.triedReplicaBehind = true;
-		return candidates
-			.filter(({verdict}) => verdict === 'behind')
-			.toSorted((a, b) => (b.position.term - a.position.term) || (b.position.offsetBytes - a.position.offsetBytes))
-			.at(0);
-	}
-
 	private requestFor({intent, deadlineMs}: DispatchRun, database: string, {minimumPosition, maxAgeMs}: Demands): WorkRequest {
 		const {group, mode, rank, callerKey, traceparent} = intent;
 		const waitLimitMs = Math.max(0, deadlineMs - this.ports.clock.nowMs());
@@ -245,7 +162,7 @@
 	}
 
 	private open(spec: DatabaseGroupSpec, request: WorkRequest, signal: AbortSignal): Work | Promise<Work> {
-		const member = this.holderOf(spec, request.database);
+		const member = this.choice.holderOf(spec, request.database);
 		return member.host === this.ports.membership.self.host
 			? this.holder.openNow(request)
 			: this.openAtPeer(member, request, signal);
@@ -263,11 +180,6 @@
 		}
 	}
 
-	private holderOf(spec: DatabaseGroupSpec, database: string) {
-		const failureDomain = spec.databases.find(({name}) => name === database)?.failureDomain ?? '';
-		return this.ports.membership.holderOf(database, failureDomain);
-	}
-
 	/** Applies the remedy for a refusal. Anything that may have run is never repeated. */
 	private async mayRepeat(run: DispatchRun, error: unknown): Promise<boolean> {
 		const reason = notRunReason(error);
@@ -285,7 +197,7 @@
 			}
 
 			case 'elsewhere': {
-				return this.tryElsewhere(run, reason);
+				return this.tryElsewhere(run);
 			}
 
 			case 'awaitLeader': {
@@ -299,9 +211,13 @@
 		}
 	}
 
+	/** A bounded read is refused when no database is proven young enough; other reads are always served by the primary. */
 	private async turnToPrimary(run: DispatchRun): Promise<boolean> {
-		if (run.primaryOnly || run.intent.freshness.mode === 'bounded') {
-			// The primary, or every database whose age is proven, has been considered already.
+		if (run.intent.freshness.mode === 'bounded') {
+			return run.hasChosen && this.tryElsewhere(run);
+		}
+
+		if (run.primaryOnly || !run.hasChosen) {
 			return this.tryLater(run);
 		}
 
@@ -309,13 +225,9 @@
 		return true;
 	}
 
-	private async tryElsewhere(run: DispatchRun, reason: string): Promise<boolean> {
-		const state = this.ports.directory.stateOf(run.intent.group);
-		if (state?.databases.some(({database}) => !run.excluded.has(database))) {
-			return this.takeRetry(run);
-		}
-
-		return reason !== 'shed' && this.tryLater(run);
+	/** Tries the databases that have not refused yet; the attempt that finds none left ends in `tryLater`. */
+	private async tryElsewhere(run: DispatchRun): Promise<boolean> {
+		return run.hasChosen ? this.takeRetry(run) : this.tryLater(run);
 	}
 
 	/** Starts again with all databases after a pause. */
@@ -366,13 +278,4 @@
 			this.loads.observeWait(database, error.failure.retryAfterMs);
 		}
 	}
-
-	private describe({database, verdict}: Candidate): string {
-		return `${verdict}, ${this.loads.inFlight(database)} in flight, load ${this.loads.score(database).toFixed(1)}`;
-	}
-}
-
-function explainChoice({isPrimary}: Candidate, isProbed: boolean): string {
-	const choice = isPrimary ? 'the primary serves it' : 'the less loaded of two fresh replicas serves it';
-	return isProbed ? `${choice}, once the group's commit position is confirmed` : choice;
 }
