--- a/packages/work/src/__tests__/workChannel.test.ts
+++ b/packages/work/src/__tests__/workChannel.test.ts
@@ -74,7 +74,14 @@
 describe('work channel', () => {
 	it('carries units of work one after the other over one channel (guards against answers of another unit)', async () => {
 		const peer = await startPeer();
-		for (const text of ['one', 'two', 'three']) {
+		const warnings: Error[] = [];
+		const note = (warning: Error) => {
+			warnings.push(warning);
+		};
+
+		process.on('warning', note);
+		const texts = Array.from({length: 15}, (_, index) => `unit ${index}`);
+		for (const text of texts) {
 			const sink = new RecordingSink();
 			const work = await peer.channels.open(member(peer.port), workRequest(), endlessSignal());
 			await work.exchange(query('BEGIN'), () => undefined, exchangeOptions({mayCommit: false}));
@@ -85,7 +92,9 @@
 			work.release();
 		}
 
-		await until(() => peer.server.log.filter(text => text === 'ROLLBACK').length === 3);
+		await until(() => peer.server.log.filter(text => text === 'ROLLBACK').length === texts.length);
+		process.off('warning', note);
+		expect(warnings, 'listeners left on the channel').to.be.empty;
 		expect(peer.workServer.channelCount).to.equal(1);
 		peer.stop();
 	});
--- a/packages/work/src/channelMessages.ts
+++ b/packages/work/src/channelMessages.ts
@@ -56,5 +56,27 @@
 	return body as T;
 }
 
+/** Checks the shape of a header from a peer. */
+export function isExchangeHeader({request, mayCommit, preparedStatements, framesBytes}: ExchangeHeader): boolean {
+	return typeof mayCommit === 'boolean'
+		&& Array.isArray(preparedStatements)
+		&& preparedStatements.every(({name, parseFrame}) => typeof name === 'string' && Buffer.isBuffer(parseFrame))
+		&& framesBytes > 0
+		&& framesBytes <= maximumExchangeBytes
+		&& (request === undefined || isWorkRequest(request));
+}
+
+function isWorkRequest({group, database, rank, callerKey, mode, waitLimitMs}: WorkRequest): boolean {
+	const isNamed = [group, database, rank, callerKey].every(name => typeof name === 'string');
+	return isNamed && (mode === 'read' || mode === 'write') && waitLimitMs >= 0;
+}
+
+/** Checks the shape of a trailer from a peer. */
+export function isTrailer(trailer: Trailer): boolean {
+	return 'failure' in trailer
+		? typeof trailer.failure?.kind === 'string'
+		: ['I', 'T', 'E'].includes(trailer.result?.transactionStatus);
+}
+
 export const cancelMessage = buildFrame(channelTypes.cancel, Buffer.alloc(0));
 export const releaseMessage = buildFrame(channelTypes.release, Buffer.alloc(0));
--- a/packages/work/src/remoteWork.ts
+++ b/packages/work/src/remoteWork.ts
@@ -2,7 +2,7 @@
 	FailureError, type ExchangeOptions, type ExchangeResult, type FrameSink, type Span, type Tracer, type Work, type WorkRequest,
 } from '@crocusloom/model';
 import {
-	cancelMessage, channelTypes, maximumExchangeBytes, packMessage, releaseMessage, unpackMessage, type Trailer,
+	cancelMessage, channelTypes, isTrailer, maximumExchangeBytes, packMessage, releaseMessage, unpackMessage, type Trailer,
 } from './channelMessages.js';
 import {type FrameSocket} from './frameSocket.js';
 import {frameLengthAt} from './frameWalk.js';
@@ -123,6 +123,10 @@
 			throw this.unknown(String(error));
 		}
 
+		if (!isTrailer(trailer)) {
+			throw this.unknown('the trailer of the answer has an impossible shape');
+		}
+
 		if ('failure' in trailer) {
 			throw new RemoteFailure(trailer.failure);
 		}
--- a/packages/work/src/workChannelPool.ts
+++ b/packages/work/src/workChannelPool.ts
@@ -70,9 +70,6 @@
 		}
 
 		channels.push(channel);
-		channel.closed.addEventListener('abort', () => {
-			this.forget(key, channel);
-		}, {once: true});
 	}
 
 	private forget(key: string, channel: FrameSocket): void {
@@ -97,7 +94,11 @@
 		signal.addEventListener('abort', abort, {once: true});
 		void this.ports.clock.sleep(connectTimeoutMs, finished.signal).then(abort, () => undefined);
 		try {
-			return new FrameSocket(await connectSocket(member.address, member.workPort, attempt.signal), member.host);
+			const channel = new FrameSocket(await connectSocket(member.address, member.workPort, attempt.signal), member.host);
+			channel.closed.addEventListener('abort', () => {
+				this.forget(channelKey(member), channel);
+			}, {once: true});
+			return channel;
 		} catch (error) {
 			throw new FailureError({
 				kind: 'notRun', reason: 'unreachable', step: 'peer', peer: member.host, message: String(error),
--- a/packages/work/src/workServer.ts
+++ b/packages/work/src/workServer.ts
@@ -1,7 +1,7 @@
 import {createServer, type AddressInfo, type Server} from 'node:net';
 import {toFailure, type Failure, type Work} from '@crocusloom/model';
 import {
-	channelTypes, maximumExchangeBytes, packMessage, unpackMessage, type ExchangeHeader, type Trailer,
+	channelTypes, isExchangeHeader, packMessage, unpackMessage, type ExchangeHeader, type Trailer,
 } from './channelMessages.js';
 import {FrameSocket} from './frameSocket.js';
 import {frameLengthAt} from './frameWalk.js';
@@ -133,8 +133,8 @@
 	}
 
 	private startHeader(header: ExchangeHeader): void {
-		if (this.isRunning || !(header.framesBytes > 0 && header.framesBytes <= maximumExchangeBytes)) {
-			throw new Error('an exchange was sent out of turn or with an impossible size');
+		if (this.isRunning || !isExchangeHeader(header)) {
+			throw new Error('an exchange was sent out of turn or has an impossible header');
 		}
 
 		this.header = header;
