--- a/packages/callers/src/__tests__/fakeBackend.ts
+++ b/packages/callers/src/__tests__/fakeBackend.ts
@@ -31,7 +31,6 @@
 export class FakeConnection {
 	readonly settings = new Map<string, string>();
 	readonly statements = new Map<string, Statement>();
-	/** Texts run, by transaction, for tests of what was mixed. */
 	status: 'I' | 'T' | 'E' = 'I';
 	private readonly portals = new Map<string, Portal>();
 	private undo: Array<() => void> = [];
@@ -306,9 +305,11 @@
 		};
 
 		const exchange = async (later: Buffer, laterSink: FrameSink, laterOptions: ExchangeOptions): Promise<ExchangeResult> => this.exchange(connection, later, laterSink, laterOptions);
-		options.cancelSignal?.addEventListener('abort', () => {
+		const onCancel = (): void => {
 			this.cancelled.push('first');
-		}, {once: true});
+		};
+
+		options.cancelSignal?.addEventListener('abort', onCancel);
 		try {
 			const result = await exchange(frames, sink, options);
 			return {
@@ -321,6 +322,8 @@
 		} catch (error) {
 			release();
 			throw error;
+		} finally {
+			options.cancelSignal?.removeEventListener('abort', onCancel);
 		}
 	}
 
--- a/packages/callers/src/__tests__/harness.ts
+++ b/packages/callers/src/__tests__/harness.ts
@@ -47,6 +47,23 @@
 	}
 }
 
+/** The harness of the test that runs now. */
+export class HarnessScope {
+	private current: Harness | undefined;
+
+	get harness(): Harness {
+		return this.current!;
+	}
+
+	async start(options?: Partial<CallerServerOptions>): Promise<void> {
+		this.current = await Harness.start(options);
+	}
+
+	close(): void {
+		this.current?.close();
+	}
+}
+
 /** Gives what an awaited call threw, as the error fields of the PostgreSQL client. */
 export async function errorOf(promise: Promise<unknown>): Promise<pg.DatabaseError> {
 	try {
--- /dev/null
+++ b/packages/callers/src/__tests__/statements.test.ts
@@ -0,0 +1,172 @@
+import {expect} from 'chai';
+import {type Failure} from '@crocusloom/model';
+import {
+	errorOf, HarnessScope, rowsOf,
+} from './harness.js';
+
+describe('statements of a session', () => {
+	const scope = new HarnessScope();
+	beforeEach(async () => {
+		await scope.start();
+	});
+	afterEach(() => {
+		scope.close();
+	});
+
+	it('binds named statements on any connection; guards against a name that means two texts or none', async () => {
+		const clients = await Promise.all([scope.harness.connect(), scope.harness.connect()]);
+		for (let round = 0; round < 5; round++) {
+			for (const [index, client] of clients.entries()) {
+				const {rows} = await client.query({name: 'same', text: `SELECT $1 /* ${index} */`, values: [`${index}-${round}`]});
+				expect(rows).to.deep.equal([{value: `${index}-${round}`}]);
+			}
+		}
+
+		expect(new Set(scope.harness.fake.log.map(({connection}) => connection)).size).to.equal(3);
+		expect(scope.harness.fake.log.every(({text, values}) => text.includes(`/* ${values[0]![0]!} */`))).to.equal(true);
+	});
+
+	it('frees the name of a statement that did not parse; guards against 42P05 on the corrected text', async () => {
+		const client = await scope.harness.connect();
+		const error = await errorOf(client.query({name: 'q', text: 'SELECT syntax!', values: []}));
+		expect(error.code).to.equal('42601');
+		const {rows} = await client.query({name: 'q', text: 'SELECT $1', values: ['right']});
+		expect(rows).to.deep.equal([{value: 'right'}]);
+	});
+
+	it('keeps the name of a statement that parsed and then failed; guards against 26000 on the next use', async () => {
+		const client = await scope.harness.connect();
+		for (let round = 0; round < 2; round++) {
+			const error = await errorOf(client.query({name: 'q', text: 'SELECT fail()', values: []}));
+			expect(error.code).to.equal('22012');
+		}
+	});
+
+	const refused: ReadonlyArray<readonly [string, string]> = [
+		['COPY t FROM STDIN', '0A000'],
+		['LISTEN changes', '0A000'],
+		['PREPARE p AS SELECT 1', '0A000'],
+		['SELECT pg_advisory_lock(1)', '0A000'],
+		['SELECT set_config(\'a.b\', \'c\', false)', '0A000'],
+		['CREATE TEMP TABLE t (a int)', '0A000'],
+		['SET ROLE admin', '0A000'],
+		['SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY', '0A000'],
+		['SET client_encoding = \'LATIN1\'', '22023'],
+		['SET crocusloom.rank = \'none\'', '22023'],
+		['SET crocusloom.freshness = \'none\'', '22023'],
+		['SET crocusloom.session = \'no token\'', '22023'],
+		['SET crocusloom.other = \'x\'', '22023'],
+		['SHOW crocusloom.other', '22023'],
+	];
+	for (const [text, code] of refused) {
+		it(`refuses ${text}; guards against session state that leaks into the pool`, async () => {
+			const client = await scope.harness.connect();
+			for (const attempt of [client.query(text), client.query({text, values: [], name: 'n'})]) {
+				const error = await errorOf(attempt);
+				expect(error.code).to.equal(code);
+				expect(error.detail).to.match(/outcome=not_run; step=\w+; peer=/v);
+			}
+
+			expect(scope.harness.fake.log).to.deep.equal([]);
+			expect(await rowsOf(client, 'SELECT \'next\'')).to.deep.equal(['next']);
+		});
+	}
+
+	for (const isExtended of [false, true]) {
+		it(`applies session parameters to each ${isExtended ? 'extended' : 'simple'} exchange; guards against parameters that another caller gets`, async () => {
+			const client = await scope.harness.connect();
+			const other = await scope.harness.connect();
+			const values = isExtended ? ['x'] : undefined;
+			const query = 'SELECT current_setting(\'search_path\')';
+			await client.query({text: 'SET search_path TO \'a\', b', values: isExtended ? [] : undefined, name: isExtended ? 'set' : undefined});
+			for (let round = 0; round < 4; round++) {
+				expect(await rowsOf(client, query, values)).to.deep.equal(['"a", b']);
+				expect(await rowsOf(other, query, values)).to.deep.equal(['default']);
+			}
+
+			await client.query('BEGIN');
+			expect(await rowsOf(client, query, values)).to.deep.equal(['"a", b']);
+			await client.query('SET search_path = c');
+			expect(await rowsOf(client, query, values)).to.deep.equal(['c']);
+			await client.query('ROLLBACK');
+			expect(await rowsOf(client, query, values)).to.deep.equal(['"a", b']);
+			await client.query('RESET ALL');
+			expect(await rowsOf(client, query, values)).to.deep.equal(['default']);
+		});
+	}
+
+	it('takes what drivers set when they connect; guards against drivers that cannot connect', async () => {
+		const client = await scope.harness.connect({application_name: 'board', options: '-c extra_float_digits=3 -c DateStyle=ISO --crocusloom.rank=urgent', client_encoding: 'utf8'});
+		await client.query('SET client_encoding TO \'UTF8\'; SET TIME ZONE \'UTC\'; SET extra_float_digits = 3;');
+		await rowsOf(client, 'SELECT 1');
+		const [intent] = scope.harness.fake.intents;
+		expect([intent!.group, intent!.rank, intent!.mode, intent!.hasSessionToken]).to.deep.equal(['g2', 'urgent', 'read', false]);
+		expect(scope.harness.fake.log.map(({text}) => text)).to.deep.equal(['SELECT 1']);
+	});
+
+	it('reports the token and honours one that is given; guards against a session that goes back at another proxy', async () => {
+		const client = await scope.harness.connect();
+		const reports: string[] = [];
+		(client as unknown as {readonly connection: NodeJS.EventEmitter}).connection.on('parameterStatus', (message: {readonly parameterName: string; readonly parameterValue: string}) => {
+			if (message.parameterName === 'crocusloom.session') {
+				reports.push(message.parameterValue);
+			}
+		});
+		await client.query('INSERT INTO t VALUES (\'x\')');
+		expect(reports).to.deep.equal(['g1=1:10']);
+		expect(await rowsOf(client, 'SHOW crocusloom.session')).to.deep.equal(['g1=1:10']);
+		const second = await scope.harness.connect({options: '-c crocusloom.session=g1=1:10 -c crocusloom.freshness=recent'});
+		await rowsOf(second, 'SELECT 1');
+		const intent = scope.harness.fake.intents.at(-1)!;
+		expect(intent.sessionPosition).to.deep.equal({term: 1, offsetBytes: 16});
+		expect(intent.hasSessionToken).to.equal(true);
+		expect(intent.freshness).to.deep.equal({mode: 'bounded', maxAgeMs: 500});
+	});
+
+	it('keeps a refused BEGIN failed until ROLLBACK or BEGIN; guards against the statements of a transaction that commit one by one', async () => {
+		const client = await scope.harness.connect();
+		for (const next of ['ROLLBACK', 'BEGIN']) {
+			scope.harness.fake.fault = () => ({
+				failure: {
+					kind: 'notRun', reason: 'shed', step: 'admission', peer: 'db-a', message: 'full',
+				}, isAfter: false,
+			});
+			expect(await errorOf(client.query('BEGIN'))).to.include({code: '53000'});
+			scope.harness.fake.fault = undefined;
+			expect(await errorOf(client.query('INSERT INTO t VALUES (\'rest\')'))).to.include({code: '25P02'});
+			await client.query(next);
+			await client.query('INSERT INTO t VALUES (\'next\')');
+		}
+
+		await client.query('ROLLBACK');
+		expect(scope.harness.fake.rows).to.deep.equal(['next']);
+	});
+
+	const failures: ReadonlyArray<readonly [Failure, string, RegExp]> = [
+		[{
+			kind: 'notRun', reason: 'shed', step: 'admission', peer: 'db-a', message: 'full', retryAfterMs: 12,
+		}, '53000', /^outcome=not_run; step=admission; peer=db-a$/v],
+		[{
+			kind: 'notRun', reason: 'noPrimary', step: 'route', peer: 'g1', message: 'none',
+		}, '57P03', /^outcome=not_run; step=route; peer=g1$/v],
+		[{
+			kind: 'unknown', step: 'acknowledge', peer: 'db-a', message: 'lost',
+		}, '08007', /^outcome=unknown; step=acknowledge; peer=db-a$/v],
+	];
+	for (const [failure, code, detail] of failures) {
+		it(`reports ${code}, also in a transaction, which is over then; guards against a rest that runs outside it`, async () => {
+			const client = await scope.harness.connect();
+			scope.harness.fake.fault = frames => frames.includes('fault') ? {failure, isAfter: failure.kind === 'unknown'} : undefined;
+			const error = await errorOf(client.query('INSERT INTO t VALUES (\'fault\')'));
+			expect([error.code, error.hint]).to.deep.equal([code, failure.kind === 'notRun' && failure.retryAfterMs ? 'retry after 12 ms' : undefined]);
+			expect(error.detail).to.match(detail);
+			await client.query('BEGIN');
+			expect(await errorOf(client.query('INSERT INTO t VALUES (\'fault\')'))).to.include({code});
+			expect(scope.harness.fake.openUnits).to.equal(0);
+			expect(await errorOf(client.query('INSERT INTO t VALUES (\'rest\')'))).to.include({code: '25P02'});
+			await client.query('ROLLBACK');
+			expect(scope.harness.fake.rows).not.to.include('rest');
+			expect(await rowsOf(client, 'SELECT \'next\'')).to.deep.equal(['next']);
+		});
+	}
+});
--- a/packages/callers/src/answer.ts
+++ b/packages/callers/src/answer.ts
@@ -5,7 +5,7 @@
 
 /** Answer bytes that are gathered before they are written; an answer below this is written in one go. */
 const flushBytes = 32 * 1024;
-export const readyForQueryBytes = 6;
+const readyForQueryBytes = 6;
 
 /** One thing that the caller expects an answer to. */
 export type ExpectedAnswer
@@ -80,8 +80,6 @@
 
 /** Gathers the answer to one exchange and sends it on, holding back the last part until the exchange has ended. */
 export class Answer {
-	/** True once a part has gone to the caller. */
-	isStarted = false;
 	private pending: Buffer[] = [];
 	private pendingBytes = 0;
 
@@ -129,7 +127,6 @@
 		const buffers = this.pending;
 		this.pending = [];
 		this.pendingBytes = 0;
-		this.isStarted = true;
 		return this.channel.write(buffers);
 	}
 }
--- a/packages/callers/src/callerWork.ts
+++ b/packages/callers/src/callerWork.ts
@@ -52,6 +52,17 @@
 		}
 	}
 
+	/** Ends the unit of work; the caller sees the status from now on. */
+	fail(status: 'I' | 'E'): void {
+		this.release();
+		this.status = status;
+	}
+
+	/** Rolls the unit of work back. */
+	abandon(): void {
+		this.fail('I');
+	}
+
 	/** Ends the unit of work; an open transaction is rolled back. */
 	release(): void {
 		const {work} = this;
--- a/packages/callers/src/channel.ts
+++ b/packages/callers/src/channel.ts
@@ -6,6 +6,8 @@
 
 /** Unread frames above this pause the socket, so that a pipelining caller cannot take all memory. */
 const maximumQueuedBytes = 256 * 1024;
+/** Time that a caller has to read the last message. */
+const lingerMs = 1000;
 /** Bytes that a caller may send before it is authenticated. */
 const maximumEarlyBytes = 64 * 1024;
 /** PostgreSQL's own limit for startup packets. */
@@ -22,6 +24,9 @@
 	private earlyBytes: number | undefined = 0;
 	private startup: Buffer | undefined = Buffer.alloc(0);
 	private ended = false;
+	private isEnding = false;
+	/** Channel of the TLS layer on top of this socket. */
+	private upper: CallerChannel | undefined;
 	private error: Error | undefined;
 	private wake: (() => void) | undefined;
 	private wakeWriter: (() => void) | undefined;
@@ -56,6 +61,11 @@
 		return this.socket;
 	}
 
+	/** Lets the channel of a TLS layer end the connection. */
+	layer(upper: CallerChannel): void {
+		this.upper = upper;
+	}
+
 	/**
 	 * Reads a packet without type byte.
 	 * @returns the packet behind its length, or undefined at the end of the stream
@@ -109,6 +119,10 @@
 	 * @throws FailureError when the caller does not read in time or is gone
 	 */
 	write(buffers: readonly Buffer[]): Promise<void> | void {
+		if (this.isEnding || this.socket.destroyed) {
+			return undefined;
+		}
+
 		if (buffers.length === 1) {
 			this.socket.write(buffers[0]!);
 		} else {
@@ -125,10 +139,18 @@
 
 	/** Sends a last message and closes; bytes that the caller does not read in time are dropped. */
 	end(last?: Buffer): void {
-		if (this.closed.signal.aborted || this.socket.destroyed) {
+		if (this.upper) {
+			this.upper.end(last);
 			return;
 		}
 
+		if (this.closed.signal.aborted || this.socket.destroyed || this.isEnding) {
+			return;
+		}
+
+		this.isEnding = true;
+		this.ended = true;
+		this.notify();
 		if (last) {
 			this.socket.write(last);
 		}
@@ -165,7 +187,7 @@
 
 	private async destroyLater(): Promise<void> {
 		try {
-			await this.clock.sleep(1000, this.closed.signal);
+			await this.clock.sleep(lingerMs, this.closed.signal);
 			this.socket.destroy();
 		} catch {
 			// The socket closed by itself.
--- a/packages/callers/src/errors.ts
+++ b/packages/callers/src/errors.ts
@@ -7,6 +7,7 @@
 export const callerSqlStates = {
 	featureNotSupported: '0A000',
 	invalidParameterValue: '22023',
+	activeTransaction: '25001',
 	inFailedTransaction: '25P02',
 	invalidStatementName: '26000',
 	duplicatePreparedStatement: '42P05',
@@ -21,6 +22,13 @@
 	});
 }
 
+/** The proxy is shutting down; the caller should connect to another one. */
+export function shutDownFailure(peer: string): Failure {
+	return {
+		kind: 'protocol', step: 'drain', peer, sqlState: sqlStates.adminShutdown, message: 'terminating connection because the proxy is shutting down',
+	};
+}
+
 /** Gives the failure of any error; an error without one is a fault of the proxy itself. */
 export function failureOf(error: unknown, peer: string): Failure {
 	return toFailure(error, message => ({
--- a/packages/callers/src/exchange.ts
+++ b/packages/callers/src/exchange.ts
@@ -1,6 +1,6 @@
 import {type PreparedStatement, type StatementMode} from '@crocusloom/model';
 import {
-	backend, frontend, buildFrame, cString, type Frame,
+	backend, frontend, buildFrame, cString,
 } from '@crocusloom/wire';
 import {type ExpectedAnswer} from './answer.js';
 import {type Plan} from './plans.js';
@@ -119,7 +119,3 @@
 export function joinFrames(frames: readonly Buffer[]): Buffer {
 	return frames.length === 1 ? frames[0]! : Buffer.concat(frames);
 }
-
-export function bytesOf(frames: readonly Frame[]): Buffer[] {
-	return frames.map(({bytes}) => bytes);
-}
--- a/packages/callers/src/server.ts
+++ b/packages/callers/src/server.ts
@@ -1,6 +1,6 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import {createSecureContext, type SecureContext} from 'node:tls';
-import {sqlStates} from '@crocusloom/model';
+import {FailureError, sqlStates} from '@crocusloom/model';
 import {
 	backend, buildFrame, loadClassifier, parameterStatus, readyForQuery,
 } from '@crocusloom/wire';
@@ -8,7 +8,7 @@
 import {CancelRegistry, type CancelKey} from './cancel.js';
 import {CallerChannel} from './channel.js';
 import {
-	callerSqlStates, failureOf, failureResponse, refusal,
+	callerSqlStates, failureOf, failureResponse, refusal, shutDownFailure,
 } from './errors.js';
 import {chooseRoute} from './routes.js';
 import {Session} from './session.js';
@@ -25,6 +25,8 @@
 export class CallerServer {
 	private readonly limits: CallerLimits;
 	private readonly sessions = new Set<Session>();
+	/** Connections before the end of authentication. */
+	private readonly starting = new Set<CallerChannel>();
 	private readonly connections = new Set<CallerChannel>();
 	private readonly authenticator: Authenticator;
 	private readonly cancels: CancelRegistry;
@@ -74,6 +76,10 @@
 	async drain(deadlineMs: number): Promise<void> {
 		this.isDraining = true;
 		this.server?.close();
+		for (const channel of this.starting) {
+			channel.end(failureResponse(shutDownFailure(channel.peer), 'FATAL'));
+		}
+
 		for (const session of this.sessions) {
 			session.drain();
 		}
@@ -89,6 +95,9 @@
 		for (const channel of this.connections) {
 			channel.end();
 		}
+
+		// Channels that have ended close by themselves a second later at the latest.
+		await this.allClosed();
 	}
 
 	private close(): void {
@@ -133,9 +142,11 @@
 
 	private track(channel: CallerChannel): void {
 		this.connections.add(channel);
+		this.starting.add(channel);
 		this.options.metrics.gauge('callers_connections', this.connections.size);
 		channel.socket.once('close', () => {
 			this.connections.delete(channel);
+			this.starting.delete(channel);
 			this.options.metrics.gauge('callers_connections', this.connections.size);
 			this.checkDrained();
 		});
@@ -158,7 +169,11 @@
 	private async start(initial: CallerChannel, timer: AbortController): Promise<void> {
 		const request = await readStartup(initial, {
 			secureContext: this.secureContext,
-			wrap: socket => new CallerChannel(socket, initial.peer, this.limits, this.options.clock),
+			wrap: socket => {
+				const channel = new CallerChannel(socket, initial.peer, this.limits, this.options.clock);
+				initial.layer(channel);
+				return channel;
+			},
 		});
 		if (request.kind === 'closed') {
 			initial.end();
@@ -166,11 +181,14 @@
 			await this.cancels.cancel(request.key);
 			initial.end();
 		} else {
-			await this.runSession(request.channel, request.parameters, timer);
+			await this.runSession(request.channel, request.parameters, () => {
+				timer.abort();
+				this.starting.delete(initial);
+			});
 		}
 	}
 
-	private async runSession(channel: CallerChannel, parameters: ReadonlyMap<string, string>, timer: AbortController): Promise<void> {
+	private async runSession(channel: CallerChannel, parameters: ReadonlyMap<string, string>, onStarted: () => void): Promise<void> {
 		try {
 			this.checkAdmission(channel, parameters);
 			channel.startFrames();
@@ -179,7 +197,7 @@
 			const key = this.cancels.register(() => {
 				session.cancel();
 			});
-			timer.abort();
+			onStarted();
 			await this.runRegistered(channel, session, key);
 		} catch (error) {
 			channel.end(failureResponse(failureOf(error, channel.peer), 'FATAL'));
@@ -196,6 +214,10 @@
 				backendKeyData(key),
 				readyForQuery('I'),
 			])]);
+			if (this.isDraining) {
+				session.drain();
+			}
+
 			await session.run();
 		} finally {
 			this.sessions.delete(session);
@@ -205,7 +227,7 @@
 
 	private checkAdmission(channel: CallerChannel, parameters: ReadonlyMap<string, string>): void {
 		if (this.isDraining) {
-			throw refusal('drain', channel.peer, sqlStates.adminShutdown, 'the proxy is shutting down');
+			throw new FailureError(shutDownFailure(channel.peer));
 		}
 
 		if (this.connections.size > this.limits.maximumCallers) {
--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -1,26 +1,24 @@
+import {sqlStates} from '@crocusloom/model';
 import {
-	sqlStates, zeroPosition, type Configuration, type ExchangeResult, type FrameSink, type WorkIntent,
-} from '@crocusloom/model';
-import {
-	backend, buildFrame, frameHeaderBytes, parameterStatus, readCString, readyForQuery,
+	backend, buildFrame, frameHeaderBytes, readCString, readyForQuery,
 } from '@crocusloom/wire';
-import {Answer, AnswerEditor} from './answer.js';
 import {CallerWork} from './callerWork.js';
 import {type CallerChannel} from './channel.js';
 import {ExchangeCollector, type CollectedExchange} from './collector.js';
 import {CommandRunner} from './commandRunner.js';
 import {
-	callerSqlStates, failureOf, failureResponse, refusal,
+	callerSqlStates, failureOf, failureResponse, refusal, shutDownFailure,
 } from './errors.js';
 import {
-	answerEnds, hasBegin, isTransactionEnd, joinFrames, mayCommit, mayEndTransaction, syncFrame, withParameters, type PlannedExchange,
+	answerEnds, hasBegin, isTransactionEnd, type PlannedExchange,
 } from './exchange.js';
+import {ExchangeRunner} from './exchangeRunner.js';
 import {ExtendedPlanner, type ExtendedContext} from './extended.js';
 import {type LocalCommand} from './localCommands.js';
 import {planOf, type Plan} from './plans.js';
 import {SessionStatements, type SessionStatement} from './preparedStatements.js';
-import {chooseRoute, type CallerIdentity, type Route} from './routes.js';
-import {applyParametersText, type SessionSettings} from './settings.js';
+import {type CallerIdentity} from './routes.js';
+import {type SessionSettings} from './settings.js';
 import {type CallerLimits, type CallerServerOptions, type TransactionStatus} from './types.js';
 
 const readyFrames: Readonly<Record<TransactionStatus, Buffer>> = {I: readyForQuery('I'), T: readyForQuery('T'), E: readyForQuery('E')};
@@ -42,13 +40,10 @@
 	private readonly statements: SessionStatements;
 	private readonly commands: CommandRunner;
 	private readonly portals = new Map<string, SessionStatement>();
+	private readonly runner: ExchangeRunner;
 	private readonly planContext: ExtendedContext;
 	private isDraining = false;
-	/** Parameters in force before the open transaction, to go back to on ROLLBACK. */
-	private parametersBefore: ReadonlyMap<string, string> | undefined;
-	/** Parameters that the open transaction's connection has. */
-	private parametersApplied: ReadonlyMap<string, string> | undefined;
-	private routeCache: {readonly configuration: Configuration; readonly key: string; readonly route: Route} | undefined;
+	private isShutDown = false;
 
 	constructor(private readonly parts: SessionParts) {
 		const {options, limits, channel, settings} = parts;
@@ -58,13 +53,14 @@
 		this.commands = new CommandRunner({
 			peer: channel.peer, settings, statements: this.statements, configuration: () => options.configuration.current(), endFailed: () => this.endLostTransaction(),
 		});
+		this.runner = new ExchangeRunner(parts, this.work, this.statements);
 		this.planContext = this.makePlanContext();
 	}
 
 	/** Serves the caller until it leaves, breaks the protocol or is drained. */
 	async run(): Promise<void> {
 		try {
-			for (;;) {
+			while (!this.isShutDown) {
 				if (this.isDraining && !this.work.isOpen) {
 					this.shutDown();
 					return;
@@ -95,10 +91,9 @@
 
 	/** Closes the connection now. */
 	shutDown(): void {
+		this.isShutDown = true;
 		this.work.release();
-		this.parts.channel.end(failureResponse({
-			kind: 'protocol', step: 'drain', peer: this.parts.channel.peer, sqlState: sqlStates.adminShutdown, message: 'terminating connection because the proxy is shutting down',
-		}, 'FATAL'));
+		this.parts.channel.end(failureResponse(shutDownFailure(this.parts.channel.peer), 'FATAL'));
 	}
 
 	/** Cancels the running statement. */
@@ -116,8 +111,7 @@
 
 		if (this.work.status === 'I') {
 			this.portals.clear();
-			this.parametersBefore = undefined;
-			this.parametersApplied = undefined;
+			this.runner.endTransaction();
 		}
 	}
 
@@ -137,7 +131,10 @@
 			throw this.refuse('Flush after Bind or Execute outside a transaction');
 		}
 
-		await this.runExchange(this.checkStatus(planned), isFlush);
+		const isFailed = await this.runner.run(this.checkStatus(planned), () => isFlush ? [] : [readyFrames[this.work.status]]);
+		if (isFlush && isFailed) {
+			this.collector.skipUntilSync();
+		}
 	}
 
 	/** Refuses what a failed transaction may not run; BEGIN starts over after a lost one. */
@@ -182,112 +179,6 @@
 		};
 	}
 
-	private async runExchange(planned: PlannedExchange, isFlush: boolean): Promise<void> {
-		const exchange = this.addParameters(planned);
-		const editor = exchange.needsEditing ? new AnswerEditor(exchange.expected, this.parts.channel.peer) : undefined;
-		const answer = new Answer(this.parts.channel, editor);
-		const isInTransaction = this.work.status !== 'I';
-		let result: ExchangeResult;
-		try {
-			result = await this.forward(exchange, answer.sink);
-		} catch (error) {
-			answer.discard();
-			this.forgetParsed(exchange, () => false);
-			this.work.status = isInTransaction && !exchange.plans.some(plan => isTransactionEnd(plan)) ? 'E' : 'I';
-			throw error;
-		}
-
-		if (result.sqlState !== undefined) {
-			this.forgetParsed(exchange, parsed => editor?.isAnswered(parsed) ?? true);
-			if (isFlush) {
-				this.collector.skipUntilSync();
-			}
-		}
-
-		this.noteTransaction(exchange, isInTransaction);
-		await answer.finish(this.endOfAnswer(result, isFlush));
-	}
-
-	private async forward(exchange: PlannedExchange, sink: FrameSink): Promise<ExchangeResult> {
-		const {clock, metrics} = this.parts.options;
-		const startMs = clock.nowMs();
-		const frames = exchange.protocol === 'simple' ? joinFrames(exchange.frames) : joinFrames([...exchange.frames, syncFrame]);
-		const result = await this.work.run(frames, sink, {
-			preparedStatements: exchange.preparedStatements,
-			mayCommit: mayCommit(exchange, this.work.status !== 'I'),
-			signal: this.parts.channel.closed.signal,
-		}, () => this.intent(exchange));
-		metrics.observeMs('callers_exchange_ms', clock.nowMs() - startMs, {mode: exchange.mode});
-		return result;
-	}
-
-	private intent(exchange: PlannedExchange): WorkIntent {
-		const {settings, options} = this.parts;
-		const route = this.route();
-		const span = options.tracer.start('callers.dispatch', undefined, {group: route.group, rank: route.rank});
-		span.end();
-		return {
-			group: route.group,
-			mode: exchange.mode,
-			rank: route.rank,
-			callerKey: route.callerKey,
-			freshness: route.freshness,
-			sessionPosition: settings.vector.get(route.group) ?? zeroPosition,
-			hasSessionToken: settings.hasToken,
-			waitLimitMs: route.targetMs,
-			traceparent: span.traceparent,
-		};
-	}
-
-	private route(): Route {
-		const {settings, options, identity, channel} = this.parts;
-		const configuration = options.configuration.current();
-		const key = `${settings.rank ?? ''}/${settings.freshness ?? ''}/${settings.application}`;
-		if (this.routeCache?.configuration !== configuration || this.routeCache.key !== key) {
-			const route = chooseRoute(configuration, {...identity, application: settings.application}, settings, channel.peer);
-			this.routeCache = {configuration, key, route};
-		}
-
-		return this.routeCache.route;
-	}
-
-	private addParameters(exchange: PlannedExchange): PlannedExchange {
-		const {parameters} = this.parts.settings;
-		const isApplied = this.work.status === 'I' ? parameters.size === 0 : parameters === this.parametersApplied;
-		if (isApplied || !exchange.executes || exchange.plans.some(plan => isTransactionEnd(plan))) {
-			return exchange;
-		}
-
-		return parameters.size === 0 ? exchange : withParameters(exchange, applyParametersText(parameters));
-	}
-
-	private noteTransaction(exchange: PlannedExchange, wasInTransaction: boolean): void {
-		if (this.work.status !== 'I') {
-			this.parametersBefore ??= this.parts.settings.parameters;
-			this.parametersApplied = exchange.executes ? this.parts.settings.parameters : this.parametersApplied;
-			return;
-		}
-
-		const isRolledBack = exchange.plans.some(({classification}) => classification.transaction === 'rollback');
-		if (wasInTransaction && isRolledBack && mayEndTransaction(exchange.plans) && this.parametersBefore) {
-			this.parts.settings.parameters = this.parametersBefore;
-		}
-	}
-
-	private endOfAnswer(result: ExchangeResult, isFlush: boolean): readonly Buffer[] {
-		const frames: Buffer[] = [];
-		const {settings} = this.parts;
-		if (result.position && settings.advance(this.route().group, result.position)) {
-			frames.push(parameterStatus('crocusloom.session', settings.show('crocusloom.session')!));
-		}
-
-		if (!isFlush) {
-			frames.push(readyFrames[this.work.status]);
-		}
-
-		return frames;
-	}
-
 	private async answerFailure(error: unknown, isFlush: boolean): Promise<void> {
 		const {channel, options} = this.parts;
 		if (channel.closed.signal.aborted) {
@@ -296,8 +187,7 @@
 
 		// A refusal by the proxy fails an open transaction, as an error of the backend server would.
 		if (this.work.status !== 'I') {
-			this.work.release();
-			this.work.status = 'E';
+			this.work.fail('E');
 		}
 
 		const failure = failureOf(error, channel.peer);
@@ -309,14 +199,6 @@
 		await channel.write(isFlush ? [failureResponse(failure)] : [Buffer.concat([failureResponse(failure), readyFrames[this.work.status]])]);
 	}
 
-	private forgetParsed(exchange: PlannedExchange, isAnswered: (answer: PlannedExchange['parsed'][number]['answer']) => boolean): void {
-		for (const {name, answer} of exchange.parsed) {
-			if (!isAnswered(answer)) {
-				this.statements.remove(name);
-			}
-		}
-	}
-
 	private commandsOf(plan: Plan): readonly LocalCommand[] | undefined {
 		if (isTransactionEnd(plan) && !this.work.isOpen) {
 			return endFailed;
@@ -326,14 +208,20 @@
 			throw refusal('execute', this.parts.channel.peer, callerSqlStates.inFailedTransaction, 'current transaction is aborted, commands ignored until end of transaction block');
 		}
 
+		const setsKey = plan.commands?.some(command => command.kind === 'set' && command.name === 'crocusloom.idempotency_key');
+		if (setsKey && this.work.isOpen) {
+			throw refusal('classify', this.parts.channel.peer, callerSqlStates.activeTransaction, 'crocusloom.idempotency_key must be set before BEGIN');
+		}
+
 		return plan.commands;
 	}
 
 	private endLostTransaction(): boolean {
 		const {isLost} = this.work;
 		if (isLost) {
-			this.work.status = 'I';
-			this.parts.settings.parameters = this.parametersBefore ?? this.parts.settings.parameters;
+			this.work.fail('I');
+			this.runner.restoreParameters();
+			this.runner.endTransaction();
 		}
 
 		return isLost;
