Report every failure that may follow the first byte as unknown

A failure of kind peer, protocol or a bare error from the dispatcher was reported with outcome=not_run, although the statement may have run. Only notRun says so now.

Startup reports the parameters that the caller set. An answer that ends as the backend server sent it is written without a further buffer.

--- a/packages/callers/src/__tests__/statements.test.ts
+++ b/packages/callers/src/__tests__/statements.test.ts
@@ -142,6 +142,16 @@
 		expect(scope.harness.fake.rows).to.deep.equal(['next']);
 	});
 
+	it('reports an error of unknown kind as unknown; guards against "not run" for a write that ran', async () => {
+		const client = await scope.harness.connect();
+		scope.harness.fake.fault = () => ({
+			failure: {
+				kind: 'peer', step: 'peer', peer: 'two', message: 'lost',
+			}, isAfter: true,
+		});
+		expect(await errorOf(client.query('INSERT INTO t VALUES (\'x\')'))).to.include({code: '08007', detail: 'outcome=unknown; step=peer; peer=two'});
+	});
+
 	const failures: ReadonlyArray<readonly [Failure, string, RegExp]> = [
 		[{
 			kind: 'notRun', reason: 'shed', step: 'admission', peer: 'db-a', message: 'full', retryAfterMs: 12,
--- a/packages/callers/src/answer.ts
+++ b/packages/callers/src/answer.ts
@@ -103,8 +103,13 @@
 	 * @param last - frames that end the answer
 	 */
 	finish(last: readonly Buffer[]): Promise<void> | void {
-		this.cutReadyForQuery();
-		this.pending.push(...last);
+		const part = this.pending.at(-1);
+		const isUnchanged = last.length === 1 && part?.subarray(-readyForQueryBytes).equals(last[0]!);
+		if (!isUnchanged) {
+			this.cutReadyForQuery();
+			this.pending.push(...last);
+		}
+
 		return this.pending.length > 0 ? this.flush() : undefined;
 	}
 
--- a/packages/callers/src/callerWork.ts
+++ b/packages/callers/src/callerWork.ts
@@ -1,5 +1,5 @@
 import {
-	type Dispatcher, type ExchangeOptions, type ExchangeResult, type FrameSink, type Work, type WorkIntent,
+	FailureError, toFailure, type Dispatcher, type ExchangeOptions, type ExchangeResult, type FrameSink, type Work, type WorkIntent,
 } from '@crocusloom/model';
 import {type TransactionStatus} from './types.js';
 
@@ -23,7 +23,7 @@
 
 	/**
 	 * Runs one exchange, on the open unit of work or on a new one, and ends the unit with its transaction.
-	 * @throws FailureError `notRun` or `unknown`; the unit of work is over then
+	 * @throws FailureError `notRun` or `unknown`, the latter for every error that does not say that nothing ran; the unit of work is over then
 	 */
 	async run(frames: Buffer, sink: FrameSink, options: Pick<ExchangeOptions, 'preparedStatements' | 'mayCommit' | 'signal'>, intent: () => WorkIntent): Promise<ExchangeResult> {
 		try {
@@ -36,7 +36,7 @@
 			return result;
 		} catch (error) {
 			this.release();
-			throw error;
+			throw notRunOrUnknown(error);
 		} finally {
 			this.running = 'no';
 		}
@@ -82,3 +82,17 @@
 		return result;
 	}
 }
+
+/** Only `notRun` says that nothing ran; a fault of any other kind may have come after the first byte. */
+function notRunOrUnknown(error: unknown): FailureError {
+	if (error instanceof FailureError && (error.failure.kind === 'notRun' || error.failure.kind === 'unknown')) {
+		return error;
+	}
+
+	const {step, peer, message} = toFailure(error, text => ({
+		kind: 'unknown', step: 'forward', peer: 'dispatcher', message: text,
+	}));
+	return new FailureError({
+		kind: 'unknown', step, peer, message,
+	}, {cause: error});
+}
--- a/packages/callers/src/server.ts
+++ b/packages/callers/src/server.ts
@@ -12,7 +12,7 @@
 } from './errors.js';
 import {chooseRoute} from './routes.js';
 import {Session} from './session.js';
-import {reportedParameters, SessionSettings} from './settings.js';
+import {reportedValues, SessionSettings} from './settings.js';
 import {parseStartupOptions, readStartup} from './startup.js';
 import {defaultCallerLimits, type CallerLimits, type CallerServerOptions} from './types.js';
 
@@ -193,24 +193,25 @@
 			this.checkAdmission(channel, parameters);
 			channel.startFrames();
 			await this.authenticator.authenticate(channel, parameters.get('user')!);
-			const session = this.makeSession(channel, parameters);
+			const settings = this.readSettings(channel, parameters);
+			const session = this.makeSession(channel, parameters, settings);
 			const key = this.cancels.register(() => {
 				session.cancel();
 			});
 			onStarted();
-			await this.runRegistered(channel, session, key);
+			await this.runRegistered(channel, session, {key, settings});
 		} catch (error) {
 			channel.end(failureResponse(failureOf(error, channel.peer), 'FATAL'));
 		}
 	}
 
-	private async runRegistered(channel: CallerChannel, session: Session, key: CancelKey): Promise<void> {
+	private async runRegistered(channel: CallerChannel, session: Session, {key, settings}: {readonly key: CancelKey; readonly settings: SessionSettings}): Promise<void> {
 		this.sessions.add(session);
 		channel.acceptLargeFrames();
 		try {
 			await channel.write([Buffer.concat([
 				authenticationOk,
-				...reportedParameters.map(([name, value]) => parameterStatus(name, value)),
+				...reportedValues(settings).map(([name, value]) => parameterStatus(name, value)),
 				backendKeyData(key),
 				readyForQuery('I'),
 			])]);
@@ -243,7 +244,7 @@
 		}
 	}
 
-	private makeSession(channel: CallerChannel, parameters: ReadonlyMap<string, string>): Session {
+	private readSettings(channel: CallerChannel, parameters: ReadonlyMap<string, string>): SessionSettings {
 		const configuration = this.options.configuration.current();
 		const settings = new SessionSettings(channel.peer);
 		const given = [...parameters].filter(([name]) => !notSettings.has(name) && !name.startsWith('_pq_.'));
@@ -251,9 +252,13 @@
 			settings.set(name.toLowerCase(), value, configuration);
 		}
 
+		return settings;
+	}
+
+	private makeSession(channel: CallerChannel, parameters: ReadonlyMap<string, string>, settings: SessionSettings): Session {
 		const user = parameters.get('user')!;
 		const identity = {user, database: parameters.get('database') ?? user, application: settings.application};
-		chooseRoute(configuration, identity, settings, channel.peer);
+		chooseRoute(this.options.configuration.current(), identity, settings, channel.peer);
 		return new Session({
 			options: this.options, limits: this.limits, channel, identity, settings,
 		});
--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -1,4 +1,4 @@
-import {sqlStates} from '@crocusloom/model';
+import {FailureError, sqlStates} from '@crocusloom/model';
 import {
 	backend, buildFrame, frameHeaderBytes, readCString, readyForQuery,
 } from '@crocusloom/wire';
@@ -191,6 +191,10 @@
 		}
 
 		const failure = failureOf(error, channel.peer);
+		if (!(error instanceof FailureError)) {
+			options.log.error({peer: channel.peer, error: String(error)}, 'exchange failed by a fault of the proxy');
+		}
+
 		options.metrics.count('callers_failures', {kind: failure.kind, step: failure.step});
 		if (isFlush) {
 			this.collector.skipUntilSync();
--- a/packages/callers/src/settings.ts
+++ b/packages/callers/src/settings.ts
@@ -14,7 +14,7 @@
 const encoding = 'UTF8';
 
 /** Parameters reported to each caller at startup. */
-export const reportedParameters: ReadonlyArray<readonly [string, string]> = [
+const reportedParameters: ReadonlyArray<readonly [string, string]> = [
 	['server_version', '16.0'],
 	['server_encoding', encoding],
 	['client_encoding', encoding],
@@ -29,6 +29,11 @@
 	['standard_conforming_strings', 'on'],
 ];
 
+/** Values of the reported parameters as a session's startup set them. */
+export function reportedValues(settings: SessionSettings): ReadonlyArray<readonly [string, string]> {
+	return reportedParameters.map(([name, value]) => [name, name === 'application_name' ? settings.application : settings.parameters.get(name.toLowerCase()) ?? value]);
+}
+
 /** Values that need not be applied, because backend connections have them or their effect is the same. */
 const withoutEffect: Readonly<Record<string, RegExp>> = {
 	application_name: /^/v,
