Refuse every text that leaves session state, and no data that looks like one

'SET LOCAL a; SET b' went to the backend server, because only the start of the text was checked, and the second SET would have stayed on a pooled connection. Literals are emptied before texts are searched for advisory locks and set_config, so that data which mentions them is served.

--- a/packages/callers/src/__tests__/session.test.ts
+++ b/packages/callers/src/__tests__/session.test.ts
@@ -36,6 +36,20 @@
 		await Promise.all(clients.map(async client => client.end()));
 	});
 
+	const routes: ReadonlyArray<readonly [string, string, string]> = [
+		['desk', '', 'g1'],
+		['desk', 'board', 'g2'],
+		['clerk', '', 'g3'],
+		['clerk', 'board', 'g3'],
+	];
+	for (const [user, application, group] of routes) {
+		it(`routes ${user} with application "${application}" to ${group}; guards against a general route that wins`, async () => {
+			const client = await scope.harness.connect({user, application_name: application});
+			await rowsOf(client, 'SELECT 1');
+			expect(scope.harness.fake.intents.map(intent => intent.group)).to.deep.equal([group]);
+		});
+	}
+
 	it('refuses an unknown database; guards against work on a group that no route names', async () => {
 		const error = await errorOf(scope.harness.connect({database: 'other'}));
 		expect(error.code).to.equal(sqlStates.invalidCatalogName);
--- a/packages/callers/src/__tests__/statements.test.ts
+++ b/packages/callers/src/__tests__/statements.test.ts
@@ -49,6 +49,9 @@
 		['SELECT pg_advisory_lock(1)', '0A000'],
 		['SELECT set_config(\'a.b\', \'c\', false)', '0A000'],
 		['CREATE TEMP TABLE t (a int)', '0A000'],
+		['SELECT set_config(\'a.b\', $1, $2)', '0A000'],
+		['SET LOCAL a.b = \'1\'; SET a.b = \'2\'', '0A000'],
+		['SELECT 1; SET crocusloom.rank = \'late\'', '0A000'],
 		['SET ROLE admin', '0A000'],
 		['SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY', '0A000'],
 		['SET client_encoding = \'LATIN1\'', '22023'],
@@ -72,6 +75,21 @@
 		});
 	}
 
+	const served = [
+		'INSERT INTO t VALUES (\'pg_advisory_lock(1); set_config(a, b, false)\')',
+		'SELECT set_config(\'a.b\', \'c\', true)',
+		'SET LOCAL a.b = \'1\'',
+		'-- comment\nSET TRANSACTION READ ONLY',
+		'SHOW server_version',
+	];
+	for (const text of served) {
+		it(`serves ${JSON.stringify(text)}; guards against refusals of what pooling can serve`, async () => {
+			const client = await scope.harness.connect();
+			await client.query(text);
+			expect(scope.harness.fake.log).to.have.length.above(0);
+		});
+	}
+
 	for (const isExtended of [false, true]) {
 		it(`applies session parameters to each ${isExtended ? 'extended' : 'simple'} exchange; guards against parameters that another caller gets`, async () => {
 			const client = await scope.harness.connect();
--- a/packages/callers/src/localCommands.ts
+++ b/packages/callers/src/localCommands.ts
@@ -28,7 +28,26 @@
 	return areAllKnown ? commands : undefined;
 }
 
-function splitStatements(text: string): string[] {
+/** Literals that read as false; they matter to `set_config`. */
+const falseLiteral = /^'(?:f|false|n|no|off|0)'$/iv;
+
+/** Empties literals and quoted names and drops comments, so that data is not taken for statements. */
+export function withoutLiterals(text: string): string {
+	const literalOrComment = new RegExp(`${quoted.source}|${comments.source}`, 'gv');
+	return text.replaceAll(literalOrComment, match => {
+		if (match.startsWith('--') || match.startsWith('/*')) {
+			return ' ';
+		}
+
+		return falseLiteral.test(match) ? match : '\'\'';
+	});
+}
+
+/**
+ * Cuts a text at its semicolons.
+ * @returns statements without comments around them
+ */
+export function splitStatements(text: string): string[] {
 	const quotedOrEnd = new RegExp(`${quoted.source}|${comments.source}|;`, 'gv');
 	const bounded = text.replaceAll(quotedOrEnd, match => {
 		if (match === ';') {
