--- a/packages/callers/src/server.ts
+++ b/packages/callers/src/server.ts
@@ -1,6 +1,6 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import {createSecureContext, type SecureContext} from 'node:tls';
-import {sqlStates} from '@crocusloom/model';
+import {FailureError, sqlStates} from '@crocusloom/model';
 import {
 	backend, buildFrame, loadClassifier, parameterStatus, readyForQuery,
 } from '@crocusloom/wire';
@@ -8,11 +8,11 @@
 import {CancelRegistry, type CancelKey} from './cancel.js';
 import {CallerChannel} from './channel.js';
 import {
-	callerSqlStates, failureOf, failureResponse, refusal,
+	callerSqlStates, failureOf, failureResponse, refusal, shutDownFailure,
 } from './errors.js';
 import {chooseRoute} from './routes.js';
 import {Session} from './session.js';
-import {reportedParameters, SessionSettings} from './settings.js';
+import {reportedValues, SessionSettings} from './settings.js';
 import {parseStartupOptions, readStartup} from './startup.js';
 import {defaultCallerLimits, type CallerLimits, type CallerServerOptions} from './types.js';
 
@@ -25,6 +25,8 @@
 export class CallerServer {
 	private readonly limits: CallerLimits;
 	private readonly sessions = new Set<Session>();
+	/** Connections before the end of authentication. */
+	private readonly starting = new Set<CallerChannel>();
 	private readonly connections = new Set<CallerChannel>();
 	private readonly authenticator: Authenticator;
 	private readonly cancels: CancelRegistry;
@@ -74,6 +76,10 @@
 	async drain(deadlineMs: number): Promise<void> {
 		this.isDraining = true;
 		this.server?.close();
+		for (const channel of this.starting) {
+			channel.end(failureResponse(shutDownFailure(channel.peer), 'FATAL'));
+		}
+
 		for (const session of this.sessions) {
 			session.drain();
 		}
@@ -89,6 +95,9 @@
 		for (const channel of this.connections) {
 			channel.end();
 		}
+
+		// Channels that have ended close by themselves a second later at the latest.
+		await this.allClosed();
 	}
 
 	private close(): void {
@@ -133,9 +142,11 @@
 
 	private track(channel: CallerChannel): void {
 		this.connections.add(channel);
+		this.starting.add(channel);
 		this.options.metrics.gauge('callers_connections', this.connections.size);
 		channel.socket.once('close', () => {
 			this.connections.delete(channel);
+			this.starting.delete(channel);
 			this.options.metrics.gauge('callers_connections', this.connections.size);
 			this.checkDrained();
 		});
@@ -158,7 +169,11 @@
 	private async start(initial: CallerChannel, timer: AbortController): Promise<void> {
 		const request = await readStartup(initial, {
 			secureContext: this.secureContext,
-			wrap: socket => new CallerChannel(socket, initial.peer, this.limits, this.options.clock),
+			wrap: socket => {
+				const channel = new CallerChannel(socket, initial.peer, this.limits, this.options.clock);
+				initial.layer(channel);
+				return channel;
+			},
 		});
 		if (request.kind === 'closed') {
 			initial.end();
@@ -166,36 +181,44 @@
 			await this.cancels.cancel(request.key);
 			initial.end();
 		} else {
-			await this.runSession(request.channel, request.parameters, timer);
+			await this.runSession(request.channel, request.parameters, () => {
+				timer.abort();
+				this.starting.delete(initial);
+			});
 		}
 	}
 
-	private async runSession(channel: CallerChannel, parameters: ReadonlyMap<string, string>, timer: AbortController): Promise<void> {
+	private async runSession(channel: CallerChannel, parameters: ReadonlyMap<string, string>, onStarted: () => void): Promise<void> {
 		try {
 			this.checkAdmission(channel, parameters);
 			channel.startFrames();
 			await this.authenticator.authenticate(channel, parameters.get('user')!);
-			const session = this.makeSession(channel, parameters);
+			const settings = this.readSettings(channel, parameters);
+			const session = this.makeSession(channel, parameters, settings);
 			const key = this.cancels.register(() => {
 				session.cancel();
 			});
-			timer.abort();
-			await this.runRegistered(channel, session, key);
+			onStarted();
+			await this.runRegistered(channel, session, {key, settings});
 		} catch (error) {
 			channel.end(failureResponse(failureOf(error, channel.peer), 'FATAL'));
 		}
 	}
 
-	private async runRegistered(channel: CallerChannel, session: Session, key: CancelKey): Promise<void> {
+	private async runRegistered(channel: CallerChannel, session: Session, {key, settings}: {readonly key: CancelKey; readonly settings: SessionSettings}): Promise<void> {
 		this.sessions.add(session);
 		channel.acceptLargeFrames();
 		try {
 			await channel.write([Buffer.concat([
 				authenticationOk,
-				...reportedParameters.map(([name, value]) => parameterStatus(name, value)),
+				...reportedValues(settings).map(([name, value]) => parameterStatus(name, value)),
 				backendKeyData(key),
 				readyForQuery('I'),
 			])]);
+			if (this.isDraining) {
+				session.drain();
+			}
+
 			await session.run();
 		} finally {
 			this.sessions.delete(session);
@@ -205,7 +228,7 @@
 
 	private checkAdmission(channel: CallerChannel, parameters: ReadonlyMap<string, string>): void {
 		if (this.isDraining) {
-			throw refusal('drain', channel.peer, sqlStates.adminShutdown, 'the proxy is shutting down');
+			throw new FailureError(shutDownFailure(channel.peer));
 		}
 
 		if (this.connections.size > this.limits.maximumCallers) {
@@ -221,7 +244,7 @@
 		}
 	}
 
-	private makeSession(channel: CallerChannel, parameters: ReadonlyMap<string, string>): Session {
+	private readSettings(channel: CallerChannel, parameters: ReadonlyMap<string, string>): SessionSettings {
 		const configuration = this.options.configuration.current();
 		const settings = new SessionSettings(channel.peer);
 		const given = [...parameters].filter(([name]) => !notSettings.has(name) && !name.startsWith('_pq_.'));
@@ -229,9 +252,13 @@
 			settings.set(name.toLowerCase(), value, configuration);
 		}
 
+		return settings;
+	}
+
+	private makeSession(channel: CallerChannel, parameters: ReadonlyMap<string, string>, settings: SessionSettings): Session {
 		const user = parameters.get('user')!;
 		const identity = {user, database: parameters.get('database') ?? user, application: settings.application};
-		chooseRoute(configuration, identity, settings, channel.peer);
+		chooseRoute(this.options.configuration.current(), identity, settings, channel.peer);
 		return new Session({
 			options: this.options, limits: this.limits, channel, identity, settings,
 		});
