--- /dev/null
+++ b/packages/group/src/__tests__/promotion.test.ts
@@ -0,0 +1,189 @@
+import {expect} from 'chai';
+import {type PromotionRecord} from '@crocusloom/model';
+import {Fleet, type FleetOptions} from './fakeProxies.js';
+
+/** Goal of design section 7 for a change of primary. */
+const goalMs = 2000;
+
+type NamedCase = {
+	readonly name: string;
+	readonly guardsAgainst: string;
+	readonly options?: FleetOptions;
+	readonly faults: (fleet: Fleet) => Promise<void> | void;
+	/** Proxy whose callers must be served by a write within the goal after the faults. */
+	readonly servedThrough?: number;
+	/** Databases that may lead in the end. */
+	readonly leaders: readonly string[];
+	readonly outcomes?: ReadonlyArray<PromotionRecord['outcome']>;
+};
+
+async function killAfterFence(fleet: Fleet): Promise<void> {
+	fleet.group.get('a').isDown = true;
+	await fleet.run(goalMs, () => fleet.group.get('b').fencedTerm === 2 && fleet.group.get('c').fencedTerm === 2);
+}
+
+const cases: readonly NamedCase[] = [
+	{
+		name: 'primary killed',
+		guardsAgainst: 'a group without a primary until an operator acts',
+		faults(fleet) {
+			fleet.group.get('a').isDown = true;
+		},
+		leaders: ['b', 'c'],
+	},
+	{
+		name: 'primary frozen',
+		guardsAgainst: 'a promotion that waits for the frozen primary',
+		faults(fleet) {
+			fleet.group.get('a').gate.shut();
+		},
+		leaders: ['b', 'c'],
+	},
+	{
+		name: 'primary cut off with its callers',
+		guardsAgainst: 'an isolated primary that acknowledges or answers strict reads',
+		async faults(fleet) {
+			const [inside] = fleet.proxies;
+			fleet.isolate('a', 'p0');
+			expect(await fleet.served(fleet.write(inside!, 'a')), 'write inside').to.equal(false);
+			expect(await fleet.served(fleet.readStrict(inside!, 'a')), 'strict read inside').to.equal(false);
+			expect(await fleet.served(fleet.readBounded(inside!, 'b', 60_000)), 'bounded read of a database that is cut off').to.equal(false);
+			expect(inside!.view.provenAgeMs('a'), 'age grows').to.be.within(fleet.clock.nowMs() - 600, fleet.clock.nowMs());
+		},
+		servedThrough: 1,
+		leaders: ['b', 'c'],
+	},
+	{
+		name: 'two promoters at once',
+		guardsAgainst: 'two primaries by two promotions in one term',
+		options: {ranks: [0, 0, 0]},
+		faults(fleet) {
+			fleet.group.get('a').isDown = true;
+		},
+		leaders: ['b', 'c'],
+	},
+	{
+		name: 'promoter paused between fence and promote and resumed later',
+		guardsAgainst: 'a late promote call that takes effect after a newer promotion',
+		async faults(fleet) {
+			await killAfterFence(fleet);
+			fleet.proxies[0]!.gate.shut();
+			await fleet.run(goalMs);
+			expect(fleet.group.promotions.at(-1)?.term, 'the other proxy promotes').to.equal(3);
+			fleet.proxies[0]!.gate.open();
+			await fleet.run(200);
+		},
+		leaders: ['b', 'c'],
+		outcomes: ['lostRace'],
+	},
+	{
+		name: 'answers to fence lost',
+		guardsAgainst: 'a fence that cannot be repeated after its effect',
+		faults(fleet) {
+			fleet.group.lostAnswers.push({database: 'b', call: 'fence'}, {database: 'c', call: 'fence'});
+			fleet.group.get('a').isDown = true;
+		},
+		leaders: ['b', 'c'],
+		outcomes: ['promoted'],
+	},
+	{
+		name: 'answer to promote lost',
+		guardsAgainst: 'a second promotion although the first took effect',
+		faults(fleet) {
+			fleet.group.lostAnswers.push({database: 'b', call: 'promote'});
+			fleet.group.get('a').isDown = true;
+		},
+		leaders: ['b'],
+		outcomes: ['promoted'],
+	},
+	{
+		name: 'replica far behind',
+		guardsAgainst: 'the promotion of a database that lacks acknowledged writes',
+		async faults(fleet) {
+			fleet.group.get('b').rate = 0;
+			expect(await fleet.served(fleet.write(fleet.proxies[0]!, 'a'))).to.equal(true);
+			fleet.group.get('a').isDown = true;
+			// Slow, but fast enough to make a majority with the new primary.
+			fleet.group.get('b').rate = 1;
+		},
+		leaders: ['c'],
+	},
+	{
+		name: 'the same fault twice',
+		guardsAgainst: 'a promoter that works only once',
+		async faults(fleet) {
+			fleet.group.get('a').isDown = true;
+			await fleet.run(goalMs);
+			fleet.group.get('a').isDown = false;
+			await fleet.run(1000);
+			fleet.group.get(fleet.leaders[0]!).isDown = true;
+		},
+		leaders: ['a', 'c'],
+		outcomes: ['promoted', 'promoted'],
+	},
+	{
+		name: 'healing of the old primary',
+		guardsAgainst: 'an old primary that keeps its unacknowledged tail',
+		async faults(fleet) {
+			fleet.isolate('a', 'p0');
+			await fleet.served(fleet.write(fleet.proxies[0]!, 'a'));
+			await fleet.run(goalMs);
+			fleet.group.heal();
+			await fleet.run(1000);
+			expect(fleet.group.get('a').role).to.equal('replica');
+			expect(fleet.group.get('a').log).to.deep.equal(fleet.group.get(fleet.leaders[0]!).log);
+		},
+		leaders: ['b', 'c'],
+	},
+	{
+		name: 'no database leads at the start',
+		guardsAgainst: 'a new group that never gets a primary',
+		options: {hasLeader: false},
+		faults() {
+			// The promoters act without a fault.
+		},
+		leaders: ['a'],
+	},
+	{
+		name: 'primary marked leaving',
+		guardsAgainst: 'a planned change that loses writes or does not happen',
+		async faults(fleet) {
+			fleet.leave('a');
+			await fleet.run(1000);
+		},
+		leaders: ['b', 'c'],
+		outcomes: ['promoted'],
+	},
+	{
+		name: 'best replica marked leaving',
+		guardsAgainst: 'a promotion that must soon be repeated',
+		faults(fleet) {
+			fleet.leave('b');
+			fleet.group.get('a').isDown = true;
+		},
+		leaders: ['c'],
+	},
+];
+
+describe('promotion', () => {
+	for (const testCase of cases) {
+		it(`${testCase.name} (guards against ${testCase.guardsAgainst})`, async () => {
+			const fleet = new Fleet(testCase.options);
+			await fleet.run(400);
+			await testCase.faults(fleet);
+			const caller = fleet.proxies[testCase.servedThrough ?? 0]!;
+			expect(await fleet.servedWithin(caller, goalMs), 'a write is served within the goal').to.equal(true);
+			fleet.group.heal();
+			await fleet.run(1000);
+			expect(testCase.leaders).to.include(fleet.leaders[0]);
+			expect(fleet.leaders).to.have.length(1);
+			expect(fleet.violations()).to.deep.equal([]);
+			const [{monitor}] = fleet.proxies as [Fleet['proxies'][0]];
+			if (testCase.outcomes) {
+				expect(monitor.promotions().map(({outcome}) => outcome), JSON.stringify(monitor.promotions())).to.deep.equal(testCase.outcomes);
+			}
+
+			fleet.stop();
+		});
+	}
+});
--- a/packages/group/src/__tests__/sqlDatabaseControl.test.ts
+++ b/packages/group/src/__tests__/sqlDatabaseControl.test.ts
@@ -77,7 +77,7 @@
 }
 
 describe('SqlDatabaseControl', () => {
-	const signal = AbortSignal.timeout(20_000);
+	const {signal} = new AbortController();
 	const make = (script: Script, sent: string[] = []) => new SqlDatabaseControl({
 		database: 'a', address: '127.0.0.1', port: 1, dialer: scriptedDialer(script, sent), clock: systemClock, random: systemRandom,
 	});
--- a/packages/group/src/databaseWatch.ts
+++ b/packages/group/src/databaseWatch.ts
@@ -2,8 +2,9 @@
 	type Clock, comparePositions, type DatabaseControl, type DatabaseStatus, holdsPosition, type LogPosition, zeroPosition,
 } from '@crocusloom/model';
 import {type Observation} from './confirmation.js';
+import {databaseFailure, withTimeLimit} from './timeLimit.js';
 import {
-	pollIntervalMs, suspectAfterMs, waitRetryMs, waitSliceMs,
+	callLimitMs, pollIntervalMs, suspectAfterMs, waitRetryMs, waitSliceMs,
 } from './timing.js';
 
 /** What is known of a position in its term at one database; both stay true once they are. */
@@ -61,7 +62,7 @@
 	 */
 	async ask(signal: AbortSignal): Promise<Observation> {
 		const askedAtMs = this.clock.nowMs();
-		const status = await this.control.status(signal);
+		const status = await this.limited('monitor', callLimitMs, signal, async limited => this.control.status(limited));
 		return this.note(status, askedAtMs);
 	}
 
@@ -146,7 +147,7 @@
 	/** Runs one wait. A database that does not know the term yet, or stands at a later one, is asked where it is instead. */
 	private async runWait(target: LogPosition): Promise<boolean> {
 		try {
-			const answer = await this.control.waitForPosition(target, waitSliceMs, this.signal);
+			const answer = await this.limited('acknowledge', waitSliceMs + callLimitMs, this.signal, async signal => this.control.waitForPosition(target, waitSliceMs, signal));
 			if (answer === 'reached') {
 				this.highestFencedTerm = Math.max(this.highestFencedTerm, target.term);
 				this.noteHeld(target);
@@ -166,6 +167,14 @@
 		}
 	}
 
+	/** A lost answer must not end the polling, whatever limit the control itself has. */
+	private async limited<T>(step: 'monitor' | 'acknowledge', limitMs: number, signal: AbortSignal, run: (signal: AbortSignal) => Promise<T>): Promise<T> {
+		const failure = databaseFailure(step, this.database, `no answer within ${limitMs} ms`);
+		return withTimeLimit({
+			clock: this.clock, limitMs, signal, failure,
+		}, run);
+	}
+
 	private async askOrIgnore(): Promise<void> {
 		try {
 			await this.ask(this.signal);
--- a/packages/group/src/directory.ts
+++ b/packages/group/src/directory.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {
 	type Clock, FailureError, type GroupDirectory, type GroupState, type GroupView, type LogPosition, type Membership, type PeerCalls, type PromotionRecord, toFailure,
 } from '@crocusloom/model';
@@ -36,7 +37,10 @@
 	private readonly published = new Map<string, string>();
 	private readonly lifetime = new AbortController();
 
-	constructor(private readonly options: DirectoryOptions) {}
+	constructor(private readonly options: DirectoryOptions) {
+		// Each call to a peer listens.
+		setMaxListeners(0, this.lifetime.signal);
+	}
 
 	/** Registers the peer methods and starts the periodic publication. */
 	start(): void {
--- a/packages/group/src/groupMonitor.ts
+++ b/packages/group/src/groupMonitor.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {
 	type Clock, type DatabaseControl, type DatabaseGroupSpec, type DatabaseView, FailureError, type GroupState, type GroupView, type LogPosition, type PromotionRecord, type WaitAnswer, zeroPosition,
 } from '@crocusloom/model';
@@ -43,6 +44,8 @@
 	private readonly probe: SharedProbe<LogPosition>;
 
 	constructor(readonly options: GroupMonitorOptions) {
+		// Each sleeping loop and each call listens.
+		setMaxListeners(0, this.signal);
 		this.mechanisms = options.mechanisms ?? allMechanisms;
 		this.watches = options.controls.map(control => new DatabaseWatch(control, options.clock, () => {
 			this.takeObservations();
--- a/packages/group/src/promotionAttempt.ts
+++ b/packages/group/src/promotionAttempt.ts
@@ -61,6 +61,12 @@
 		};
 	}
 
+	/** Databases that must answer and accept the fence. */
+	private get enough(): number {
+		const {mechanisms, majority} = this.options.monitor;
+		return mechanisms.majorityFence ? majority : 1;
+	}
+
 	private async outcome(): Promise<PromotionRecord['outcome']> {
 		try {
 			await this.askAll();
@@ -79,7 +85,7 @@
 		const {monitor, isStillNeeded} = this.options;
 		const answers = await gather(monitor.watches.map(async watch => this.limited(watch, 'monitor', async signal => watch.ask(signal))), this.gatherOptions());
 		this.steps.push(`${answers.length} of ${monitor.watches.length} databases answered`);
-		if (answers.length < monitor.majority) {
+		if (answers.length < this.enough) {
 			throw new AttemptEnd('noMajority', `a majority is ${monitor.majority}; nothing was changed`);
 		}
 
@@ -126,7 +132,7 @@
 			refused.push(status);
 			throw new Error(`${watch.database} refused the fence`);
 		});
-		const enough = monitor.mechanisms.majorityFence ? monitor.majority : 1;
+		const {enough} = this;
 		const fenced = await gather(fences, {...this.gatherOptions(), limitMs: callLimitMs * callTries, enough});
 		this.steps.push(`fenced at term ${this.term}: ${fenced.map(status => `${status.database} at ${positionText(status)}`).join(', ') || 'none'}`);
 		if (fenced.length >= enough) {
