--- /dev/null
+++ b/packages/group/src/__tests__/directory.test.ts
@@ -0,0 +1,232 @@
+import {expect} from 'chai';
+import {
+	type Configuration, emptyConfiguration, type KeyValueEntry, type KeyValueStore, type Member, type Membership, type PeerCalls,
+} from '@crocusloom/model';
+import {Directory} from '../directory.js';
+import {GroupMonitors} from '../groupMonitors.js';
+import {type PublishedStatus} from '../statusPublisher.js';
+import {FakeClock, Gate, seededRandom} from './fakeClock.js';
+import {FakeGroup} from './fakeGroup.js';
+
+const hosts = ['h0', 'h1', 'h2'] as const;
+const statusKey = 'crocusloom/test/status/g';
+
+function memberOf(host: string): Member {
+	return {
+		host, incarnation: 1, failureDomain: host, address: host, peerPort: 1, workPort: 2, operatorPort: 3, state: 'alive', leaving: false, configurationRevision: 1, silentMs: 0,
+	};
+}
+
+/** A store of one key, which counts what was written. */
+class FakeStore implements KeyValueStore {
+	entry?: KeyValueEntry;
+
+	async list() {
+		return {revision: 1, entries: []};
+	}
+
+	async get() {
+		return {revision: 1, entry: this.entry};
+	}
+
+	async compareAndSwap(key: string, expectedRevision: number, value: string | undefined) {
+		if ((this.entry?.modRevision ?? 0) !== expectedRevision) {
+			return {succeeded: false as const, revision: 1, current: this.entry};
+		}
+
+		this.entry = {key, value: value!, modRevision: expectedRevision + 1};
+		return {succeeded: true as const, revision: expectedRevision + 1};
+	}
+
+	async * watch() {
+		// Nothing here watches.
+	}
+}
+
+/** Three hosts; h0 and h1 hold the databases until the test changes `holders`, h2 holds none. */
+class Hosts {
+	readonly clock = new FakeClock();
+	readonly random = seededRandom(3);
+	readonly group = new FakeGroup({clock: this.clock, random: this.random});
+	readonly store = new FakeStore();
+	readonly refusing = new Set<string>();
+	holders: Readonly<Record<string, string>> = {a: 'h0', b: 'h1', c: 'h1'};
+	probeCalls = 0;
+	readonly monitors = new Map<string, GroupMonitors>();
+	readonly directories = new Map<string, Directory>();
+	private readonly handlers = new Map<string, Parameters<PeerCalls['handle']>[1]>();
+	private readonly listeners: Array<() => void> = [];
+
+	constructor() {
+		this.group.lead('a');
+		void this.group.replicate();
+		for (const host of hosts) {
+			this.startHost(host);
+		}
+	}
+
+	changeHolders(holders: Readonly<Record<string, string>>): void {
+		this.holders = holders;
+		for (const listener of this.listeners) {
+			listener();
+		}
+	}
+
+	async run(durationMs: number): Promise<void> {
+		await this.clock.runUntil(this.clock.nowMs() + durationMs);
+	}
+
+	stop(): void {
+		this.group.stop();
+		for (const host of hosts) {
+			this.monitors.get(host)!.close();
+			this.directories.get(host)!.close();
+		}
+	}
+
+	private startHost(host: string): void {
+		const {clock, random, store} = this;
+		const membership: Membership = {
+			self: memberOf(host),
+			members: () => hosts.map(name => memberOf(name)),
+			holderOf: database => memberOf(this.holders[database]!),
+			reportUnreachable() {
+				// The fake network has its own record of what is reachable.
+			},
+			onChange: listener => {
+				this.listeners.push(listener);
+			},
+		};
+		const databases = ['a', 'b', 'c'].map(name => ({
+			name, address: name, port: 1, failureDomain: name, leaving: false,
+		}));
+		const spec = {
+			databases, slotsPerDatabase: 3, connectionsPerDatabase: 20, acknowledgement: 'majority' as const,
+		};
+		const configuration: Configuration = {
+			...emptyConfiguration, databaseGroups: new Map([['g', {
+				kind: 'databaseGroups', name: 'g', revision: 1, spec,
+			}]]),
+		};
+		const monitors = new GroupMonitors({
+			clock, random, membership, store, deployment: 'test',
+			configuration: {
+				current: () => configuration,
+				onChange() {
+					// The configuration of the test stays.
+				},
+			},
+			createControl: ({name}) => this.group.control(host, name, new Gate()),
+		});
+		const directory = new Directory({
+			clock, membership, local: monitors, peers: this.peersOf(host),
+		});
+		directory.start();
+		monitors.start(directory);
+		this.monitors.set(host, monitors);
+		this.directories.set(host, directory);
+	}
+
+	/** Peer calls with the JSON encoding that the real transport has. */
+	private peersOf(self: string): PeerCalls {
+		const deliver = async (host: string, method: string, parameters: unknown): Promise<unknown> => {
+			await this.clock.sleep(1);
+			if (this.refusing.has(host)) {
+				throw new Error(`${host} refuses`);
+			}
+
+			const text = JSON.stringify(parameters);
+			return this.handlers.get(`${host} ${method}`)!(JSON.parse(text), self, new AbortController().signal);
+		};
+
+		return {
+			call: async <R>(host: string, method: string, parameters: unknown) => {
+				this.probeCalls++;
+				return await deliver(host, method, parameters) as R;
+			},
+			notify(host, method, parameters) {
+				void deliver(host, method, parameters).then(undefined, () => undefined);
+			},
+			handle: (method, handler) => {
+				this.handlers.set(`${self} ${method}`, handler);
+			},
+		};
+	}
+}
+
+describe('Directory and GroupMonitors', () => {
+	const {signal} = new AbortController();
+	const withHosts = (check: (fleet: Hosts) => Promise<void> | void) => async () => {
+		const fleet = new Hosts();
+		await fleet.run(1200);
+		await check(fleet);
+		fleet.stop();
+	};
+
+	it('gives a host without a monitor the state of its peers (guards against a proxy that knows no primary)', withHosts(fleet => {
+		const state = fleet.directories.get('h2')!.stateOf('g')!;
+		expect([state.primary, state.term, state.databases.length]).to.deep.equal(['a', 1, 3]);
+		expect(fleet.monitors.get('h2')!.groups()).to.deep.equal([]);
+	}));
+
+	it('reads an unproven age as Infinity (guards against null from JSON that counts as age 0)', withHosts(async fleet => {
+		fleet.group.cut('h2', 'c');
+		fleet.changeHolders({a: 'h2', b: 'h2', c: 'h2'});
+		await fleet.run(600);
+		const ages = fleet.directories.get('h0')!.reportOf('g', 'h2')!.databases.map(({provenAgeMs}) => Number.isFinite(provenAgeMs));
+		expect(ages).to.deep.equal([true, true, false]);
+	}));
+
+	const probes = [
+		{name: 'asks a monitoring host', refusing: [], calls: 1},
+		{name: 'tries the other monitor when one fails', refusing: ['h0'], calls: 2},
+		{name: 'tries the other monitor whichever fails', refusing: ['h1'], calls: 2},
+	];
+	for (const {name, refusing, calls} of probes) {
+		it(`${name} for the commit position, once for calls of one window (guards against lost or unbatched probes)`, withHosts(async fleet => {
+			for (const host of refusing) {
+				fleet.refusing.add(host);
+			}
+
+			const directory = fleet.directories.get('h2')!;
+			const answers = Promise.all(Array.from({length: 10}, async () => directory.commitPosition('g', signal)));
+			await fleet.run(1000);
+			expect(new Set(await answers)).to.have.length(1);
+			expect(await answers).to.deep.include({term: 1, offsetBytes: 1});
+			expect(fleet.probeCalls).to.be.within(1, calls);
+		}));
+	}
+
+	it('reports a probe that no monitor answers as not run (guards against a read without a proven position)', withHosts(async fleet => {
+		fleet.refusing.add('h0').add('h1');
+		const outcome = fleet.directories.get('h2')!.commitPosition('g', signal).then(() => 'answered', (error: unknown) => (error as {failure: {kind: string}}).failure.kind);
+		await fleet.run(2000);
+		expect(await outcome).to.equal('notRun');
+	}));
+
+	it('stops the monitor when another host holds the databases (guards against connections beyond the budget)', withHosts(async fleet => {
+		fleet.changeHolders({a: 'h2', b: 'h2', c: 'h2'});
+		await fleet.run(600);
+		expect(hosts.map(host => fleet.monitors.get(host)!.groups())).to.deep.equal([[], [], ['g']]);
+	}));
+
+	const published = [
+		{name: 'publishes a promotion', before: undefined, term: 2},
+		{name: 'replaces a lower term', before: 1, term: 2},
+		{name: 'keeps a higher term', before: 9, term: 9},
+	];
+	for (const {name, before, term} of published) {
+		it(`${name} in the store (guards against a published term that goes back)`, withHosts(async fleet => {
+			if (before !== undefined) {
+				fleet.store.entry = {key: statusKey, value: JSON.stringify({term: before}), modRevision: 4};
+			}
+
+			fleet.group.get('a').isDown = true;
+			await fleet.run(2500);
+			expect((JSON.parse(fleet.store.entry!.value) as PublishedStatus).term).to.equal(term);
+			const records = hosts.flatMap(host => fleet.directories.get(host)!.promotions()).filter(({outcome}) => outcome === 'promoted');
+			expect(records).to.have.length(1);
+			expect(fleet.directories.get('h2')!.stateOf('g')?.term).to.equal(2);
+		}));
+	}
+});
