Add the command-line tool and report a frozen platform

A watch that was neither answered nor refused ended with its session after 4 s and counted as healthy, because the adapter's own three attempts of 2 s take longer. A session without any answer is now a failure; the test of a frozen platform shows it.

--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,2 @@
-/** Placeholder until the package has exports. */
-export type Placeholder = never;
+export {exitCodes, type ExitCode} from './errors.js';
+export {run, type CommandEnvironment} from './run.js';
--- a/packages/control/src/__tests__/configurationStore.test.ts
+++ b/packages/control/src/__tests__/configurationStore.test.ts
@@ -241,6 +241,17 @@
 		expect(await store.platformHealth(new AbortController().signal)).to.include({reachable: true});
 	});
 
+	it('reports a platform that is frozen, which neither answers nor fails, and recovers from it', async () => {
+		const {signal, store} = await startHost();
+		deployment.platform.isFrozen = true;
+		await deployment.clock.advance(12_000);
+		expect(await store.platformHealth(signal)).to.include({reachable: false});
+		expect(await accept(create('first', 'c1'))).to.include({type: 'unavailable', effect: 'none'});
+		deployment.platform.isFrozen = false;
+		await deployment.clock.advance(12_000);
+		expect(await store.platformHealth(signal)).to.include({reachable: true});
+	});
+
 	it('brings a change within 2 s to hosts that do not watch, and two hosts of each failure domain watch', async () => {
 		const hosts = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
 		for (const [index, host] of hosts.entries()) {
--- a/packages/control/src/__tests__/fakes.ts
+++ b/packages/control/src/__tests__/fakes.ts
@@ -107,6 +107,8 @@
 /** An in-memory store with one store-wide revision, whose faults a test sets. */
 export class FakeStore implements KeyValueStore {
 	isDown = false;
+	/** Calls are neither answered nor refused. */
+	isFrozen = false;
 	revision = 0;
 	readonly entries = new Map<string, KeyValueEntry>();
 	readonly history: KeyValueEvent[] = [];
@@ -144,17 +146,17 @@
 	}
 
 	async list(prefix: string): Promise<{readonly revision: number; readonly entries: readonly KeyValueEntry[]}> {
-		this.begin();
+		await this.begin();
 		return {revision: this.revision, entries: [...this.entries.values()].filter(({key}) => key.startsWith(prefix))};
 	}
 
 	async get(key: string): Promise<{readonly revision: number; readonly entry?: KeyValueEntry}> {
-		this.begin();
+		await this.begin();
 		return {revision: this.revision, entry: this.entries.get(key)};
 	}
 
 	async compareAndSwap(key: string, expectedRevision: number, value: string | undefined) {
-		this.begin();
+		await this.begin();
 		const fault = this.faults.shift();
 		if (fault === 'dropRequest' || fault === 'delayRequest') {
 			if (fault === 'delayRequest') {
@@ -181,7 +183,12 @@
 	}
 
 	async * watch(prefix: string, fromRevision: number, signal: AbortSignal) {
-		this.begin();
+		while (this.isFrozen) {
+			await this.changed(signal);
+			signal.throwIfAborted();
+		}
+
+		await this.begin();
 		let nextRevision = fromRevision;
 		yield {revision: fromRevision - 1, events: []};
 		while (!signal.aborted) {
@@ -216,11 +223,17 @@
 		return {succeeded: true as const, revision: this.put(key, value)};
 	}
 
-	private begin(): void {
+	private async begin(): Promise<void> {
 		this.callTimesMs.push(this.clock.nowMs());
 		if (this.isDown) {
 			throw platformFailure('none');
 		}
+
+		if (this.isFrozen) {
+			await new Promise<never>(() => {
+				// The answer never comes.
+			});
+		}
 	}
 
 	private async changed(signal: AbortSignal): Promise<void> {
--- a/packages/control/src/platformFollower.ts
+++ b/packages/control/src/platformFollower.ts
@@ -101,12 +101,18 @@
 		const session = childSignal(signal);
 		void this.endSession(clock, session);
 		let nextRevision = fromRevision;
+		let isAnswered = false;
 		try {
 			for await (const {revision, events} of store.watch(prefix, fromRevision, session.signal)) {
+				isAnswered = true;
 				this.recordAnswer(true);
 				nextRevision = Math.max(nextRevision, revision + 1);
 				this.applyEvents(events);
 			}
+
+			if (!session.signal.aborted) {
+				throw new Error('the watch ended');
+			}
 		} catch (error) {
 			if (signal.aborted || !session.signal.aborted) {
 				throw error;
@@ -116,6 +122,11 @@
 			session.release();
 		}
 
+		// A platform that is frozen neither answers nor fails.
+		if (!isAnswered) {
+			throw new Error(`the watch was not answered within ${watchSessionMs} ms`);
+		}
+
 		return nextRevision;
 	}
 
