Search texts for session state in linear time

A text of 900 KB of unclosed comment openings held the event loop for more than 90 s, because the search started anew at each opening. What is not closed now extends to the end of the text.

--- a/packages/callers/src/localCommands.ts
+++ b/packages/callers/src/localCommands.ts
@@ -12,8 +12,9 @@
 		| {readonly kind: 'deallocateAll'}
 		| {readonly kind: 'endFailed'};
 
-const comments = /\/\*[\s\S]*?\*\/|--[^\n]*(?=\n|$)/gv;
-const quoted = /'(?:[^']|'')*'|"(?:[^"]|"")*"/v;
+// What is not closed extends to the end of the text; else a search would start anew at each opening, in quadratic time.
+const comments = /\/\*(?:[\s\S]*?\*\/|[\s\S]*)|--[^\n]*/v;
+const quoted = /'(?:[^']|'')*(?:'|$)|"(?:[^"]|"")*(?:"|$)/v;
 
 /**
  * Reads a text whose statements are all about the session.
--- a/packages/callers/src/plans.ts
+++ b/packages/callers/src/plans.ts
@@ -46,7 +46,7 @@
  * Repetitions are bounded where a pattern may start at many places, so that a long text cannot take quadratic time.
  */
 const leavingState: ReadonlyArray<readonly [RegExp, string]> = [
-	[/\bset_config\s*\([^;]{0,500},\s*(?:false|'(?:f|false|n|no|off|0)'|\$\d+)\s*\)/iv, 'set_config for the session; use SET LOCAL or set_config(…, true)'],
+	[/\bset_config\s*\([^;]{0,200},\s*(?:false|'(?:f|false|n|no|off|0)'|\$\d+)\s*\)/iv, 'set_config for the session; use SET LOCAL or set_config(…, true)'],
 	[/\bpg_(?:try_)?advisory_(?:un)?lock(?:_shared|_all)?\s*\(/iv, 'a session-level advisory lock; use pg_advisory_xact_lock'],
 	[/^\s*create\s+(?:(?:global|local)\s+)?temp(?:orary)?\s+(?!.*\bon\s+commit\s+drop\b)/isv, 'a temporary table without ON COMMIT DROP'],
 	[/^\s*declare\b.*\bwith\s+hold\b/isv, 'a cursor WITH HOLD'],
