Remember the revisions that members reported before they restarted

A restarted member reports revision 0 in its heartbeats, so a peer that only looks at the current heartbeats forgets what that member had reported and would let it serve an older configuration. Peers now remember the highest revision they saw.

Checks of references are kept per configuration, and the background evaluation of conditions asks for the platform's health every 10 s instead of every second, because both would grow with the size of the deployment.

--- a/packages/control/src/__tests__/configurationStore.test.ts
+++ b/packages/control/src/__tests__/configurationStore.test.ts
@@ -1,7 +1,9 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {type ChangeOutcome, type ConfigurationChange} from '../changeAcceptor.js';
-import {FakeDeployment, type FakeStore, type Fault} from './fakes.js';
+import {
+	FakeDeployment, fakeMember, type FakeStore, type Fault,
+} from './fakes.js';
 
 const rank = (floorShare: number, order = 1) => ({order, targetMs: 50, floorShare});
 const create = (name: string, changeId: string): ConfigurationChange => ({
@@ -273,28 +275,33 @@
 	});
 
 	it('does not serve an older configuration after a restart than the host has reported', async () => {
-		await startHost('a');
-		await startHost('b');
-		await accept(create('first', 'c1'));
-		await deployment.clock.advance(2000);
-		deployment.network.cutOff.add('b');
-		deployment.members.set('b', {...deployment.members.get('b')!, state: 'dead'});
-		await accept(create('second', 'c2'));
-		// The platform goes down, so that b stays at revision 1, and a restarts with b as its only peer.
+		const {store: peer} = await startHost('b');
+		await accept(create('first', 'c1'), 'b');
 		deployment.platform.setDown(true);
-		deployment.stop('a');
-		deployment.network.cutOff.clear();
-		deployment.members.set('b', {...deployment.members.get('b')!, state: 'alive'});
-		const held = deployment.hosts.get('b')!.store;
-		expect(held.revision()).to.be.oneOf([1, 2]);
+		// Host a had reported revision 2 in heartbeats before it died; b holds revision 1, and the restarted a reports 0.
+		deployment.members.set('a', fakeMember('a', {configurationRevision: 2}));
+		await deployment.clock.advance(1000);
+		deployment.members.set('a', fakeMember('a'));
+		await deployment.clock.advance(1000);
 		const restarted = deployment.start('a');
-		await deployment.clock.advance(10_000);
-		expect(restarted.store.ready && restarted.store.revision() < 2).to.equal(false);
+		await deployment.clock.advance(20_000);
+		expect(peer.revision()).to.equal(1);
+		expect(restarted.store.ready).to.equal(false);
 		deployment.platform.setDown(false);
+		deployment.platform.put('crocusloom/test/ranks/second', JSON.stringify({spec: rank(0.1, 2)}));
 		await deployment.clock.until(restarted.started);
 		expect(restarted.store.revision()).to.equal(2);
 	});
 
+	it('loads from a peer while the platform is down', async () => {
+		await startHost('b');
+		await accept(create('first', 'c1'), 'b');
+		deployment.platform.setDown(true);
+		const restarted = await startHost('a');
+		expect(restarted.store.revision()).to.equal(1);
+		expect(await accept(create('second', 'c2'))).to.include({type: 'unavailable', effect: 'none'});
+	});
+
 	it('takes a newer configuration from a peer when the platform answers an older one, and refuses changes there', async () => {
 		await startHost('a');
 		await accept(create('first', 'c1'));
--- a/packages/control/src/__tests__/fakes.ts
+++ b/packages/control/src/__tests__/fakes.ts
@@ -386,7 +386,9 @@
 			},
 			members: () => [...members.values()].map(member => {
 				const running = this.hosts.get(member.host);
-				return running && member.host !== host ? {...member, configurationRevision: Math.max(member.configurationRevision, running.store.revision())} : member;
+				// A host knows nothing of its own earlier life.
+				const reported = member.host === host ? 0 : member.configurationRevision;
+				return {...member, configurationRevision: Math.max(reported, running?.store.revision() ?? 0)};
 			}),
 			holderOf: () => members.get(host)!,
 			reportUnreachable: () => undefined,
--- a/packages/control/src/conditions.ts
+++ b/packages/control/src/conditions.ts
@@ -83,6 +83,19 @@
 		.toSorted(compareConditions);
 }
 
+/**
+ * Keeps the result for the last configurations. The checks of all resources take time that grows with the square of their
+ * number, and conditions are evaluated every second while the configuration changes every few minutes.
+ */
+function oncePerConfiguration<T>(compute: (configuration: Configuration) => T): (configuration: Configuration) => T {
+	const results = new WeakMap<Configuration, {readonly value: T}>();
+	return configuration => {
+		const result = results.get(configuration) ?? {value: compute(configuration)};
+		results.set(configuration, result);
+		return result.value;
+	};
+}
+
 const severityOrder: Readonly<Record<Severity, number>> = {critical: 0, warning: 1, info: 2};
 
 /** Orders conditions by severity, then by resource and type, so that reports are stable. */
@@ -153,18 +166,30 @@
 		: [];
 }
 
+type BoundedClass = {readonly name: string; readonly maxAgeMs: number};
+
+/** Bounded classes that routes use, by group, the strictest first. */
+const boundedClassesOf = oncePerConfiguration((configuration): ReadonlyMap<string, readonly BoundedClass[]> => {
+	const byGroup = new Map<string, Map<string, BoundedClass>>();
+	for (const {spec: {freshness, group}} of configuration.routes.values()) {
+		const spec = configuration.freshnessClasses.get(freshness)?.spec;
+		if (spec?.mode === 'bounded') {
+			const classes = byGroup.get(group) ?? new Map<string, BoundedClass>();
+			byGroup.set(group, classes.set(freshness, {name: freshness, maxAgeMs: spec.maxAgeMs}));
+		}
+	}
+
+	return new Map([...byGroup].map(([group, classes]) => [group, [...classes.values()].toSorted((a, b) => a.maxAgeMs - b.maxAgeMs)]));
+});
+
 function lagFindings(configuration: Configuration, state: GroupState): readonly Finding[] {
-	const classes = new Set([...configuration.routes.values()].filter(route => route.spec.group === state.group).map(route => route.spec.freshness));
-	const bounded = [...classes].flatMap(name => {
-		const spec = configuration.freshnessClasses.get(name)?.spec;
-		return spec?.mode === 'bounded' ? [{name, maxAgeMs: spec.maxAgeMs}] : [];
-	}).toSorted((a, b) => a.maxAgeMs - b.maxAgeMs);
+	const bounded = boundedClassesOf(configuration).get(state.group) ?? [];
 	const replicas = state.databases.filter(database => database.database !== state.primary);
 	return replicas.flatMap(replica => lagFinding(state.group, replica, bounded));
 }
 
 /** One finding per replica: for the strictest class that it is about to miss, with the number of classes already missed. */
-function lagFinding(group: string, replica: DatabaseView, classes: ReadonlyArray<{readonly name: string; readonly maxAgeMs: number}>): readonly Finding[] {
+function lagFinding(group: string, replica: DatabaseView, classes: readonly BoundedClass[]): readonly Finding[] {
 	const missed = classes.filter(({maxAgeMs}) => replica.provenAgeMs > maxAgeMs);
 	const near = classes.filter(({maxAgeMs}) => replica.provenAgeMs >= maxAgeMs * lagWarningShare && replica.provenAgeMs <= maxAgeMs);
 	const [worst] = [...missed, ...near];
@@ -246,8 +271,9 @@
 }
 
 /** Two changes that are checked at the same time can break a reference that each alone keeps. */
-function referenceFindings(configuration: Configuration): readonly Finding[] {
-	return [...configuration.routes.values(), ...configuration.ranks.values(), ...configuration.databaseGroups.values()].flatMap(({kind, name, spec}) => {
+const referenceFindings = oncePerConfiguration((configuration): readonly Finding[] => {
+	const resources = [...configuration.routes.values(), ...configuration.ranks.values(), ...configuration.databaseGroups.values()];
+	return resources.flatMap(({kind, name, spec}) => {
 		const problems = checkPut(configuration, kind, name, spec);
 		return problems.length === 0
 			? []
@@ -255,7 +281,7 @@
 				type: 'ReferenceBroken' as const, severity: 'critical' as const, resource: `${kind}/${name}`, message: problems.map(({message}) => message).join('; '),
 			}];
 	});
-}
+});
 
 function silenceFindings(member: Member): readonly Finding[] {
 	return member.state === 'alive' || member.leaving
--- a/packages/control/src/peerPropagation.ts
+++ b/packages/control/src/peerPropagation.ts
@@ -49,6 +49,8 @@
 /** Brings configuration changes to the peers and takes them from peers. */
 export class PeerPropagation {
 	private pulling: Promise<boolean> | undefined;
+	/** Set while `run` is running. */
+	private runSignal: AbortSignal | undefined;
 
 	constructor(private readonly options: PeerPropagationOptions) {
 		const {peers, replica} = options;
@@ -60,27 +62,39 @@
 			const changes = changeSetSchema.parse(parameters);
 			replica.note(changes.revision);
 			replica.merge(changes);
-			if (replica.ready && replica.state.revision < changes.revision) {
-				void this.pullFrom(from, new AbortController().signal);
+			if (this.runSignal && replica.state.revision < changes.revision) {
+				void this.pullFrom(from, this.runSignal);
 			}
 
 			return {revision: replica.state.revision};
 		});
 	}
 
-	/** Highest revision that this host or, by their heartbeats, any member has reported. */
+	/**
+	 * Highest revision that this host or, by their heartbeats, any member has reported. It is remembered, because a member
+	 * that restarts reports 0 again and must learn from its peers what it had reported.
+	 */
 	highestKnownRevision(): number {
-		const reported = this.options.membership.members().map(member => member.configurationRevision);
-		return Math.max(this.options.replica.highestKnownRevision, ...reported);
+		const {membership, replica} = this.options;
+		for (const {configurationRevision} of membership.members()) {
+			replica.note(configurationRevision);
+		}
+
+		return replica.highestKnownRevision;
 	}
 
 	/** Tells neighbours of each change and pulls what this host lacks, until the signal is aborted. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, replica} = this.options;
+		const {clock, membership, replica} = this.options;
+		this.runSignal = signal;
+		membership.onChange(() => {
+			this.highestKnownRevision();
+		}, signal);
 		replica.onChange(changes => {
 			this.announce(changes);
 		}, signal);
 		while (!signal.aborted) {
+			this.highestKnownRevision();
 			await this.catchUp(signal);
 			await clock.sleep(revisionCheckMs, signal);
 		}
--- a/packages/control/src/statusReporter.ts
+++ b/packages/control/src/statusReporter.ts
@@ -51,10 +51,13 @@
 const maximumAskedHosts = 32;
 /** Interval at which conditions are evaluated, so that their durations are known when somebody asks. */
 const evaluationIntervalMs = 1000;
+/** Hosts that do not watch the platform ask a watcher; asked less often, so that a failure domain of 100 hosts does not load its two watchers. */
+const backgroundHealthAgeMs = 10_000;
 
 /** Reports the status of this host and, as far as they answer, of its peers. */
 export class StatusReporter {
 	private readonly tracker: ConditionTracker;
+	private lastHealth: {readonly health: PlatformHealth; readonly atMs: number} | undefined;
 
 	constructor(private readonly options: StatusReporterOptions) {
 		this.tracker = new ConditionTracker(options.clock);
@@ -64,15 +67,18 @@
 	/** Evaluates the conditions regularly until the signal is aborted. */
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
-			await this.conditions(signal);
+			await this.conditions(signal, backgroundHealthAgeMs);
 			await this.options.clock.sleep(evaluationIntervalMs, signal);
 		}
 	}
 
-	/** Conditions that this host sees. */
-	async conditions(signal: AbortSignal): Promise<readonly Condition[]> {
+	/**
+	 * Conditions that this host sees.
+	 * @param maximumHealthAgeMs - age in milliseconds that the observation of the platform may have
+	 */
+	async conditions(signal: AbortSignal, maximumHealthAgeMs = 0): Promise<readonly Condition[]> {
 		const {directory, dispatcher, store} = this.options;
-		const platform = await this.platformHealth(signal);
+		const platform = await this.platformHealth(signal, maximumHealthAgeMs);
 		return this.tracker.evaluate({
 			configuration: store.current(),
 			groups: directory.states(),
@@ -132,7 +138,19 @@
 		}));
 	}
 
-	private async platformHealth(signal: AbortSignal): Promise<PlatformHealth> {
+	private async platformHealth(signal: AbortSignal, maximumAgeMs = 0): Promise<PlatformHealth> {
+		const ageMs = this.options.clock.nowMs() - (this.lastHealth?.atMs ?? -Infinity);
+		if (this.lastHealth && ageMs < maximumAgeMs) {
+			const {health} = this.lastHealth;
+			return {...health, sinceMs: health.sinceMs + ageMs};
+		}
+
+		const health = await this.askPlatformHealth(signal);
+		this.lastHealth = {health, atMs: this.options.clock.nowMs()};
+		return health;
+	}
+
+	private async askPlatformHealth(signal: AbortSignal): Promise<PlatformHealth> {
 		return (this.options.platformHealth ?? (async (given: AbortSignal) => this.options.store.platformHealth(given)))(signal);
 	}
 }
