--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -56,7 +56,7 @@
 
 await yargs(hideBin(process.argv))
 	.scriptName('crocusloomd')
-	.command('run', 'Run the proxy', builder => builder.option('settings', {type: 'string', demandOption: true, describe: 'INI file'}), async ({settings}) => run(loadSettings(settings)))
+	.command(['run', '$0'], 'Run the proxy', builder => builder.option('settings', {type: 'string', demandOption: true, describe: 'INI file'}), async ({settings}) => run(loadSettings(settings)))
 	.command('check-settings <file>', 'Check a settings file and report every problem', builder => builder.positional('file', {type: 'string', demandOption: true}), ({file}) => {
 		loadSettings(file);
 		console.log(`${file}: valid`);
