--- a/packages/standins/src/backendServer/__tests__/terms.test.ts
+++ b/packages/standins/src/backendServer/__tests__/terms.test.ts
@@ -108,7 +108,8 @@
 	it('guards against a divergent tail that survives, or a record of a replaced primary that is applied', async () => {
 		group[1].faults.set({cut: [group[0].address]});
 		group[2].faults.set({cut: [group[0].address]});
-		await clients[0].query('insert into t values (1)');
+		// Two rows, because one could be overwritten by the new primary's row in the same place.
+		await clients[0].query('insert into t values (1), (3)');
 		await call(1, 'crocusloom_fence(2, \'a\')');
 		await call(2, 'crocusloom_fence(2, \'a\')');
 		await call(1, 'crocusloom_promote(2, \'a\')');
@@ -120,6 +121,7 @@
 		for (const index of [0, 1, 2]) {
 			assert.equal(await call(index, `crocusloom_wait_position(${positionArgs(1)}, 20000)`), 'reached');
 			assert.deepEqual(await outcome(clients[index]!, 'select id from t'), [[2]]);
+			assert.deepEqual(group[index]!.database.log.termEnds(), group[1].database.log.termEnds());
 		}
 	});
 
