--- a/packages/standins/src/backendServer/__tests__/terms.test.ts
+++ b/packages/standins/src/backendServer/__tests__/terms.test.ts
@@ -125,6 +125,16 @@
 		}
 	});
 
+	it('guards against a fenced replica that still takes records of the replaced primary', async () => {
+		await call(1, 'crocusloom_fence(2, \'a\')');
+		await clients[0].query('insert into t values (1)');
+		assert.equal(await call(2, `crocusloom_wait_position(${positionArgs(0)}, 20000)`), 'reached');
+		// A second record after the first has reached the other replica gives a wrongly open stream time to deliver.
+		await clients[0].query('insert into t values (2)');
+		assert.equal(await call(2, `crocusloom_wait_position(${positionArgs(0)}, 20000)`), 'reached');
+		assert.deepEqual(await outcome(clients[1], 'select id from t'), []);
+	});
+
 	it('guards against a replica that reports records which it has not applied', async () => {
 		group[1].faults.set({replicationPaused: true});
 		await clients[0].query('insert into t values (1)');
