Close a monitor connection that is dialled too late

A dialler that resolves after the time limit would leave a connection open that nobody uses and that counts against the database's connection limit.

--- a/packages/group/src/sqlDatabaseControl.ts
+++ b/packages/group/src/sqlDatabaseControl.ts
@@ -130,7 +130,15 @@
 			const failure = databaseFailure('connect', database, `no connection within ${callLimitMs} ms`);
 			const dialled = await withTimeLimit({
 				clock, limitMs: callLimitMs, signal: this.lifetime.signal, failure,
-			}, async signal => dialer.dial(database, address, port, signal));
+			}, async signal => {
+				const connection = await dialer.dial(database, address, port, signal);
+				if (signal.aborted) {
+					// Nobody waits any more; an unused connection would count against the database's limit.
+					connection.close();
+				}
+
+				return connection;
+			});
 			this.dialFailures = 0;
 			this.connection = new ControlConnection(database, dialled);
 			return this.connection;
