Start no timer for a statement whose sink does not wait

Cause: an async sink returns a promise even when there is nothing to wait for, and each one started the stall timer and an abort.

--- a/packages/work/src/firstAnswerSink.ts
+++ b/packages/work/src/firstAnswerSink.ts
@@ -16,7 +16,7 @@
 	private isOpen = false;
 
 	constructor(private readonly target: FrameSink) {
-		this.sink = async frames => this.take(frames);
+		this.sink = (frames): Promise<void> | void => this.take(frames);
 	}
 
 	/** True if nothing was sent on. */
--- a/packages/work/src/frameSocket.ts
+++ b/packages/work/src/frameSocket.ts
@@ -68,6 +68,15 @@
 		return this.drained();
 	}
 
+	/** Writes bytes together with those written until the tasks that can run now are done, so that they share one packet. */
+	writeTogether(bytes: Buffer): Promise<void> | undefined {
+		this.socket.cork();
+		process.nextTick(() => {
+			this.socket.uncork();
+		});
+		return this.write(bytes);
+	}
+
 	close(): void {
 		this.socket.destroy();
 		this.end();
--- a/packages/work/src/workServer.ts
+++ b/packages/work/src/workServer.ts
@@ -170,7 +170,8 @@
 			}
 
 			const {mayCommit, preparedStatements} = header;
-			const result = await this.work.exchange(frames, async bytes => this.socket.write(bytes), {mayCommit, preparedStatements, signal: this.exchangeSignal});
+			const sink = (bytes: Buffer): Promise<void> | undefined => this.socket.writeTogether(bytes);
+			const result = await this.work.exchange(frames, sink, {mayCommit, preparedStatements, signal: this.exchangeSignal});
 			return {result};
 		} catch (error) {
 			return {failure: toFailure(error, message => this.failure('unknown', message))};
