Share child signals and deferred promises, and use them for peers

AbortSignal.any of Node.js 20 keeps memory at a long-lived signal for each call; the peer transport and the host list reader now release what they attach.

--- a/packages/control/src/etcdKeyValueStore.ts
+++ b/packages/control/src/etcdKeyValueStore.ts
@@ -1,9 +1,8 @@
 import {type z} from 'zod';
 import {
-	FailureError, type Clock, type KeyValueEntry, type KeyValueEvent, type KeyValueStore, type RandomSource,
+	FailureError, type Clock, type KeyValueEntry, type KeyValueEvent, type KeyValueStore, type RandomSource, childSignal,
 } from '@crocusloom/model';
 import {backoffMs, type BackoffLimits} from './backoff.js';
-import {childSignal} from './childSignal.js';
 import {
 	encodeText, prefixEnd, rangeAnswerSchema, toEntry, toEvents, txnAnswerSchema, watchAnswerSchema, type WatchAnswer,
 } from './etcdMessages.js';
--- a/packages/control/src/platformFollower.ts
+++ b/packages/control/src/platformFollower.ts
@@ -1,8 +1,7 @@
 import {
-	type Clock, type KeyValueEvent, type KeyValueStore, type Log, type RandomSource,
+	type Clock, type KeyValueEvent, type KeyValueStore, type Log, type RandomSource, childSignal, type ChildSignal,
 } from '@crocusloom/model';
 import {backoffMs, type BackoffLimits} from './backoff.js';
-import {childSignal, type ChildSignal} from './childSignal.js';
 import {
 	changeSet, entryKeyOf, snapshotChanges, toConfigurationEntries, type ConfigurationEntry,
 } from './configurationState.js';
--- a/packages/control/src/resourceApi.ts
+++ b/packages/control/src/resourceApi.ts
@@ -2,9 +2,8 @@
 import fastify, {type FastifyInstance} from 'fastify';
 import {z} from 'zod';
 import {
-	FailureError, type Clock, type GroupDirectory, type Log,
+	FailureError, type Clock, type GroupDirectory, type Log, deferred,
 } from '@crocusloom/model';
-import {deferred} from './deferred.js';
 import {registerResourceRoutes, requestSignal, type ResourceStore} from './resourceRoutes.js';
 import {StatusReporter, type StatusReporterOptions} from './statusReporter.js';
 
--- a/packages/control/src/resourceRoutes.ts
+++ b/packages/control/src/resourceRoutes.ts
@@ -3,11 +3,10 @@
 import {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
 import {z} from 'zod';
 import {
-	resourceKinds, type Clock, type FieldProblem, type GroupDirectory, type Resource, type ResourceKind,
+	resourceKinds, type Clock, type FieldProblem, type GroupDirectory, type Resource, type ResourceKind, childSignal,
 } from '@crocusloom/model';
 import {type ChangeOutcome, type ConfigurationChange} from './changeAcceptor.js';
 import {type Condition} from './conditions.js';
-import {childSignal} from './childSignal.js';
 import {type ConfigurationStore} from './configurationStore.js';
 import {watchLines} from './watchStream.js';
 
--- a/packages/control/src/timeLimit.ts
+++ b/packages/control/src/timeLimit.ts
@@ -1,6 +1,6 @@
-import {type Clock} from '@crocusloom/model';
-import {childSignal, type ChildSignal} from './childSignal.js';
-import {deferred} from './deferred.js';
+import {
+	type Clock, childSignal, type ChildSignal, deferred,
+} from '@crocusloom/model';
 
 /** Reason with which a call's signal is aborted when its time limit is reached. */
 export class TimeLimitError extends Error {
--- a/packages/control/src/watchStream.ts
+++ b/packages/control/src/watchStream.ts
@@ -1,9 +1,7 @@
-import {type Clock} from '@crocusloom/model';
-import {childSignal} from './childSignal.js';
+import {type Clock, childSignal, deferred} from '@crocusloom/model';
 import {
 	readEntry, splitKey, type ChangeSet, type ConfigurationEntry,
 } from './configurationState.js';
-import {deferred} from './deferred.js';
 
 /** What a watch needs of the configuration store. */
 export type WatchSource = {
--- a/packages/group/src/sharedProbe.ts
+++ b/packages/group/src/sharedProbe.ts
@@ -1,5 +1,4 @@
-import {type Clock} from '@crocusloom/model';
-import {deferred} from './deferred.js';
+import {type Clock, deferred} from '@crocusloom/model';
 import {probeWindowMs} from './timing.js';
 
 /**
--- a/packages/group/src/waitUntil.ts
+++ b/packages/group/src/waitUntil.ts
@@ -1,5 +1,4 @@
-import {type Clock} from '@crocusloom/model';
-import {deferred} from './deferred.js';
+import {type Clock, deferred} from '@crocusloom/model';
 
 export type WaitOptions<T> = {
 	readonly clock: Clock;
--- a/packages/membership/src/hostListReader.ts
+++ b/packages/membership/src/hostListReader.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, type HostList, type ListedHost, type Log, type Member, type Membership, type Metrics, type PeerCalls, type RandomSource,
+	childSignal, type Clock, type HostList, type ListedHost, type Log, type Member, type Membership, type Metrics, type PeerCalls, type RandomSource,
 } from '@crocusloom/model';
 import {rendezvousFirst} from './rendezvous.js';
 
@@ -75,8 +75,9 @@
 	}
 
 	private async read(signal: AbortSignal): Promise<void> {
+		const limited = childSignal(signal, AbortSignal.timeout(readTimeoutMs));
 		try {
-			const hosts = await this.options.hostList.list(AbortSignal.any([signal, AbortSignal.timeout(readTimeoutMs)]));
+			const hosts = await this.options.hostList.list(limited.signal);
 			if (this.take(hosts)) {
 				for (const {host} of this.neighbours()) {
 					this.options.peers.notify(host, listMethod, {hosts});
@@ -84,6 +85,8 @@
 			}
 		} catch {
 			this.options.metrics.count('host_list_failures_total');
+		} finally {
+			limited.release();
 		}
 	}
 
--- a/packages/membership/src/peerTransport.ts
+++ b/packages/membership/src/peerTransport.ts
@@ -4,7 +4,7 @@
 	JSONRPCClient, JSONRPCServer, type JSONRPCRequest, type JSONRPCResponse,
 } from 'json-rpc-2.0';
 import {
-	fail, FailureError, type Clock, type Metrics, type PeerCalls,
+	childSignal, fail, FailureError, type Clock, type Metrics, type PeerCalls,
 } from '@crocusloom/model';
 import {decodeMessages, encodeMessage} from './jsonFrames.js';
 
@@ -157,8 +157,7 @@
 
 	private async serve(socket: net.Socket, signal: AbortSignal): Promise<void> {
 		socket.setNoDelay(true);
-		const closed = new AbortController();
-		const combined = AbortSignal.any([signal, closed.signal]);
+		const connection = childSignal(signal);
 		const destroy = () => {
 			socket.destroy();
 		};
@@ -173,13 +172,14 @@
 					continue;
 				}
 
-				void this.answer(socket, request, from, combined);
+				void this.answer(socket, request, from, connection.signal);
 			}
 		} catch {
 			this.options.metrics.count('peer_connections_broken_total');
 		} finally {
 			signal.removeEventListener('abort', destroy);
-			closed.abort();
+			connection.abort();
+			connection.release();
 			socket.destroy();
 		}
 	}
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -1,3 +1,5 @@
+export * from './childSignal.js';
+export * from './deferred.js';
 export * from './failure.js';
 export * from './ports.js';
 export * from './position.js';
