--- /dev/null
+++ b/packages/endToEnd/src/index.ts
@@ -0,0 +1,2 @@
+/** Placeholder until the package has exports. */
+export type Placeholder = never;
