Wait for the seeds before a starting host holds databases

A starting host knew no peers and took itself for the holder of every database: the status of a fresh deployment showed each of 5 hosts with queues for all 9 databases, and a mass restart would open up to 5 x 8 connections where 20 are allowed. It now waits until its seeds have answered, at most 2 s.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -12,6 +12,14 @@
 import {type Settings} from './settings.js';
 import {tokens} from './tokens.js';
 
+/**
+ * Longest wait for the seeds at the start. Without it a starting host takes itself for the holder of every database,
+ * and a mass restart opens more connections than the backend servers allow.
+ */
+const settleLimitMs = 2000;
+/** Time between two looks at whether the seeds have answered. */
+const settleIntervalMs = 50;
+
 /** One `crocusloomd` process. */
 @injectable()
 export class Daemon {
@@ -58,6 +66,7 @@
 			metrics: async () => ({contentType: this.metrics.registry.contentType, body: await this.metrics.text()}),
 		}, this.signal);
 		await this.store.start(this.signal);
+		await this.settle();
 		this.directory.start();
 		this.monitors.start(this.directory);
 		this.holder.followMembership(this.membership, this.signal);
@@ -77,6 +86,14 @@
 		this.log.info({}, 'drained');
 	}
 
+	/** Waits until the peers are known, or the limit has passed. */
+	private async settle(): Promise<void> {
+		const endMs = this.clock.nowMs() + settleLimitMs;
+		while (!this.membership.hasHeardSeeds() && this.clock.nowMs() < endMs) {
+			await this.clock.sleep(settleIntervalMs, this.signal);
+		}
+	}
+
 	private useHostList(): void {
 		this.hostList.onChange(() => {
 			for (const {kind, address, port} of this.hostList.current()) {
--- a/packages/membership/src/__tests__/membership.test.ts
+++ b/packages/membership/src/__tests__/membership.test.ts
@@ -131,6 +131,16 @@
 		it(`guards against hosts that never learn of each other from one seed (${size} hosts)`, async () => assertAllMeet(size));
 	}
 
+	it('guards against a starting host that holds databases before its seeds have answered', async () => {
+		fleet = new FakeFleet(['a1', 'a2'], ['a']);
+		fleet.cuts.separates = () => true;
+		await fleet.clock.advance(1000);
+		assert.isFalse(fleet.hosts[1]!.service.hasHeardSeeds());
+		fleet.cuts.separates = () => false;
+		await fleet.clock.advance(1000);
+		assert.isTrue(fleet.hosts[1]!.service.hasHeardSeeds());
+	});
+
 	it('guards against a cut-off failure domain being kept as holder, and against it not returning', async () => {
 		fleet = new FakeFleet(['a1', 'b1', 'a2', 'b2'], ['a', 'b']);
 		await fleet.clock.advance(5000);
--- a/packages/membership/src/membershipService.ts
+++ b/packages/membership/src/membershipService.ts
@@ -72,6 +72,12 @@
 		}
 	}
 
+	/** True once every seed has answered; until then this host may hold databases that a peer holds already. */
+	hasHeardSeeds(): boolean {
+		const known = this.table.knownHosts().map(host => this.resolve(host)).filter(address => address !== undefined);
+		return [...this.seeds.values()].every(seed => known.some(({address, port}) => address === seed.address && port === seed.port));
+	}
+
 	/** Tells peers that this host leaves, so that they take its databases over at once. */
 	leave(): void {
 		this.isLeaving = true;
