Leave databases that lost their state out of majorities

Cause: a database that restarts empty has forgotten the fences it accepted and the records it held, but its answers counted like any other. With a (primary) and c holding an acknowledged commit, c restarted empty and a ended, b and c made a fence majority and b was promoted without the commit.

A status with fenced term 0 or without a followed term now counts only when every configured database answers that it never led or followed (a new group). An empty log with a fence counts as new as well, because otherwise an interrupted first promotion would leave a group that can never start.

Found on the way: an empty database may also have forgotten the fence of a later term, so that a replaced primary could acknowledge with it. It is therefore told to follow a primary only after a majority of databases with state confirmed the primary's term since the loss, or when all answer.

The stand-in reports fenced term 0 after a follow until it has replayed up to the position that the primary had when it began to follow, refuses fences and reads (57P03) until then, and answers position waits with timeout.

--- a/packages/group/src/__tests__/fakeGroup.ts
+++ b/packages/group/src/__tests__/fakeGroup.ts
@@ -21,6 +21,10 @@
 	readonly gate = new Gate();
 	/** Records taken in one replication step; 0 for a replica that falls behind. */
 	rate = 100;
+	/** True from a start without state until the database leads or has rebuilt its state from a primary. */
+	isEmpty = true;
+	/** Length of the primary's log when the database began to follow it without state. */
+	rebuildLength?: number;
 
 	constructor(readonly name: string) {}
 
@@ -32,15 +36,27 @@
 		return this.role === 'primary' && this.followsTerm === this.fencedTerm;
 	}
 
+	get isRebuilding(): boolean {
+		return this.isEmpty && this.followsTerm > 0;
+	}
+
 	status(): DatabaseStatus {
-		const {name, role, fencedTerm, followsTerm, position, fenceOwner} = this;
+		const {name, role, followsTerm, position, fenceOwner} = this;
+		const fencedTerm = this.isRebuilding ? 0 : this.fencedTerm;
 		return {
 			database: name, role, fencedTerm, followsTerm, position, fenceOwner,
 		};
 	}
 
+	/** Restarts without log and terms. */
+	loseState(): void {
+		Object.assign(this, {
+			role: 'replica', fencedTerm: 0, fenceOwner: '', followsTerm: 0, followed: undefined, log: [], isEmpty: true, rebuildLength: undefined,
+		});
+	}
+
 	fence(term: number, owner: string): boolean {
-		const isAccepted = term > this.fencedTerm || (term === this.fencedTerm && owner === this.fenceOwner);
+		const isAccepted = !this.isRebuilding && (term > this.fencedTerm || (term === this.fencedTerm && owner === this.fenceOwner));
 		if (isAccepted) {
 			this.fencedTerm = term;
 			this.fenceOwner = owner;
@@ -58,6 +74,7 @@
 		this.fencedTerm = term;
 		this.followsTerm = term;
 		this.followed = primary;
+		this.rebuildLength = undefined;
 		return true;
 	}
 
@@ -66,7 +83,7 @@
 			return 'superseded';
 		}
 
-		return this.fencedTerm === this.position.term && comparePositions(this.position, position) >= 0 ? 'reached' : 'timeout';
+		return !this.isEmpty && this.fencedTerm === this.position.term && comparePositions(this.position, position) >= 0 ? 'reached' : 'timeout';
 	}
 }
 
@@ -104,6 +121,7 @@
 	/** Makes a database the primary of term 1 with the others following it. */
 	lead(name: string): void {
 		for (const database of this.databases) {
+			database.isEmpty = false;
 			database.fence(1, 'start');
 			database.follow(1, name);
 		}
@@ -194,7 +212,7 @@
 	}
 
 	private promote(database: FakeDatabase, term: number, owner: string): boolean {
-		const isFenced = database.fencedTerm === term && database.fenceOwner === owner;
+		const isFenced = database.fencedTerm === term && database.fenceOwner === owner && !database.isRebuilding;
 		if (!isFenced && this.options.promoteChecks !== false) {
 			return false;
 		}
@@ -203,7 +221,9 @@
 			return true;
 		}
 
-		Object.assign(database, {role: 'primary', fencedTerm: term, followsTerm: term});
+		Object.assign(database, {
+			role: 'primary', fencedTerm: term, followsTerm: term, isEmpty: false,
+		});
 		database.log = [...database.log, {term, value: `start ${term}`}];
 		this.promotions.push({
 			database: database.name, term, log: [...database.log], atMs: this.options.clock.nowMs(),
@@ -231,9 +251,11 @@
 			return;
 		}
 
+		replica.rebuildLength ??= primary.log.length;
 		const different = replica.log.findIndex((record, index) => record !== primary.log[index]);
 		const common = different === -1 ? replica.log.length : different;
 		replica.log = primary.log.slice(0, common + replica.rate);
+		replica.isEmpty &&= replica.log.length < replica.rebuildLength;
 	}
 
 	private async travel(proxy: string, name: string, signal?: AbortSignal): Promise<void> {
--- a/packages/group/src/__tests__/fakeProxies.ts
+++ b/packages/group/src/__tests__/fakeProxies.ts
@@ -1,3 +1,4 @@
+import {expect} from 'chai';
 import {type DatabaseGroupSpec, type GroupView, type LogPosition} from '@crocusloom/model';
 import {GroupMonitor} from '../groupMonitor.js';
 import {type Mechanisms} from '../mechanisms.js';
@@ -81,6 +82,13 @@
 		return terms.map(({name}) => name);
 	}
 
+	/** Tells whether the database that was promoted last still leads in that term. */
+	isNewestPromotionLeading(): boolean {
+		const newest = this.group.promotions.toSorted((a, b) => b.term - a.term)[0]!;
+		const {leads, fencedTerm} = this.group.get(newest.database);
+		return leads && fencedTerm === newest.term;
+	}
+
 	async run(durationMs: number, isDone?: () => boolean): Promise<void> {
 		await this.clock.runUntil(this.clock.nowMs() + durationMs, isDone);
 	}
@@ -211,7 +219,13 @@
 	private async read(proxy: FakeProxy, database: string, read: Omit<Read, 'log'>): Promise<boolean> {
 		const {log, position} = await this.group.call({
 			proxy: proxy.name, database, kind: 'work', signal: proxy.monitor.signal,
-		}, target => ({log: target.log, position: target.position}));
+		}, target => {
+			if (target.isEmpty) {
+				throw new Error(`${database} has not rebuilt its state`);
+			}
+
+			return {log: target.log, position: target.position};
+		});
 		if (await proxy.view.waitForMajority(position, waitLimitMs, proxy.monitor.signal) !== 'reached') {
 			return false;
 		}
@@ -221,6 +235,20 @@
 	}
 }
 
+/** Acknowledges a write that only a and c hold, restarts c without its state, and ends a. */
+export async function loseReplica(fleet: Fleet): Promise<void> {
+	fleet.group.get('b').rate = 0;
+	expect(await fleet.served(fleet.write(fleet.proxies[0]!, 'a'))).to.equal(true);
+	const [a, c] = [fleet.group.get('a'), fleet.group.get('c')];
+	a.isDown = true;
+	c.isDown = true;
+	// Nothing may tell c to follow a once it is back, so the monitors must have noticed the end of a.
+	await fleet.run(700);
+	c.loseState();
+	c.isDown = false;
+	await fleet.run(3000);
+}
+
 function containsAll(log: readonly LogRecord[], required: readonly string[]): boolean {
 	const values = new Set(log.map(({value}) => value));
 	return required.every(value => values.has(value));
--- a/packages/group/src/__tests__/mechanisms.test.ts
+++ b/packages/group/src/__tests__/mechanisms.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {allMechanisms, type Mechanisms} from '../mechanisms.js';
-import {Fleet, type FleetOptions} from './fakeProxies.js';
+import {Fleet, type FleetOptions, loseReplica} from './fakeProxies.js';
 
 type MechanismCase = {
 	readonly mechanism: keyof Mechanisms | 'promoteChecks';
@@ -58,6 +58,11 @@
 			await fleet.run(2000);
 		},
 	},
+	{
+		mechanism: 'stateRequired',
+		violation: /^lost/v,
+		scenario: loseReplica,
+	},
 	{
 		mechanism: 'promoteChecks',
 		violation: /^lost/v,
--- a/packages/group/src/__tests__/promotion.test.ts
+++ b/packages/group/src/__tests__/promotion.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {type PromotionRecord} from '@crocusloom/model';
-import {Fleet, type FleetOptions} from './fakeProxies.js';
+import {Fleet, type FleetOptions, loseReplica} from './fakeProxies.js';
 
 /** Goal of design section 7 for a change of primary. */
 const goalMs = 2000;
@@ -135,6 +135,42 @@
 		},
 		leaders: ['b', 'c'],
 	},
+	{
+		name: 'replica restarted empty before the primary fails',
+		guardsAgainst: 'a majority with a database that forgot acknowledged writes',
+		async faults(fleet) {
+			await loseReplica(fleet);
+			expect(fleet.group.promotions.map(({term}) => term), 'no promotion without a majority with state').to.deep.equal([1]);
+			fleet.group.get('a').isDown = false;
+			fleet.group.get('b').rate = 100;
+		},
+		leaders: ['a', 'b', 'c'],
+	},
+	{
+		name: 'primary restarted empty',
+		guardsAgainst: 'a group that waits for a primary without state',
+		faults(fleet) {
+			fleet.group.get('a').loseState();
+		},
+		leaders: ['b', 'c'],
+	},
+	{
+		name: 'empty database on the side of a replaced primary',
+		guardsAgainst: 'a replaced primary that acknowledges with a database which forgot the later fence',
+		async faults(fleet) {
+			fleet.isolate('a', 'p0');
+			await fleet.run(goalMs);
+			expect(await fleet.served(fleet.write(fleet.proxies[1]!, fleet.leaders[0]!)), 'write in the new term').to.equal(true);
+			fleet.group.cuts.clear();
+			const [lost, kept] = fleet.leaders[0] === 'b' ? ['c', 'b'] : ['b', 'c'];
+			fleet.group.get(lost).loseState();
+			fleet.group.get(kept).isDown = true;
+			await fleet.run(1000);
+			expect(await fleet.served(fleet.write(fleet.proxies[0]!, 'a')), 'write in the old term').to.equal(false);
+			fleet.group.get(kept).isDown = false;
+		},
+		leaders: ['b', 'c'],
+	},
 	{
 		name: 'no database leads at the start',
 		guardsAgainst: 'a new group that never gets a primary',
--- a/packages/group/src/confirmation.ts
+++ b/packages/group/src/confirmation.ts
@@ -25,6 +25,23 @@
 	return status.role === 'primary' && status.followsTerm === status.fencedTerm;
 }
 
+/**
+ * Tells whether a database has the state by which it takes part in majorities. A restart that lost the state also lost the
+ * fences that it accepted and the records that it held, so that its word could complete a majority that never was one.
+ */
+export function hasState(status: DatabaseStatus): boolean {
+	return status.fencedTerm > 0 && status.followsTerm > 0;
+}
+
+/**
+ * Tells whether no database of a group ever led or followed; only then may databases without state make a majority.
+ * @param statuses - at most one of each database
+ * @param databaseCount - databases of the group, all of which must have answered
+ */
+export function isNewGroup(statuses: readonly DatabaseStatus[], databaseCount: number): boolean {
+	return statuses.length === databaseCount && statuses.every(({followsTerm, position}) => followsTerm === 0 && position.term === 0);
+}
+
 /** The observation of the primary of the highest term, if a database leads. */
 export function findLeader(observations: readonly Observation[]): Observation | undefined {
 	const leaders = observations.filter(({status}) => leads(status));
--- a/packages/group/src/databaseWatch.ts
+++ b/packages/group/src/databaseWatch.ts
@@ -1,7 +1,7 @@
 import {
 	type Clock, comparePositions, type DatabaseControl, type DatabaseStatus, holdsPosition, type LogPosition, zeroPosition,
 } from '@crocusloom/model';
-import {type Observation} from './confirmation.js';
+import {hasState, type Observation} from './confirmation.js';
 import {databaseFailure, withTimeLimit} from './timeLimit.js';
 import {
 	callLimitMs, pollIntervalMs, suspectAfterMs, waitRetryMs, waitSliceMs,
@@ -18,6 +18,7 @@
 	/** Highest position of each of the last terms that the database was seen to hold while it stood at that term. */
 	private readonly heldInTerm = new Map<number, LogPosition>();
 	private highestFencedTerm = 0;
+	private lostStateAtMs?: number;
 	private readonly wanted = new Set<LogPosition>();
 	private isWaiting = false;
 
@@ -46,6 +47,11 @@
 		return this.silentMs < suspectAfterMs;
 	}
 
+	/** Time of the first answer of the present run of answers without state; undefined while the database has state. */
+	get statelessSinceMs(): number | undefined {
+		return this.lostStateAtMs;
+	}
+
 	/** Polls the status until the watch's signal aborts. */
 	async poll(): Promise<void> {
 		while (!this.signal.aborted) {
@@ -74,10 +80,7 @@
 		}
 
 		this.highestFencedTerm = Math.max(this.highestFencedTerm, status.fencedTerm);
-		if (status.fencedTerm === status.position.term) {
-			this.noteHeld(status.position);
-		}
-
+		this.noteState(observation);
 		this.onObservation();
 		return observation;
 	}
@@ -111,6 +114,20 @@
 		this.wanted.delete(position);
 	}
 
+	private noteState({status, answeredAtMs}: Observation): void {
+		if (!hasState(status)) {
+			this.lostStateAtMs ??= answeredAtMs;
+			// What the database held before it lost its state does not answer reads any more.
+			this.heldInTerm.clear();
+			return;
+		}
+
+		this.lostStateAtMs = undefined;
+		if (status.fencedTerm === status.position.term) {
+			this.noteHeld(status.position);
+		}
+	}
+
 	private noteHeld(position: LogPosition): void {
 		const held = this.heldInTerm.get(position.term);
 		if (held && holdsPosition(held, position)) {
--- a/packages/group/src/groupMonitor.ts
+++ b/packages/group/src/groupMonitor.ts
@@ -1,10 +1,11 @@
 import {setMaxListeners} from 'node:events';
 import {
-	type Clock, type DatabaseControl, type DatabaseGroupSpec, type DatabaseView, FailureError, type GroupState, type GroupView, type LogPosition, type PromotionRecord, type WaitAnswer, zeroPosition,
+	type Clock, type DatabaseControl, type DatabaseGroupSpec, type DatabaseStatus, type DatabaseView, FailureError, type GroupState, type GroupView, type LogPosition,
+	type PromotionRecord, type WaitAnswer, zeroPosition,
 } from '@crocusloom/model';
 import {AgeSamples} from './ageSamples.js';
 import {
-	confirmedPosition, findLeader, majorityOf, type Observation,
+	confirmedPosition, findLeader, hasState, isNewGroup, majorityOf, type Observation,
 } from './confirmation.js';
 import {DatabaseWatch} from './databaseWatch.js';
 import {allMechanisms, type Mechanisms} from './mechanisms.js';
@@ -155,6 +156,20 @@
 		return this.watches.map(watch => watch.latest).filter(observation => observation !== undefined);
 	}
 
+	/** Tells whether a status counts towards a majority. */
+	counts(status: DatabaseStatus): boolean {
+		return !this.mechanisms.stateRequired || hasState(status);
+	}
+
+	/** The statuses that count towards a majority: those of databases with state, or all if the whole group is new. */
+	countable(statuses: readonly DatabaseStatus[]): readonly DatabaseStatus[] {
+		return isNewGroup(statuses, this.watches.length) ? statuses : statuses.filter(status => this.counts(status));
+	}
+
+	private countableObservations(observations: readonly Observation[]): readonly Observation[] {
+		return observations.filter(({status}) => this.counts(status));
+	}
+
 	private viewOf(watch: DatabaseWatch): DatabaseView {
 		const status = watch.latest?.status;
 		return {
@@ -169,8 +184,8 @@
 	}
 
 	private majorityPosition(term: number): LogPosition {
-		const offsets = this.watches.map(({latest}) => latest?.status.position)
-			.map(position => position?.term === term ? position.offsetBytes : -1)
+		const offsets = this.watches.map(({latest}) => latest?.status)
+			.map(status => status && this.counts(status) && status.position.term === term ? status.position.offsetBytes : -1)
 			.toSorted((a, b) => b - a);
 		const offsetBytes = offsets[this.majority - 1]!;
 		return offsetBytes < 0 ? zeroPosition : {term, offsetBytes};
@@ -215,7 +230,7 @@
 		const observations: Observation[] = [];
 		const controller = new AbortController();
 		const signal = AbortSignal.any([this.signal, controller.signal]);
-		const found = () => confirmedPosition(observations, this.watches.length, this.mechanisms.majorityProbe)?.position;
+		const found = () => confirmedPosition(this.countableObservations(observations), this.watches.length, this.mechanisms.majorityProbe)?.position;
 		const arrivals = new Set<() => void>();
 		const result = waitUntil({
 			clock: this.options.clock, limitMs: probeLimitMs, signal, listeners: arrivals, settle: found,
@@ -245,7 +260,7 @@
 	}
 
 	private takeObservations(): void {
-		const sample = confirmedPosition(this.observations(), this.watches.length, this.mechanisms.confirmedSamples);
+		const sample = confirmedPosition(this.countableObservations(this.observations()), this.watches.length, this.mechanisms.confirmedSamples);
 		if (sample) {
 			this.samples.add(sample);
 		}
--- a/packages/group/src/mechanisms.ts
+++ b/packages/group/src/mechanisms.ts
@@ -8,6 +8,8 @@
 	readonly majorityFence: boolean;
 	/** Count age samples only from the time at which a majority confirmed their term. */
 	readonly confirmedSamples: boolean;
+	/** Count a database towards a majority only if it has not lost its state. */
+	readonly stateRequired: boolean;
 };
 
 export const allMechanisms: Mechanisms = {
@@ -15,4 +17,5 @@
 	majorityProbe: true,
 	majorityFence: true,
 	confirmedSamples: true,
+	stateRequired: true,
 };
--- a/packages/group/src/promoter.ts
+++ b/packages/group/src/promoter.ts
@@ -2,7 +2,7 @@
 	type Log, noLog, type PromotionRecord, type RandomSource,
 } from '@crocusloom/model';
 import {addressOf} from './candidate.js';
-import {findLeader} from './confirmation.js';
+import {findLeader, hasState, termConfirmedAtMs} from './confirmation.js';
 import {type DatabaseWatch} from './databaseWatch.js';
 import {type GroupMonitor} from './groupMonitor.js';
 import {PromotionAttempt} from './promotionAttempt.js';
@@ -112,12 +112,30 @@
 		for (const watch of monitor.watches) {
 			const status = watch.latest?.status;
 			const mayFollow = status && watch.reachable && status.fencedTerm <= leader.fencedTerm && status.followsTerm < leader.fencedTerm;
-			if (mayFollow && !this.rejoining.has(watch.database)) {
+			if (mayFollow && this.isSafeToRejoin(watch, leader.fencedTerm) && !this.rejoining.has(watch.database)) {
 				void this.rejoin(watch, leader.fencedTerm, leader.database);
 			}
 		}
 	}
 
+	/**
+	 * A database without state may have forgotten the fence of a later term. It follows only a primary whose term a majority
+	 * of the others confirmed after the loss, or when all databases answer, so that no later primary can exist.
+	 */
+	private isSafeToRejoin({statelessSinceMs}: DatabaseWatch, term: number): boolean {
+		const {monitor} = this.options;
+		if (statelessSinceMs === undefined || !monitor.mechanisms.stateRequired) {
+			return true;
+		}
+
+		const observations = monitor.observations();
+		const withState = observations.filter(({status}) => monitor.counts(status));
+		const confirmedAtMs = termConfirmedAtMs(withState, monitor.watches.length, term) ?? Number.NEGATIVE_INFINITY;
+		const isAllKnown = observations.length === monitor.watches.length
+			&& observations.every(({askedAtMs, status}) => askedAtMs >= statelessSinceMs && status.fencedTerm <= term);
+		return confirmedAtMs >= statelessSinceMs || isAllKnown;
+	}
+
 	/** Fences a database at the primary's term, so that an old primary stops, and makes it follow. */
 	private async rejoin(watch: DatabaseWatch, term: number, primary: string): Promise<void> {
 		const {monitor, owner} = this.options;
@@ -127,7 +145,7 @@
 			clock: monitor.options.clock, limitMs: callLimitMs, signal: monitor.signal, failure,
 		};
 		try {
-			if (watch.latest!.status.fencedTerm < term) {
+			if (hasState(watch.latest!.status) && watch.latest!.status.fencedTerm < term) {
 				await withTimeLimit(limit, async signal => watch.control.fence(term, `${owner}/rejoin`, signal));
 			}
 
--- a/packages/group/src/promotionAttempt.ts
+++ b/packages/group/src/promotionAttempt.ts
@@ -2,7 +2,7 @@
 	type DatabaseStatus, type FenceAnswer, type PromotionRecord,
 } from '@crocusloom/model';
 import {addressOf, chooseCandidate} from './candidate.js';
-import {findLeader} from './confirmation.js';
+import {findLeader, isNewGroup} from './confirmation.js';
 import {type DatabaseWatch} from './databaseWatch.js';
 import {gather, type GatherOptions} from './gather.js';
 import {type GroupMonitor} from './groupMonitor.js';
@@ -36,6 +36,8 @@
 export class PromotionAttempt {
 	private readonly steps: string[] = [];
 	private term = 0;
+	/** True when every database answered that it never led or followed. */
+	private isNewGroup = false;
 	private candidate?: string;
 
 	constructor(private readonly options: AttemptOptions) {}
@@ -84,8 +86,11 @@
 	private async askAll(): Promise<void> {
 		const {monitor, isStillNeeded} = this.options;
 		const answers = await gather(monitor.watches.map(async watch => this.limited(watch, 'monitor', async signal => watch.ask(signal))), this.gatherOptions());
-		this.steps.push(`${answers.length} of ${monitor.watches.length} databases answered`);
-		if (answers.length < this.enough) {
+		const statuses = answers.map(({status}) => status);
+		const countable = monitor.countable(statuses);
+		this.isNewGroup = isNewGroup(statuses, monitor.watches.length);
+		this.steps.push(`${answers.length} of ${monitor.watches.length} databases answered, ${countable.length} of them with state or in a new group`);
+		if (countable.length < this.enough) {
 			throw new AttemptEnd('noMajority', `a majority is ${monitor.majority}; nothing was changed`);
 		}
 
@@ -123,9 +128,11 @@
 	private async fenceMajority(): Promise<readonly DatabaseStatus[]> {
 		const {monitor} = this.options;
 		const refused: DatabaseStatus[] = [];
-		const fences = monitor.watches.map(async watch => {
+		// A database may lose its state between the question and the fence, so the answer to the fence is checked as well.
+		const counts = (status: DatabaseStatus) => this.isNewGroup || monitor.counts(status);
+		const fences = monitor.watches.filter(({latest}) => !latest || counts(latest.status)).map(async watch => {
 			const {accepted, status} = await this.fence(watch);
-			if (accepted && status.fencedTerm === this.term) {
+			if (accepted && status.fencedTerm === this.term && counts(status)) {
 				return status;
 			}
 
@@ -139,7 +146,7 @@
 			return fenced;
 		}
 
-		const [other] = refused.toSorted((a, b) => b.fencedTerm - a.fencedTerm);
+		const [other] = refused.filter(status => status.fencedTerm >= this.term).toSorted((a, b) => b.fencedTerm - a.fencedTerm);
 		throw other
 			? new AttemptEnd('lostRace', `${other.database} is fenced at term ${other.fencedTerm} by another proxy`)
 			: new AttemptEnd('noMajority', `a majority is ${enough}; the next attempt takes a higher term`);
--- a/packages/group/src/promotionNeed.ts
+++ b/packages/group/src/promotionNeed.ts
@@ -29,8 +29,8 @@
 		const stray = leader && this.monitor.watches.find(({reachable, latest}) => reachable && latest!.status.fencedTerm > leader.fencedTerm);
 		this.leaderlessSinceMs = leader ? undefined : this.leaderlessSinceMs ?? nowMs;
 		this.strayFenceSinceMs = stray ? this.strayFenceSinceMs ?? nowMs : undefined;
-		const reachable = this.monitor.watches.filter(watch => watch.reachable).length;
-		if (reachable < this.monitor.majority) {
+		const reachable = this.monitor.watches.filter(watch => watch.reachable).map(({latest}) => latest!.status);
+		if (this.monitor.countable(reachable).length < this.monitor.majority) {
 			return undefined;
 		}
 
--- a/packages/standins/src/backendServer/__tests__/terms.test.ts
+++ b/packages/standins/src/backendServer/__tests__/terms.test.ts
@@ -152,6 +152,24 @@
 		assert.equal(await outcome(client, 'create table x (id int)'), '25006');
 	});
 
+	it('guards against a database that counts for a majority before it has rebuilt its state', async () => {
+		const restarted = await servers.start();
+		const client = await servers.connect(restarted);
+		restarted.faults.set({replicationPaused: true});
+		const ask = async (text: string) => (await outcome(client, text) as unknown[][])[0]!;
+		assert.deepEqual(await ask(`select crocusloom_follow(1, '${group[0].address}')`), [true]);
+		const status = 'select fenced_term, follows_term from crocusloom_status()';
+		assert.deepEqual(await ask(status), ['0', '1']);
+		assert.deepEqual(await ask('select crocusloom_fence(2, \'a\')'), [false]);
+		assert.deepEqual(await ask('select crocusloom_follow(0, \'127.0.0.1:1\')'), [false]);
+		assert.deepEqual(await ask('select crocusloom_wait_position(1, 1, 0)'), ['timeout']);
+		assert.equal(await outcome(client, 'select id from t'), '57P03');
+		restarted.faults.set({replicationPaused: false});
+		assert.deepEqual(await ask(`select crocusloom_wait_position(${positionArgs(0)}, 20000)`), ['reached']);
+		assert.deepEqual(await ask(status), ['1', '1']);
+		assert.deepEqual(await ask('select crocusloom_fence(2, \'a\')'), [true]);
+	});
+
 	it('guards against a frozen server that answers or loses what it was asked', async () => {
 		group[0].faults.set({frozen: true});
 		let isAnswered = false;
--- a/packages/standins/src/backendServer/functions.ts
+++ b/packages/standins/src/backendServer/functions.ts
@@ -86,7 +86,7 @@
 	return functionColumns[name]?.[0]?.typeId ?? (name === 'pg_is_in_recovery' ? typeId.boolean : typeId.text);
 }
 
-function statusAnswer({state, position}: Database): FunctionAnswer {
+function statusAnswer({reportedState: state, position}: Database): FunctionAnswer {
 	return {
 		columns: statusColumns,
 		row: [state.role, state.fencedTerm, position.term, position.offsetBytes, state.followsTerm, state.fenceOwner],
--- a/packages/standins/src/backendServer/runner.ts
+++ b/packages/standins/src/backendServer/runner.ts
@@ -193,6 +193,10 @@
 			throw new SqlError(serverSqlStates.featureNotSupported, `statements of kind ${tag} are not supported`);
 		}
 
+		if (kindOf(statement) !== 'control') {
+			this.parts.database.requireState();
+		}
+
 		const transaction = this.current;
 		this.requireWriteAllowed(statement, transaction);
 		const forward = () => {
--- a/packages/standins/src/backendServer/sqlError.ts
+++ b/packages/standins/src/backendServer/sqlError.ts
@@ -18,6 +18,7 @@
 	failedTransaction: '25P02',
 	noActiveTransaction: '25P01',
 	noSuchSavepoint: '3B001',
+	cannotConnectNow: '57P03',
 	invalidPassword: '28P01',
 	undefinedStatement: '26000',
 	undefinedPortal: '34000',
