Replace a primary whose replicas receive nothing from it

Cause: a promotion started only when monitors could not reach the primary. With replication alone cut, the primary answered its monitors while no commit reached a majority, so that writes stayed unserved until an operator acted.

A majority of databases besides the primary that are reachable, behind it and have not moved for 1 s is now a need for promotion. The attempt leaves the primary out, because it has the highest position; everything acknowledged is on a majority, so a fenced majority of the others has it. The primary is fenced when it is told to follow.

Lag is ruled out as a reason: one replica that advances at all ends the need. After any change of primary the need is ignored for 10 s, so that replicas that receive nothing from any primary do not cause one change after another. Groups that acknowledge at the primary alone are left out, because there the replicas may lack acknowledged writes.

--- a/packages/group/src/__tests__/promotion.test.ts
+++ b/packages/group/src/__tests__/promotion.test.ts
@@ -171,6 +171,55 @@
 		},
 		leaders: ['b', 'c'],
 	},
+	{
+		name: 'replication cut alone',
+		guardsAgainst: 'a primary that its monitors reach and that can acknowledge nothing',
+		faults(fleet) {
+			fleet.group.cut('a', 'b');
+			fleet.group.cut('a', 'c');
+		},
+		leaders: ['b', 'c'],
+		outcomes: ['promoted'],
+	},
+	{
+		name: 'replicas that are only slow',
+		guardsAgainst: 'a change of primary because of lag',
+		async faults(fleet) {
+			for (const name of ['b', 'c']) {
+				fleet.group.get(name).rate = 0;
+			}
+
+			for (let round = 0; round < 30; round++) {
+				void fleet.served(fleet.write(fleet.proxies[0]!, 'a'), 0);
+				await fleet.run(100);
+				const slow = fleet.group.get(round % 8 < 4 ? 'b' : 'c');
+				slow.rate = 1;
+				await fleet.run(16);
+				slow.rate = 0;
+			}
+
+			for (const name of ['b', 'c']) {
+				fleet.group.get(name).rate = 100;
+			}
+		},
+		leaders: ['a'],
+		outcomes: [],
+	},
+	{
+		name: 'replicas that receive nothing from any primary',
+		guardsAgainst: 'one change of primary after another',
+		async faults(fleet) {
+			for (const database of fleet.group.databases) {
+				database.rate = 0;
+			}
+
+			void fleet.served(fleet.write(fleet.proxies[0]!, 'a'), 0);
+			await fleet.run(8000);
+			expect(fleet.group.promotions.map(({term}) => term)).to.deep.equal([1, 2]);
+			fleet.group.heal();
+		},
+		leaders: ['b', 'c'],
+	},
 	{
 		name: 'no database leads at the start',
 		guardsAgainst: 'a new group that never gets a primary',
--- a/packages/group/src/__tests__/schedules.test.ts
+++ b/packages/group/src/__tests__/schedules.test.ts
@@ -25,6 +25,7 @@
 	fc.record({kind: fc.constant('pause' as const), proxy}),
 	fc.record({kind: fc.constant('resume' as const), proxy}),
 	fc.record({kind: fc.constant('lose' as const), database, call: fc.constantFrom('fence' as const, 'promote' as const, 'follow' as const, 'status' as const)}),
+	fc.record({kind: fc.constant('cutReplication' as const), database}),
 	fc.record({kind: fc.constant('leave' as const), database}),
 	fc.record({kind: fc.constant('heal' as const)}),
 );
@@ -71,6 +72,11 @@
 	lose(fleet, {database: name, call}) {
 		fleet.group.lostAnswers.push({database: name, call});
 	},
+	cutReplication(fleet, {database: name}) {
+		for (const other of databases) {
+			fleet.group.cut(name, other);
+		}
+	},
 	leave(fleet, {database: name}) {
 		fleet.leave(name);
 	},
--- a/packages/group/src/promotionAttempt.ts
+++ b/packages/group/src/promotionAttempt.ts
@@ -69,6 +69,15 @@
 		return mechanisms.majorityFence ? majority : 1;
 	}
 
+	/**
+	 * Databases that may be promoted. A primary that cannot replicate has the highest position, but nothing that was
+	 * acknowledged is missing at a majority of the others; it is fenced when it is told to follow.
+	 */
+	private get electors(): readonly DatabaseWatch[] {
+		const {monitor, need} = this.options;
+		return need.isWithoutPrimary ? monitor.watches.filter(({database}) => database !== need.oldPrimary) : monitor.watches;
+	}
+
 	private async outcome(): Promise<PromotionRecord['outcome']> {
 		try {
 			await this.askAll();
@@ -130,7 +139,7 @@
 		const refused: DatabaseStatus[] = [];
 		// A database may lose its state between the question and the fence, so the answer to the fence is checked as well.
 		const counts = (status: DatabaseStatus) => this.isNewGroup || monitor.counts(status);
-		const fences = monitor.watches.filter(({latest}) => !latest || counts(latest.status)).map(async watch => {
+		const fences = this.electors.filter(({latest}) => !latest || counts(latest.status)).map(async watch => {
 			const {accepted, status} = await this.fence(watch);
 			if (accepted && status.fencedTerm === this.term && counts(status)) {
 				return status;
--- a/packages/group/src/promotionNeed.ts
+++ b/packages/group/src/promotionNeed.ts
@@ -1,6 +1,7 @@
 import {findLeader} from './confirmation.js';
 import {type GroupMonitor} from './groupMonitor.js';
-import {suspectAfterMs} from './timing.js';
+import {ReplicationStall} from './replicationStall.js';
+import {replicationStallMs, suspectAfterMs} from './timing.js';
 
 /** Why a promotion is needed. */
 export type PromotionNeed = {
@@ -9,18 +10,23 @@
 	readonly oldPrimary?: string;
 	/** True when the primary works and is to be replaced. */
 	readonly isPlanned: boolean;
+	/** True when the primary is left out, because its replicas cannot receive what it has beyond them. */
+	readonly isWithoutPrimary?: boolean;
 };
 
 /** Finds out from a monitor's observations whether a promotion is needed. */
 export class PromotionNeeds {
 	private leaderlessSinceMs?: number;
 	private strayFenceSinceMs?: number;
+	private readonly stall: ReplicationStall;
 
 	/**
 	 * @param monitor - monitor of the group
 	 * @param isSeenElsewhere - tells whether another monitor still reaches a primary that this one does not
 	 */
-	constructor(private readonly monitor: GroupMonitor, private readonly isSeenElsewhere: (primary: string) => boolean) {}
+	constructor(private readonly monitor: GroupMonitor, private readonly isSeenElsewhere: (primary: string) => boolean) {
+		this.stall = new ReplicationStall(monitor);
+	}
 
 	/** The need now; must be called regularly, because some needs exist only when a state lasts. */
 	current(): PromotionNeed | undefined {
@@ -29,6 +35,7 @@
 		const stray = leader && this.monitor.watches.find(({reachable, latest}) => reachable && latest!.status.fencedTerm > leader.fencedTerm);
 		this.leaderlessSinceMs = leader ? undefined : this.leaderlessSinceMs ?? nowMs;
 		this.strayFenceSinceMs = stray ? this.strayFenceSinceMs ?? nowMs : undefined;
+		const isStalled = leader !== undefined && this.stall.check(leader);
 		const reachable = this.monitor.watches.filter(watch => watch.reachable).map(({latest}) => latest!.status);
 		if (this.monitor.countable(reachable).length < this.monitor.majority) {
 			return undefined;
@@ -38,7 +45,7 @@
 			return this.lasts(this.leaderlessSinceMs) ? {reason: 'no database leads', isPlanned: false} : undefined;
 		}
 
-		return this.needAt(leader.database, stray?.database);
+		return this.needAt(leader.database, stray?.database) ?? (isStalled ? stallNeed(leader.database) : undefined);
 	}
 
 	private needAt(leader: string, stray: string | undefined): PromotionNeed | undefined {
@@ -64,3 +71,9 @@
 		return sinceMs !== undefined && this.monitor.options.clock.nowMs() - sinceMs >= suspectAfterMs;
 	}
 }
+
+function stallNeed(leader: string): PromotionNeed {
+	return {
+		reason: `the replicas have received nothing from primary ${leader} for ${replicationStallMs} ms`, oldPrimary: leader, isPlanned: false, isWithoutPrimary: true,
+	};
+}
--- a/packages/group/src/timing.ts
+++ b/packages/group/src/timing.ts
@@ -28,6 +28,10 @@
 export const catchUpLimitMs = 500;
 /** Time between two planned attempts when the first could not move the primary. */
 export const plannedRetryMs = 5000;
+/** A primary whose replicas have received nothing for this long, although it has more, is replaced by one of them. */
+export const replicationStallMs = 1000;
+/** Time after a change of primary in which stalled replication is no reason for another one. */
+export const replicationStallRetryMs = 10_000;
 /** First and longest pause before a control connection is dialled again. */
 export const reconnectFirstMs = 50;
 export const reconnectLongestMs = 1000;
