Send group states as arrays and check their shape

Cause: control traffic is limited to 3 KB/s a node. Each state carried its field names and ages with all decimals, several hundred bytes a group.

States now travel as arrays in a fixed order with ages in whole milliseconds, rounded up, so that a proven age never gets smaller. The reporting host is the sender. A message of another shape is ignored; the check is part of the decoder, because zod is not among the package's dependencies.

A test bounds both, and cases of malformed messages fail without the check.

--- a/packages/group/src/__tests__/directory.test.ts
+++ b/packages/group/src/__tests__/directory.test.ts
@@ -4,13 +4,20 @@
 } from '@crocusloom/model';
 import {Directory} from '../directory.js';
 import {GroupMonitors} from '../groupMonitors.js';
+import {decodeStates} from '../stateMessage.js';
 import {type PublishedStatus} from '../statusPublisher.js';
 import {FakeClock, Gate, seededRandom} from './fakeClock.js';
 import {FakeGroup} from './fakeGroup.js';
 
 const hosts = ['h0', 'h1', 'h2'] as const;
+const oneGroup: GroupNames = {g: ['a', 'b', 'c']};
+/** Time on the fake clock over which traffic is counted. */
+const measuredMs = 10_000;
 const statusKey = 'crocusloom/test/status/g';
 
+/** Names of the databases of each group. */
+type GroupNames = Readonly<Record<string, readonly string[]>>;
+
 function memberOf(host: string): Member {
 	return {
 		host, incarnation: 1, failureDomain: host, address: host, peerPort: 1, workPort: 2, operatorPort: 3, state: 'alive', leaving: false, configurationRevision: 1, silentMs: 0,
@@ -47,20 +54,33 @@
 class Hosts {
 	readonly clock = new FakeClock();
 	readonly random = seededRandom(3);
-	readonly group = new FakeGroup({clock: this.clock, random: this.random});
 	readonly store = new FakeStore();
 	readonly refusing = new Set<string>();
 	holders: Readonly<Record<string, string>> = {a: 'h0', b: 'h1', c: 'h1'};
 	probeCalls = 0;
+	/** Bytes of notifications as the transport frames them. */
+	sentBytes = 0;
+	readonly groups: ReadonlyMap<string, FakeGroup>;
 	readonly monitors = new Map<string, GroupMonitors>();
 	readonly directories = new Map<string, Directory>();
 	private readonly handlers = new Map<string, Parameters<PeerCalls['handle']>[1]>();
 	private readonly listeners: Array<() => void> = [];
 
-	constructor() {
-		this.group.lead('a');
-		void this.group.replicate();
-		for (const host of hosts) {
+	constructor(readonly hostNames: readonly string[] = hosts, readonly groupNames: GroupNames = oneGroup) {
+		this.groups = new Map(Object.entries(groupNames).map(([group, names]) => [group, new FakeGroup({clock: this.clock, random: this.random, names})]));
+		for (const group of this.groups.values()) {
+			group.lead(group.databases[0]!.name);
+			void group.replicate();
+		}
+	}
+
+	/** The first group. */
+	get group(): FakeGroup {
+		return [...this.groups.values()][0]!;
+	}
+
+	start(): void {
+		for (const host of this.hostNames) {
 			this.startHost(host);
 		}
 	}
@@ -77,8 +97,11 @@
 	}
 
 	stop(): void {
-		this.group.stop();
-		for (const host of hosts) {
+		for (const group of this.groups.values()) {
+			group.stop();
+		}
+
+		for (const host of this.hostNames) {
 			this.monitors.get(host)!.close();
 			this.directories.get(host)!.close();
 		}
@@ -88,7 +111,7 @@
 		const {clock, random, store} = this;
 		const membership: Membership = {
 			self: memberOf(host),
-			members: () => hosts.map(name => memberOf(name)),
+			members: () => this.hostNames.map(name => memberOf(name)),
 			holderOf: database => memberOf(this.holders[database]!),
 			reportUnreachable() {
 				// The fake network has its own record of what is reachable.
@@ -97,17 +120,18 @@
 				this.listeners.push(listener);
 			},
 		};
-		const databases = ['a', 'b', 'c'].map(name => ({
-			name, address: name, port: 1, failureDomain: name, leaving: false,
-		}));
-		const spec = {
-			databases, slotsPerDatabase: 3, connectionsPerDatabase: 20, acknowledgement: 'majority' as const,
-		};
+		const specOf = (names: readonly string[]) => ({
+			databases: names.map(name => ({
+				name, address: name, port: 1, failureDomain: name, leaving: false,
+			})),
+			slotsPerDatabase: 3, connectionsPerDatabase: 20, acknowledgement: 'majority' as const,
+		});
 		const configuration: Configuration = {
-			...emptyConfiguration, databaseGroups: new Map([['g', {
-				kind: 'databaseGroups', name: 'g', revision: 1, spec,
-			}]]),
+			...emptyConfiguration, databaseGroups: new Map(Object.entries(this.groupNames).map(([name, names]) => [name, {
+				kind: 'databaseGroups', name, revision: 1, spec: specOf(names),
+			}])),
 		};
+		const groupOf = (database: string) => [...this.groups.values()].find(group => group.databases.some(({name}) => name === database))!;
 		const monitors = new GroupMonitors({
 			clock, random, membership, store, deployment: 'test',
 			configuration: {
@@ -116,7 +140,7 @@
 					// The configuration of the test stays.
 				},
 			},
-			createControl: ({name}) => this.group.control(host, name, new Gate()),
+			createControl: ({name}) => groupOf(name).control(host, name, new Gate()),
 		});
 		const directory = new Directory({
 			clock, membership, local: monitors, peers: this.peersOf(host),
@@ -144,7 +168,8 @@
 				this.probeCalls++;
 				return await deliver(host, method, parameters) as R;
 			},
-			notify(host, method, parameters) {
+			notify: (host, method, parameters) => {
+				this.sentBytes += 4 + Buffer.byteLength(JSON.stringify({jsonrpc: '2.0', method, params: parameters}));
 				void deliver(host, method, parameters).then(undefined, () => undefined);
 			},
 			handle: (method, handler) => {
@@ -158,6 +183,7 @@
 	const {signal} = new AbortController();
 	const withHosts = (check: (fleet: Hosts) => Promise<void> | void) => async () => {
 		const fleet = new Hosts();
+		fleet.start();
 		await fleet.run(1200);
 		await check(fleet);
 		fleet.stop();
@@ -177,6 +203,50 @@
 		expect(ages).to.deep.equal([true, true, false]);
 	}));
 
+	for (const {load, isBusy, limitBytes} of [{load: 'idle', isBusy: false, limitBytes: 2400}, {load: 'busy', isBusy: true, limitBytes: 2500}]) {
+		it(`sends few states in an ${load} deployment of 5 hosts and 9 databases (guards against control traffic beyond its budget)`, async () => {
+			const names = ['h0', 'h1', 'h2', 'h3', 'h4'];
+			const groups = {'pledge-ledger-1': ['db-1a', 'db-1b', 'db-1c'], 'pledge-ledger-2': ['db-2a', 'db-2b', 'db-2c'], 'pledge-ledger-3': ['db-3a', 'db-3b', 'db-3c']};
+			const fleet = new Hosts(names, groups);
+			fleet.holders = Object.fromEntries(Object.values(groups).flat().map((name, index) => [name, names[index % names.length]!]));
+			fleet.start();
+			await fleet.run(3000);
+			fleet.sentBytes = 0;
+			for (let elapsedMs = 0; elapsedMs < measuredMs; elapsedMs += 20) {
+				for (const group of isBusy ? fleet.groups.values() : []) {
+					const [primary] = group.databases;
+					primary!.log = [...primary!.log, {term: 1, value: 'w'}];
+				}
+
+				await fleet.run(20);
+			}
+
+			const bytesPerHost = fleet.sentBytes / names.length / (measuredMs / 1000);
+			console.log(`      ${Math.round(bytesPerHost)} bytes of states a second and host`);
+			expect(bytesPerHost).to.be.within(1, limitBytes);
+			fleet.stop();
+		});
+	}
+
+	const goodState = ['g', 9, 'a', 9, 1, null, [['a', 1, 1, 9, 9, 1, 0, 0]]];
+	const badMessages = [
+		null,
+		[],
+		{s: 1},
+		{s: [{}]},
+		{s: [goodState.slice(1)]},
+		{s: [goodState.with(1, '9')]},
+		{s: [goodState.with(3, -1)]},
+		{s: [goodState.with(6, [['a']])]},
+		{s: [goodState.with(6, [['a', 1, 1, 9, 9, 0.5, 0, 0]])]},
+	];
+	for (const message of badMessages) {
+		it(`ignores the state ${JSON.stringify(message)} (guards against a peer of another version that breaks routing)`, () => {
+			expect(decodeStates({s: [goodState]}, 'h')).to.have.length(1);
+			expect(decodeStates(message, 'h')).to.equal(undefined);
+		});
+	}
+
 	const probes = [
 		{name: 'asks a monitoring host', refusing: [], calls: 1},
 		{name: 'tries the other monitor when one fails', refusing: ['h0'], calls: 2},
--- a/packages/group/src/directory.ts
+++ b/packages/group/src/directory.ts
@@ -4,7 +4,7 @@
 } from '@crocusloom/model';
 import {SharedProbe} from './sharedProbe.js';
 import {
-	ageState, type CommitPositionMessage, commitPositionMethod, type StateMessage, stateMethod,
+	ageState, type CommitPositionMessage, commitPositionMethod, decodeStates, encodeStates, stateMethod,
 } from './stateMessage.js';
 import {databaseFailure, withTimeLimit} from './timeLimit.js';
 import {peerProbeLimitMs, publishIntervalMs} from './timing.js';
@@ -46,7 +46,7 @@
 	start(): void {
 		const {peers} = this.options;
 		peers.handle(stateMethod, (parameters, from) => {
-			this.takeStates(parameters as StateMessage, from);
+			this.takeStates(decodeStates(parameters, from) ?? [], from);
 		});
 		peers.handle(commitPositionMethod, async (parameters, _from, signal) => this.answerCommitPosition(parameters as CommitPositionMessage, signal));
 		void this.publishPeriodically();
@@ -101,9 +101,9 @@
 		return [local, ...reports].filter(state => state !== undefined);
 	}
 
-	private takeStates(message: StateMessage, from: string): void {
+	private takeStates(states: readonly GroupState[], from: string): void {
 		const receivedAtMs = this.options.clock.nowMs();
-		for (const state of message.states) {
+		for (const state of states) {
 			const hosts = this.remote.get(state.group) ?? new Map<string, RemoteState>();
 			hosts.set(from, {state, receivedAtMs});
 			this.remote.set(state.group, hosts);
@@ -133,7 +133,7 @@
 			this.published.set(state.group, outline(state));
 		}
 
-		const message: StateMessage = {states};
+		const message = encodeStates(states);
 		for (const {host, state} of membership.members()) {
 			if (host !== membership.self.host && state !== 'dead') {
 				peers.notify(host, stateMethod, message);
