Release the signals of monitor calls when the calls end

The group package now uses childSignal of the model and releases it in finally: in time limits, condition waits, position waits, probes and the control of a database.

Ruled out: listeners of polls in progress are not a leak; the test allows the few of them (at most 12).

The test fails without the release.

--- a/packages/group/src/__tests__/promotion.test.ts
+++ b/packages/group/src/__tests__/promotion.test.ts
@@ -1,3 +1,4 @@
+import {getEventListeners} from 'node:events';
 import {expect} from 'chai';
 import {type PromotionRecord} from '@crocusloom/model';
 import {Fleet, type FleetOptions, loseReplica} from './fakeProxies.js';
@@ -251,6 +252,31 @@
 ];
 
 describe('promotion', () => {
+	it('leaves no listeners at the monitor\'s signal after 1,000 probes and waits (guards against memory that grows with each call)', async () => {
+		const fleet = new Fleet({ranks: [0]});
+		await fleet.run(1000);
+		const [{monitor}] = fleet.proxies as [Fleet['proxies'][0]];
+		const caller = new AbortController();
+		const position = {term: 1, offsetBytes: 1};
+		const unheld = {term: 1, offsetBytes: 99};
+		const ask = async () => Promise.all([monitor.commitPosition(caller.signal), monitor.waitForMajority(unheld, 5, caller.signal), monitor.waitForDatabase('b', position, 5, caller.signal)]);
+		const listeners = () => getEventListeners(monitor.signal, 'abort').length + getEventListeners(caller.signal, 'abort').length;
+		const counts: number[] = [];
+		for (let round = 0; round < 1000; round++) {
+			const asked = ask();
+			await fleet.run(20);
+			await asked;
+			if (round % 250 === 249) {
+				await fleet.run(1000);
+				counts.push(listeners());
+			}
+		}
+
+		// Polls in progress at the moment of counting listen too: one for each loop and call of the three watches.
+		expect(Math.max(...counts), String(counts)).to.be.at.most(12);
+		fleet.stop();
+	});
+
 	for (const testCase of cases) {
 		it(`${testCase.name} (guards against ${testCase.guardsAgainst})`, async () => {
 			const fleet = new Fleet(testCase.options);
--- a/packages/group/src/groupMonitor.ts
+++ b/packages/group/src/groupMonitor.ts
@@ -1,6 +1,6 @@
 import {setMaxListeners} from 'node:events';
 import {
-	type Clock, type DatabaseControl, type DatabaseGroupSpec, type DatabaseStatus, type DatabaseView, FailureError, type GroupState, type GroupView, type LogPosition,
+	childSignal, type Clock, type DatabaseControl, type DatabaseGroupSpec, type DatabaseStatus, type DatabaseView, FailureError, type GroupState, type GroupView, type LogPosition,
 	type PromotionRecord, type WaitAnswer, zeroPosition,
 } from '@crocusloom/model';
 import {AgeSamples} from './ageSamples.js';
@@ -108,7 +108,12 @@
 	}
 
 	async commitPosition(signal: AbortSignal): Promise<LogPosition> {
-		return this.probe.ask(AbortSignal.any([signal, this.signal]));
+		const owned = childSignal(signal, this.signal);
+		try {
+			return await this.probe.ask(owned.signal);
+		} finally {
+			owned.release();
+		}
 	}
 
 	async waitForDatabase(database: string, position: LogPosition, timeoutMs: number, signal: AbortSignal): Promise<boolean> {
@@ -209,9 +214,9 @@
 
 		// A fresh object for each wait, because two waits for one position end separately.
 		const target = {...position};
-		const owned = AbortSignal.any([signal, this.signal]);
+		const owned = childSignal(signal, this.signal);
 		const result = waitUntil({
-			clock: this.options.clock, limitMs: timeoutMs, signal: owned, listeners: this.listeners, settle,
+			clock: this.options.clock, limitMs: timeoutMs, signal: owned.signal, listeners: this.listeners, settle,
 		});
 		for (const watch of watches) {
 			watch.want(target);
@@ -223,13 +228,14 @@
 			for (const watch of watches) {
 				watch.unwant(target);
 			}
+
+			owned.release();
 		}
 	}
 
 	private async probeOnce(): Promise<LogPosition> {
 		const observations: Observation[] = [];
-		const controller = new AbortController();
-		const signal = AbortSignal.any([this.signal, controller.signal]);
+		const {signal, abort, release} = childSignal(this.signal);
 		const found = () => confirmedPosition(this.countableObservations(observations), this.watches.length, this.mechanisms.majorityProbe)?.position;
 		const arrivals = new Set<() => void>();
 		const result = waitUntil({
@@ -245,7 +251,8 @@
 		try {
 			return await result ?? this.refuse('no majority confirmed a primary within the time limit');
 		} finally {
-			controller.abort();
+			abort();
+			release();
 		}
 	}
 
--- a/packages/group/src/sqlDatabaseControl.ts
+++ b/packages/group/src/sqlDatabaseControl.ts
@@ -1,5 +1,5 @@
 import {
-	type BackendDialer, type Clock, type DatabaseControl, type DatabaseStatus, FailureError, type FenceAnswer, type LogPosition, type RandomSource, type Step, type WaitAnswer,
+	type BackendDialer, childSignal, type Clock, type DatabaseControl, type DatabaseStatus, FailureError, type FenceAnswer, type LogPosition, type RandomSource, type Step, type WaitAnswer,
 } from '@crocusloom/model';
 import {ControlConnection, type Row} from './controlConnection.js';
 import {databaseFailure, withTimeLimit} from './timeLimit.js';
@@ -87,10 +87,10 @@
 		const failure = databaseFailure(step, this.database, `no answer within ${limitMs} ms`);
 		let used: ControlConnection | undefined;
 		let isOverLimit = true;
-		const both = AbortSignal.any([signal, this.lifetime.signal]);
+		const both = childSignal(signal, this.lifetime.signal);
 		try {
 			return await withTimeLimit({
-				clock: this.options.clock, limitMs, signal: both, failure,
+				clock: this.options.clock, limitMs, signal: both.signal, failure,
 			}, async () => {
 				used = await this.connect();
 				try {
@@ -100,9 +100,11 @@
 				}
 			});
 		} finally {
-			if (isOverLimit && !both.aborted) {
+			if (isOverLimit && !both.signal.aborted) {
 				used?.close();
 			}
+
+			both.release();
 		}
 	}
 
--- a/packages/group/src/timeLimit.ts
+++ b/packages/group/src/timeLimit.ts
@@ -1,4 +1,6 @@
-import {type Clock, type Failure, FailureError} from '@crocusloom/model';
+import {
+	childSignal, type Clock, type Failure, FailureError,
+} from '@crocusloom/model';
 
 export type TimeLimit = {
 	readonly clock: Clock;
@@ -17,12 +19,12 @@
  */
 export async function withTimeLimit<T>(limit: TimeLimit, run: (signal: AbortSignal) => Promise<T>): Promise<T> {
 	limit.signal.throwIfAborted();
-	const controller = new AbortController();
-	const signal = AbortSignal.any([limit.signal, controller.signal]);
+	const {signal, abort, release} = childSignal(limit.signal);
 	try {
 		return await Promise.race([run(signal), failAfter(limit, signal)]);
 	} finally {
-		controller.abort();
+		abort();
+		release();
 	}
 }
 
--- a/packages/group/src/waitUntil.ts
+++ b/packages/group/src/waitUntil.ts
@@ -1,4 +1,4 @@
-import {type Clock, deferred} from '@crocusloom/model';
+import {childSignal, type Clock, deferred} from '@crocusloom/model';
 
 export type WaitOptions<T> = {
 	readonly clock: Clock;
@@ -25,14 +25,15 @@
 		}
 	};
 
-	const timer = new AbortController();
+	const timer = childSignal(signal);
 	listeners.add(check);
 	check();
 	try {
-		return await Promise.race([settled.promise, endAfter(clock, limitMs, AbortSignal.any([signal, timer.signal]))]);
+		return await Promise.race([settled.promise, endAfter(clock, limitMs, timer.signal)]);
 	} finally {
 		listeners.delete(check);
 		timer.abort();
+		timer.release();
 	}
 }
 
