Count the bytes on monitor connections

Cause: the bytes of status questions and waits count towards the budget of control traffic, but no metric showed them. SqlDatabaseControl takes optional metrics and counts monitor_sent_bytes_total and monitor_received_bytes_total; the daemon has yet to pass its metrics. The test fails without the counts.

--- a/packages/group/src/__tests__/sqlDatabaseControl.test.ts
+++ b/packages/group/src/__tests__/sqlDatabaseControl.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {
-	type BackendConnection, type BackendDialer, systemClock, systemRandom,
+	type BackendConnection, type BackendDialer, type Metrics, noMetrics, systemClock, systemRandom,
 } from '@crocusloom/model';
 import {
 	commandComplete, dataRow, errorResponse, FrameReader, frontend, readyForQuery, rowDescription,
@@ -78,8 +78,8 @@
 
 describe('SqlDatabaseControl', () => {
 	const {signal} = new AbortController();
-	const make = (script: Script, sent: string[] = []) => new SqlDatabaseControl({
-		database: 'a', address: '127.0.0.1', port: 1, dialer: scriptedDialer(script, sent), clock: systemClock, random: systemRandom,
+	const make = (script: Script, sent: string[] = [], metrics?: Metrics) => new SqlDatabaseControl({
+		database: 'a', address: '127.0.0.1', port: 1, dialer: scriptedDialer(script, sent), clock: systemClock, random: systemRandom, metrics,
 	});
 
 	it('reads a status by column name (guards against a column order other than the documented one)', async () => {
@@ -90,6 +90,19 @@
 		control.close();
 	});
 
+	it('counts the bytes of a status question and its answer (guards against control traffic that no metric shows)', async () => {
+		const bytes = new Map<string, number>();
+		const count: Metrics['count'] = (name, _labels, by = 1) => {
+			bytes.set(name, (bytes.get(name) ?? 0) + by);
+		};
+
+		const control = make(() => statusReply, [], {...noMetrics, count});
+		await control.status(signal);
+		const answerBytes = rowDescription(statusColumns.map(name => ({name}))).length + dataRow(statusReply.values).length + commandComplete('SELECT 1').length + readyForQuery('I').length;
+		expect(Object.fromEntries(bytes)).to.deep.equal({monitor_sent_bytes_total: 'Q....SELECT * FROM crocusloom_status().'.length, monitor_received_bytes_total: answerBytes});
+		control.close();
+	});
+
 	const changes = [
 		{answer: 't', accepted: true},
 		{answer: 'f', accepted: false},
--- a/packages/group/src/controlConnection.ts
+++ b/packages/group/src/controlConnection.ts
@@ -1,4 +1,6 @@
-import {type BackendConnection, FailureError, type Step} from '@crocusloom/model';
+import {
+	type BackendConnection, FailureError, type Metrics, type Step,
+} from '@crocusloom/model';
 import {
 	backend, buildFrame, cString, errorField, type Frame, frameHeaderBytes, FrameReader, frontend, readCString, readDataRow,
 } from '@crocusloom/wire';
@@ -21,7 +23,7 @@
 	private readonly pending: PendingQuery[] = [];
 	private isOpen = true;
 
-	constructor(private readonly database: string, private readonly connection: BackendConnection) {
+	constructor(private readonly database: string, private readonly connection: BackendConnection, private readonly metrics: Metrics) {
 		void this.readAnswers();
 	}
 
@@ -44,7 +46,9 @@
 			this.pending.push({
 				columns: [], rows: [], resolve, reject, step,
 			});
-			this.connection.write(buildFrame(frontend.query, cString(sql)));
+			const frame = buildFrame(frontend.query, cString(sql));
+			this.metrics.count('monitor_sent_bytes_total', undefined, frame.length);
+			this.connection.write(frame);
 		});
 	}
 
@@ -65,6 +69,7 @@
 		const reader = new FrameReader(this.database);
 		try {
 			for await (const chunk of this.connection.read()) {
+				this.metrics.count('monitor_received_bytes_total', undefined, chunk.length);
 				for (const frame of reader.push(chunk)) {
 					this.takeFrame(frame);
 				}
--- a/packages/group/src/sqlDatabaseControl.ts
+++ b/packages/group/src/sqlDatabaseControl.ts
@@ -1,5 +1,6 @@
 import {
-	type BackendDialer, childSignal, type Clock, type DatabaseControl, type DatabaseStatus, FailureError, type FenceAnswer, type LogPosition, type RandomSource, type Step, type WaitAnswer,
+	type BackendDialer, childSignal, type Clock, type DatabaseControl, type DatabaseStatus, FailureError, type FenceAnswer, type LogPosition, type Metrics, noMetrics,
+	type RandomSource, type Step, type WaitAnswer,
 } from '@crocusloom/model';
 import {ControlConnection, type Row} from './controlConnection.js';
 import {databaseFailure, withTimeLimit} from './timeLimit.js';
@@ -12,6 +13,8 @@
 	readonly dialer: BackendDialer;
 	readonly clock: Clock;
 	readonly random: RandomSource;
+	/** Counts the bytes on the monitor connection. */
+	readonly metrics?: Metrics;
 };
 
 const statusSql = 'SELECT * FROM crocusloom_status()';
@@ -142,7 +145,7 @@
 				return connection;
 			});
 			this.dialFailures = 0;
-			this.connection = new ControlConnection(database, dialled);
+			this.connection = new ControlConnection(database, dialled, this.options.metrics ?? noMetrics);
 			return this.connection;
 		} catch (error) {
 			this.delayNextDial();
