--- a/packages/group/src/__tests__/promotion.test.ts
+++ b/packages/group/src/__tests__/promotion.test.ts
@@ -1,6 +1,7 @@
+import {getEventListeners} from 'node:events';
 import {expect} from 'chai';
 import {type PromotionRecord} from '@crocusloom/model';
-import {Fleet, type FleetOptions} from './fakeProxies.js';
+import {Fleet, type FleetOptions, loseReplica} from './fakeProxies.js';
 
 /** Goal of design section 7 for a change of primary. */
 const goalMs = 2000;
@@ -135,6 +136,91 @@
 		},
 		leaders: ['b', 'c'],
 	},
+	{
+		name: 'replica restarted empty before the primary fails',
+		guardsAgainst: 'a majority with a database that forgot acknowledged writes',
+		async faults(fleet) {
+			await loseReplica(fleet);
+			expect(fleet.group.promotions.map(({term}) => term), 'no promotion without a majority with state').to.deep.equal([1]);
+			fleet.group.get('a').isDown = false;
+			fleet.group.get('b').rate = 100;
+		},
+		leaders: ['a', 'b', 'c'],
+	},
+	{
+		name: 'primary restarted empty',
+		guardsAgainst: 'a group that waits for a primary without state',
+		faults(fleet) {
+			fleet.group.get('a').loseState();
+		},
+		leaders: ['b', 'c'],
+	},
+	{
+		name: 'empty database on the side of a replaced primary',
+		guardsAgainst: 'a replaced primary that acknowledges with a database which forgot the later fence',
+		async faults(fleet) {
+			fleet.isolate('a', 'p0');
+			await fleet.run(goalMs);
+			expect(await fleet.served(fleet.write(fleet.proxies[1]!, fleet.leaders[0]!)), 'write in the new term').to.equal(true);
+			fleet.group.cuts.clear();
+			const [lost, kept] = fleet.leaders[0] === 'b' ? ['c', 'b'] : ['b', 'c'];
+			fleet.group.get(lost).loseState();
+			fleet.group.get(kept).isDown = true;
+			await fleet.run(1000);
+			expect(await fleet.served(fleet.write(fleet.proxies[0]!, 'a')), 'write in the old term').to.equal(false);
+			fleet.group.get(kept).isDown = false;
+		},
+		leaders: ['b', 'c'],
+	},
+	{
+		name: 'replication cut alone',
+		guardsAgainst: 'a primary that its monitors reach and that can acknowledge nothing',
+		faults(fleet) {
+			fleet.group.cut('a', 'b');
+			fleet.group.cut('a', 'c');
+		},
+		leaders: ['b', 'c'],
+		outcomes: ['promoted'],
+	},
+	{
+		name: 'replicas that are only slow',
+		guardsAgainst: 'a change of primary because of lag',
+		async faults(fleet) {
+			for (const name of ['b', 'c']) {
+				fleet.group.get(name).rate = 0;
+			}
+
+			for (let round = 0; round < 30; round++) {
+				void fleet.served(fleet.write(fleet.proxies[0]!, 'a'), 0);
+				await fleet.run(100);
+				const slow = fleet.group.get(round % 8 < 4 ? 'b' : 'c');
+				slow.rate = 1;
+				await fleet.run(16);
+				slow.rate = 0;
+			}
+
+			for (const name of ['b', 'c']) {
+				fleet.group.get(name).rate = 100;
+			}
+		},
+		leaders: ['a'],
+		outcomes: [],
+	},
+	{
+		name: 'replicas that receive nothing from any primary',
+		guardsAgainst: 'one change of primary after another',
+		async faults(fleet) {
+			for (const database of fleet.group.databases) {
+				database.rate = 0;
+			}
+
+			void fleet.served(fleet.write(fleet.proxies[0]!, 'a'), 0);
+			await fleet.run(8000);
+			expect(fleet.group.promotions.map(({term}) => term)).to.deep.equal([1, 2]);
+			fleet.group.heal();
+		},
+		leaders: ['b', 'c'],
+	},
 	{
 		name: 'no database leads at the start',
 		guardsAgainst: 'a new group that never gets a primary',
@@ -166,6 +252,31 @@
 ];
 
 describe('promotion', () => {
+	it('leaves no listeners at the monitor\'s signal after 1,000 probes and waits (guards against memory that grows with each call)', async () => {
+		const fleet = new Fleet({ranks: [0]});
+		await fleet.run(1000);
+		const [{monitor}] = fleet.proxies as [Fleet['proxies'][0]];
+		const caller = new AbortController();
+		const position = {term: 1, offsetBytes: 1};
+		const unheld = {term: 1, offsetBytes: 99};
+		const ask = async () => Promise.all([monitor.commitPosition(caller.signal), monitor.waitForMajority(unheld, 5, caller.signal), monitor.waitForDatabase('b', position, 5, caller.signal)]);
+		const listeners = () => getEventListeners(monitor.signal, 'abort').length + getEventListeners(caller.signal, 'abort').length;
+		const counts: number[] = [];
+		for (let round = 0; round < 1000; round++) {
+			const asked = ask();
+			await fleet.run(20);
+			await asked;
+			if (round % 250 === 249) {
+				await fleet.run(1000);
+				counts.push(listeners());
+			}
+		}
+
+		// Polls in progress at the moment of counting listen too: one for each loop and call of the three watches.
+		expect(Math.max(...counts), String(counts)).to.be.at.most(12);
+		fleet.stop();
+	});
+
 	for (const testCase of cases) {
 		it(`${testCase.name} (guards against ${testCase.guardsAgainst})`, async () => {
 			const fleet = new Fleet(testCase.options);
--- a/packages/group/src/__tests__/schedules.test.ts
+++ b/packages/group/src/__tests__/schedules.test.ts
@@ -15,6 +15,7 @@
 const fault = fc.oneof(
 	fc.record({kind: fc.constant('kill' as const), database}),
 	fc.record({kind: fc.constant('restart' as const), database}),
+	fc.record({kind: fc.constant('restartEmpty' as const), database}),
 	fc.record({kind: fc.constant('freeze' as const), database}),
 	fc.record({kind: fc.constant('thaw' as const), database}),
 	fc.record({kind: fc.constant('lag' as const), database}),
@@ -24,6 +25,7 @@
 	fc.record({kind: fc.constant('pause' as const), proxy}),
 	fc.record({kind: fc.constant('resume' as const), proxy}),
 	fc.record({kind: fc.constant('lose' as const), database, call: fc.constantFrom('fence' as const, 'promote' as const, 'follow' as const, 'status' as const)}),
+	fc.record({kind: fc.constant('cutReplication' as const), database}),
 	fc.record({kind: fc.constant('leave' as const), database}),
 	fc.record({kind: fc.constant('heal' as const)}),
 );
@@ -36,6 +38,13 @@
 	restart(fleet, {database: name}) {
 		fleet.group.get(name).isDown = false;
 	},
+	restartEmpty(fleet, {database: name}) {
+		// At most a minority of three lacks its state at a time.
+		if (fleet.group.databases.every(other => other.name === name || !other.isEmpty)) {
+			fleet.group.get(name).isDown = false;
+			fleet.group.get(name).loseState();
+		}
+	},
 	freeze(fleet, {database: name}) {
 		fleet.group.get(name).gate.shut();
 	},
@@ -63,6 +72,11 @@
 	lose(fleet, {database: name, call}) {
 		fleet.group.lostAnswers.push({database: name, call});
 	},
+	cutReplication(fleet, {database: name}) {
+		for (const other of databases) {
+			fleet.group.cut(name, other);
+		}
+	},
 	leave(fleet, {database: name}) {
 		fleet.leave(name);
 	},
@@ -109,7 +123,8 @@
 	}
 
 	const servedBefore = fleet.acknowledged.length;
-	const isServing = () => fleet.leaders.length > 0 && fleet.acknowledged.length > servedBefore;
+	// A primary that restarted empty has no log to compare with until another is promoted.
+	const isServing = () => fleet.isNewestPromotionLeading() && fleet.acknowledged.length > servedBefore;
 	const endMs = fleet.clock.nowMs() + recoveryLimitMs;
 	const [caller] = fleet.proxies;
 	while (!isServing() && fleet.clock.nowMs() < endMs) {
--- a/packages/group/src/groupMonitor.ts
+++ b/packages/group/src/groupMonitor.ts
@@ -1,10 +1,11 @@
 import {setMaxListeners} from 'node:events';
 import {
-	type Clock, type DatabaseControl, type DatabaseGroupSpec, type DatabaseView, FailureError, type GroupState, type GroupView, type LogPosition, type PromotionRecord, type WaitAnswer, zeroPosition,
+	childSignal, type Clock, type DatabaseControl, type DatabaseGroupSpec, type DatabaseStatus, type DatabaseView, FailureError, type GroupState, type GroupView, type LogPosition,
+	type PromotionRecord, type WaitAnswer, zeroPosition,
 } from '@crocusloom/model';
 import {AgeSamples} from './ageSamples.js';
 import {
-	confirmedPosition, findLeader, majorityOf, type Observation,
+	confirmedPosition, findLeader, hasState, isNewGroup, majorityOf, type Observation,
 } from './confirmation.js';
 import {DatabaseWatch} from './databaseWatch.js';
 import {allMechanisms, type Mechanisms} from './mechanisms.js';
@@ -107,7 +108,12 @@
 	}
 
 	async commitPosition(signal: AbortSignal): Promise<LogPosition> {
-		return this.probe.ask(AbortSignal.any([signal, this.signal]));
+		const owned = childSignal(signal, this.signal);
+		try {
+			return await this.probe.ask(owned.signal);
+		} finally {
+			owned.release();
+		}
 	}
 
 	async waitForDatabase(database: string, position: LogPosition, timeoutMs: number, signal: AbortSignal): Promise<boolean> {
@@ -155,6 +161,20 @@
 		return this.watches.map(watch => watch.latest).filter(observation => observation !== undefined);
 	}
 
+	/** Tells whether a status counts towards a majority. */
+	counts(status: DatabaseStatus): boolean {
+		return !this.mechanisms.stateRequired || hasState(status);
+	}
+
+	/** The statuses that count towards a majority: those of databases with state, or all if the whole group is new. */
+	countable(statuses: readonly DatabaseStatus[]): readonly DatabaseStatus[] {
+		return isNewGroup(statuses, this.watches.length) ? statuses : statuses.filter(status => this.counts(status));
+	}
+
+	private countableObservations(observations: readonly Observation[]): readonly Observation[] {
+		return observations.filter(({status}) => this.counts(status));
+	}
+
 	private viewOf(watch: DatabaseWatch): DatabaseView {
 		const status = watch.latest?.status;
 		return {
@@ -169,8 +189,8 @@
 	}
 
 	private majorityPosition(term: number): LogPosition {
-		const offsets = this.watches.map(({latest}) => latest?.status.position)
-			.map(position => position?.term === term ? position.offsetBytes : -1)
+		const offsets = this.watches.map(({latest}) => latest?.status)
+			.map(status => status && this.counts(status) && status.position.term === term ? status.position.offsetBytes : -1)
 			.toSorted((a, b) => b - a);
 		const offsetBytes = offsets[this.majority - 1]!;
 		return offsetBytes < 0 ? zeroPosition : {term, offsetBytes};
@@ -194,9 +214,9 @@
 
 		// A fresh object for each wait, because two waits for one position end separately.
 		const target = {...position};
-		const owned = AbortSignal.any([signal, this.signal]);
+		const owned = childSignal(signal, this.signal);
 		const result = waitUntil({
-			clock: this.options.clock, limitMs: timeoutMs, signal: owned, listeners: this.listeners, settle,
+			clock: this.options.clock, limitMs: timeoutMs, signal: owned.signal, listeners: this.listeners, settle,
 		});
 		for (const watch of watches) {
 			watch.want(target);
@@ -208,14 +228,15 @@
 			for (const watch of watches) {
 				watch.unwant(target);
 			}
+
+			owned.release();
 		}
 	}
 
 	private async probeOnce(): Promise<LogPosition> {
 		const observations: Observation[] = [];
-		const controller = new AbortController();
-		const signal = AbortSignal.any([this.signal, controller.signal]);
-		const found = () => confirmedPosition(observations, this.watches.length, this.mechanisms.majorityProbe)?.position;
+		const {signal, abort, release} = childSignal(this.signal);
+		const found = () => confirmedPosition(this.countableObservations(observations), this.watches.length, this.mechanisms.majorityProbe)?.position;
 		const arrivals = new Set<() => void>();
 		const result = waitUntil({
 			clock: this.options.clock, limitMs: probeLimitMs, signal, listeners: arrivals, settle: found,
@@ -230,7 +251,8 @@
 		try {
 			return await result ?? this.refuse('no majority confirmed a primary within the time limit');
 		} finally {
-			controller.abort();
+			abort();
+			release();
 		}
 	}
 
@@ -245,7 +267,7 @@
 	}
 
 	private takeObservations(): void {
-		const sample = confirmedPosition(this.observations(), this.watches.length, this.mechanisms.confirmedSamples);
+		const sample = confirmedPosition(this.countableObservations(this.observations()), this.watches.length, this.mechanisms.confirmedSamples);
 		if (sample) {
 			this.samples.add(sample);
 		}
