End statements in flight on a lost database

Cause: a frozen primary (SIGSTOP) keeps its connections open, and the holder ended an exchange only with its connection. A write in flight held its slot and its caller until the process ran again.

The holder now checks its group view every 100 ms while units of work are open. It ends reads and writes at a database that is silent for more than 600 ms, and writes at one that is no longer the primary of the newest term, with the outcome unknown. Idle connections are closed and waiting statements refused as not run.

Ruled out: a limit on the run time of a statement, which would end slow statements on a reachable server; the backend's socket, which shows no error before the TCP retransmission limit. Two checks must find silence, because after a pause of this process the first one precedes the reading of answers.

Test: lossWatch.test.ts fails without it.

--- a/packages/work/src/__tests__/fakes.ts
+++ b/packages/work/src/__tests__/fakes.ts
@@ -374,9 +374,14 @@
 		return this.current;
 	}
 
-	async waitForMajority(position: LogPosition): Promise<WaitAnswer> {
+	async waitForMajority(position: LogPosition, _timeoutMs: number, signal: AbortSignal): Promise<WaitAnswer> {
 		this.waits.push(position);
-		await this.gate;
+		const aborted = new Promise<never>((_resolve, reject) => {
+			signal.addEventListener('abort', () => {
+				reject(signal.reason as Error);
+			}, {once: true});
+		});
+		await (this.gate && Promise.race([this.gate, aborted]));
 		return this.answer;
 	}
 
--- a/packages/work/src/admissionQueue.ts
+++ b/packages/work/src/admissionQueue.ts
@@ -84,6 +84,17 @@
 		}
 	}
 
+	/** Refuses all waiting statements, because the database cannot run them. */
+	refuseWaiting(reason: NotRunReason, message: string): void {
+		for (const {transactions, fresh} of this.ordered) {
+			for (const queue of [transactions, fresh]) {
+				for (let ticket = queue.shift(); ticket; ticket = queue.shift()) {
+					ticket.reject(this.refusal(reason, message));
+				}
+			}
+		}
+	}
+
 	/** Counts per rank. */
 	stats(): HolderStats['ranks'] {
 		const nowMs = this.clock.nowMs();
--- a/packages/work/src/connectionPool.ts
+++ b/packages/work/src/connectionPool.ts
@@ -209,6 +209,13 @@
 		}
 	}
 
+	/** Closes idle connections and refuses those who wait for one, because the database does not answer. */
+	dropAll(reason: string): void {
+		this.closeIdle();
+		this.rejectWaiters(reason);
+		this.onAvailable();
+	}
+
 	close(): void {
 		this.stop.abort();
 		this.closeIdle();
--- a/packages/work/src/heldDatabase.ts
+++ b/packages/work/src/heldDatabase.ts
@@ -6,6 +6,7 @@
 import {AdmissionQueue} from './admissionQueue.js';
 import {type AdmissionLimits} from './rankState.js';
 import {connectionBudget, ConnectionPool, type PoolTarget} from './connectionPool.js';
+import {LossWatch} from './lossWatch.js';
 
 /** Longest wait for a replica to reach the position that a read needs. */
 export const freshnessWaitMs = 20;
@@ -24,6 +25,8 @@
 export class HeldDatabase {
 	readonly queue: AdmissionQueue;
 	readonly pool: ConnectionPool;
+	/** Ends units of work when this database is lost. */
+	readonly losses: LossWatch;
 	readonly metricLabels: Readonly<Record<string, string>>;
 	private database: DatabaseSpec;
 	private groupSpec: DatabaseGroupSpec;
@@ -47,6 +50,13 @@
 				this.pool.reserve();
 			},
 		});
+		this.losses = new LossWatch(found.database.name, ports.clock, {
+			view: () => ports.groupViews.get(group),
+			onUnreachable: reason => {
+				this.pool.dropAll(reason);
+				this.queue.refuseWaiting('unreachable', reason);
+			},
+		});
 	}
 
 	get name(): string {
@@ -93,7 +103,7 @@
 	}
 
 	/**
-	 * Checks what must hold when the work starts: role, leaving mark, age.
+	 * Checks what must hold when the work starts: leaving mark, reachability, role, age.
 	 * @throws FailureError `notRun`
 	 */
 	checkDemands(request: WorkRequest): void {
@@ -101,6 +111,10 @@
 			throw this.refusal('leaving', 'the database takes no new work');
 		}
 
+		if (this.losses.isUnreachable) {
+			throw this.refusal('unreachable', 'the database does not answer its monitor');
+		}
+
 		const view = this.view();
 		if (request.mode === 'write' && view.state().primary !== this.name) {
 			throw this.refusal('notPrimary', `the primary is ${view.state().primary ?? 'not known'}`);
--- a/packages/work/src/localWork.ts
+++ b/packages/work/src/localWork.ts
@@ -1,11 +1,12 @@
 import {
-	FailureError, holdsPosition, type ExchangeOptions, type ExchangeResult, type FrameSink, type LogPosition,
-	type PreparedStatement, type Span, type Step, type Work, type WorkRequest,
+	childSignal, FailureError, holdsPosition, type ExchangeOptions, type ExchangeResult, type FrameSink, type GroupView, type LogPosition,
+	type PreparedStatement, type Span, type StatementMode, type Step, type WaitAnswer, type Work, type WorkRequest,
 } from '@crocusloom/model';
 import {AnswerReader} from './answerReader.js';
 import {type PooledConnection} from './connectionPool.js';
 import {countReadyRequests} from './frameWalk.js';
 import {type HeldDatabase} from './heldDatabase.js';
+import {type EndableWork} from './lossWatch.js';
 import {rollBack} from './rollBack.js';
 import {StallGuard} from './stallGuard.js';
 import {queryMessage} from './startup.js';
@@ -23,7 +24,7 @@
 const positionQuery = queryMessage('SELECT * FROM crocusloom_position()');
 
 /** A unit of work at a database that this process holds. */
-export class LocalWork implements Work {
+export class LocalWork implements Work, EndableWork {
 	private readonly span: Span;
 	private pooled: PooledConnection | undefined;
 	private transactionStatus: 'I' | 'T' | 'E' = 'I';
@@ -32,11 +33,18 @@
 	private isCancelled = false;
 	private isRunning = false;
 	private isReleased = false;
+	/** Why the database was given up while this unit of work used it. */
+	private lossReason: string | undefined;
+	private endMajorityWait: (() => void) | undefined;
 
 	constructor(private readonly held: HeldDatabase, private readonly request: WorkRequest) {
 		this.span = held.ports.tracer.start('holder', request.traceparent, {database: request.database, rank: request.rank});
 	}
 
+	get mode(): StatementMode {
+		return this.request.mode;
+	}
+
 	async exchange(frames: Buffer, sink: FrameSink, options: ExchangeOptions): Promise<ExchangeResult> {
 		if (this.isReleased || this.isRunning) {
 			throw this.notRun('the unit of work is released or runs another exchange');
@@ -81,6 +89,14 @@
 		}
 	}
 
+	/** The connection's end makes a running exchange fail as unknown; one that was not sent yet fails as not run. */
+	end(reason: string): void {
+		this.lossReason = reason;
+		this.isPoisoned = true;
+		this.pooled?.connection.close();
+		this.endMajorityWait?.();
+	}
+
 	private async runWithSlot(frames: Buffer, sink: FrameSink, options: ExchangeOptions): Promise<ExchangeResult> {
 		const {held, request} = this;
 		const {clock, metrics} = held.ports;
@@ -126,6 +142,7 @@
 		}
 
 		this.pooled = pool.take() ?? await pool.acquire(signal);
+		this.held.losses.add(this);
 		return this.pooled;
 	}
 
@@ -169,7 +186,7 @@
 		for (;;) {
 			const {done, value: chunk} = await pooled.answers.next();
 			if (done) {
-				throw this.unknown('execute', reader.fatalMessage ?? 'the connection ended before the answer was complete');
+				throw this.unknown('execute', this.lossReason ?? reader.fatalMessage ?? 'the connection ended before the answer was complete');
 			}
 
 			const parts = reader.push(chunk);
@@ -226,7 +243,7 @@
 				return;
 			}
 
-			const answer = await view.waitForMajority(position, majorityWaitMs, options.signal);
+			const answer = await this.waitForMajority(view, position, options.signal);
 			if (answer === 'reached') {
 				return;
 			}
@@ -234,7 +251,26 @@
 			throw this.unknown('acknowledge', answer === 'superseded' ? 'the primary was replaced' : 'no majority confirmed the position in time');
 		} catch (error) {
 			this.isPoisoned = true;
-			throw error instanceof FailureError && error.failure.kind === 'unknown' ? error : this.unknown('acknowledge', String(error));
+			throw error instanceof FailureError && error.failure.kind === 'unknown' ? error : this.unknown('acknowledge', this.lossReason ?? String(error));
+		}
+	}
+
+	/** The wait ends with the loss of the database. */
+	private async waitForMajority(view: GroupView, position: LogPosition, signal: AbortSignal): Promise<WaitAnswer> {
+		if (this.lossReason !== undefined) {
+			throw this.unknown('acknowledge', this.lossReason);
+		}
+
+		const ending = childSignal(signal);
+		this.endMajorityWait = () => {
+			ending.abort(new Error('the database was lost'));
+		};
+
+		try {
+			return await view.waitForMajority(position, majorityWaitMs, ending.signal);
+		} finally {
+			this.endMajorityWait = undefined;
+			ending.release();
 		}
 	}
 
@@ -251,6 +287,7 @@
 	private finish(): void {
 		const {pooled} = this;
 		this.pooled = undefined;
+		this.held.losses.remove(this);
 		if (!pooled) {
 			return;
 		}
