End work at a dead peer and run a lost read again

Cause: the entry proxy ended work at a peer only with the work channel. A frozen holder process keeps it open, so that a write in flight never ended, although the membership counted the peer as dead after 3 s. A read whose answer was lost was reported as unknown, although it may be repeated.

The channel pool follows the membership and closes the channels to dead or restarted peers, at a second look after 100 ms, because a pause of this process makes all peers seem dead. A peer that cannot be connected loses its running work only if its heartbeats stopped for a second as well. The dispatcher runs a lost read again, within the retry budget and at most three times, if no byte went to the caller. A refusal after a lost run is reported as unknown, because the first run may have happened. A read that a replica refuses with 25006 writes, so it is not repeated after a loss.

Ruled out: a time limit per exchange, which would end slow statements.

Tests: workChannel.test.ts and workDispatcher.test.ts fail without it.

--- a/packages/work/src/__tests__/workChannel.test.ts
+++ b/packages/work/src/__tests__/workChannel.test.ts
@@ -11,7 +11,7 @@
 import {WorkChannelPool} from '../workChannelPool.js';
 import {WorkServer} from '../workServer.js';
 import {
-	endlessSignal, exchangeOptions, failureOf, FakeConfiguration, FakeServer, FakeView, groupState, holderPorts, member, never, outcomeOf, query, RecordingSink, until, workRequest,
+	endlessSignal, exchangeOptions, failureOf, FakeConfiguration, FakeServer, FakeView, groupState, holderPorts, ManualClock, member, never, outcomeOf, query, RecordingSink, settle, until, workRequest,
 } from './fakes.js';
 
 /** A holder behind a work server on a port. */
@@ -132,6 +132,37 @@
 		peer.stop();
 	});
 
+	it('ends work at a peer that the membership counts as dead, at the second look (guards against work that waits for a frozen holder)', async () => {
+		const peer = await startPeer();
+		const clock = new ManualClock();
+		const channels = new WorkChannelPool({clock, tracer: noTracer}, endlessSignal());
+		const seen = {state: 'alive' as 'alive' | 'dead', change: () => undefined as void};
+		const target = member(peer.port);
+		channels.followMembership({
+			self: target, members: () => [{...target, state: seen.state}], holderOf: () => target, reportUnreachable: () => undefined, onChange(listener) {
+				seen.change = listener;
+			},
+		});
+		peer.server.gate = never();
+		const work = await channels.open(target, workRequest(), endlessSignal());
+		const running = outcomeOf(work.exchange(query('SLOW'), () => undefined, exchangeOptions()));
+		await until(() => peer.server.log.length === 1);
+		for (const [state, isEnded] of [['alive', false], ['dead', true]] as const) {
+			seen.state = 'dead';
+			seen.change();
+			await settle();
+			seen.state = state;
+			await clock.advance(200);
+			if (!isEnded) {
+				expect(peer.workServer.channelCount, 'a peer that is heard again keeps its work').to.equal(1);
+			}
+		}
+
+		expect(await running).to.include({kind: 'unknown', step: 'peer'});
+		work.release();
+		peer.stop();
+	});
+
 	it('says notRun for a refused connection (guards against a retry that is not allowed)', async () => {
 		const peer = await startPeer();
 		peer.stop();
--- a/packages/work/src/__tests__/workDispatcher.test.ts
+++ b/packages/work/src/__tests__/workDispatcher.test.ts
@@ -11,7 +11,7 @@
 	exchangeOptions, FakeConfiguration, groupState, ManualClock, member, never, outcomeOf, query, RecordingSink, seededRandom, until,
 } from './fakes.js';
 
-type Answer = 'ok' | 'readOnly' | NotRunReason | 'unknown';
+type Answer = 'ok' | 'readOnly' | NotRunReason | 'unknown' | 'lostMidway';
 
 const [self, peer] = ['self', 'peer'].map((host): Member => ({
 	...member(0), host,
@@ -19,7 +19,7 @@
 
 function failureFor(answer: Exclude<Answer, 'ok' | 'readOnly'>): Failure {
 	const base = {step: 'admission', peer: 'x', message: answer} as const;
-	return answer === 'unknown' ? {kind: 'unknown', ...base} : {kind: 'notRun', reason: answer, ...base};
+	return answer === 'unknown' || answer === 'lostMidway' ? {kind: 'unknown', ...base} : {kind: 'notRun', reason: answer, ...base};
 }
 
 /** A dispatcher whose holders answer as a test says; the primary `a` is held here, its replicas at a peer. */
@@ -34,6 +34,10 @@
 			requests.push(request);
 			const answer = answerOf(request, requests.length);
 			await world.gate;
+			if (answer === 'lostMidway') {
+				await sink(commandComplete('SELECT 0'));
+			}
+
 			if (answer !== 'ok' && answer !== 'readOnly') {
 				throw new FailureError(failureFor(answer));
 			}
@@ -81,6 +85,8 @@
 
 				return work(request);
 			},
+			followMembership: () => undefined,
+			endIfSilent: () => undefined,
 		},
 	);
 	const run = async (overrides: Partial<WorkIntent> = {}, sink = new RecordingSink()) =>
@@ -198,6 +204,21 @@
 		{
 			name: 'never repeats a write whose outcome is unknown', mode: 'write', answers: ['unknown', 'ok'], kind: 'unknown', attempts: 1,
 		},
+		{
+			name: 'repeats a read that was lost before the caller got a byte', mode: 'read', answers: ['unknown', 'ok'], attempts: 2,
+		},
+		{
+			name: 'never repeats a read of which the caller got a part', mode: 'read', answers: ['lostMidway', 'ok'], kind: 'unknown', attempts: 1,
+		},
+		{
+			name: 'never repeats a lost read that turns out to write', mode: 'read', answers: ['unknown', 'readOnly', 'ok'], kind: 'unknown', attempts: 2,
+		},
+		{
+			name: 'never repeats a lost write that was taken for a read', mode: 'read', answers: ['readOnly', 'unknown', 'ok'], kind: 'unknown', attempts: 2,
+		},
+		{
+			name: 'reports a read that is lost again and again', mode: 'read', answers: Array.from({length: 9}, () => 'unknown' as const), kind: 'unknown', attempts: 4,
+		},
 		{
 			name: 'does not repeat a shed write', mode: 'write', answers: ['shed', 'ok'], kind: 'notRun', attempts: 1,
 		},
--- a/packages/work/src/dispatchRun.ts
+++ b/packages/work/src/dispatchRun.ts
@@ -8,7 +8,8 @@
 	readonly frames: Buffer;
 	readonly sink: FrameSink;
 	readonly options: ExchangeOptions;
-	readonly deadlineMs: number;
+	/** End of the wait limit; a read that is run again after a loss gets a new one. */
+	deadlineMs: number;
 	/** Databases that refused this read. */
 	readonly excluded: Set<string>;
 	commitPosition?: LogPosition;
@@ -18,6 +19,12 @@
 	primaryOnly: boolean;
 	/** True once a replica that was behind was asked to wait. */
 	triedReplicaBehind: boolean;
+	/** Whether a byte of the answer went to the caller; kept for reads only. */
+	readonly progress: {hasForwarded: boolean};
+	/** Failures of the runs of this read whose answer was lost. */
+	readonly lostRuns: unknown[];
+	/** True once the read turned out to write, so that it must not be run twice. */
+	mayWrite: boolean;
 	pauseMs: number;
 	/** Term and primary at the last attempt. */
 	seen: string;
@@ -27,6 +34,19 @@
 export const firstPauseMs = 20;
 export const longestPauseMs = 320;
 
+/** Runs of a read that may be lost before the loss is reported. */
+const maximumLostRuns = 3;
+
+/**
+ * Tells whether a lost run may be followed by another one: only that of a read of which the caller has seen nothing.
+ */
+export function mayRunAgain(run: DispatchRun, error: unknown): boolean {
+	const {intent, options, progress} = run;
+	const isLost = error instanceof FailureError && error.failure.kind === 'unknown';
+	const isWanted = !options.signal.aborted && !options.cancelSignal?.aborted;
+	return isLost && isWanted && intent.mode === 'read' && !progress.hasForwarded && !run.mayWrite && run.lostRuns.length < maximumLostRuns;
+}
+
 /** Identifies who leads, so that a change of it is noticed. */
 export function leadershipOf(state: GroupState | undefined): string {
 	return `${state?.term ?? 0} ${state?.primary ?? ''}`;
--- a/packages/work/src/workChannelPool.ts
+++ b/packages/work/src/workChannelPool.ts
@@ -1,5 +1,5 @@
 import {
-	FailureError, type Clock, type Member, type Tracer, type Work, type WorkOpener, type WorkRequest,
+	FailureError, type Clock, type Member, type Membership, type Tracer, type Work, type WorkOpener, type WorkRequest,
 } from '@crocusloom/model';
 import {connectSocket} from './connectSocket.js';
 import {FrameSocket} from './frameSocket.js';
@@ -9,12 +9,19 @@
 const maximumIdleChannels = 64;
 /** Time after which an attempt to connect to a peer is given up. */
 const connectTimeoutMs = 1000;
+/** Time after which a peer that seems dead is looked at again; a pause of this process makes all peers seem dead until their heartbeats are read. */
+const secondLookMs = 100;
+/** Silence, two heartbeats long, that must go with a failed attempt to connect before the peer's running work is ended. */
+const unreachableSilenceMs = 1000;
 
 export type ChannelPorts = {readonly clock: Clock; readonly tracer: Tracer};
 
 /** Pooled TCP connections to the work servers of peers; each carries one unit of work at a time. */
 export class WorkChannelPool {
 	private readonly idle = new Map<string, FrameSocket[]>();
+	/** All open channels, idle or not, with the peer at the other end. */
+	private readonly connected = new Map<FrameSocket, Member>();
+	private membership: Membership | undefined;
 
 	/**
 	 * @param ports - clock and tracer
@@ -30,6 +37,19 @@
 		}, {once: true});
 	}
 
+	/** Ends the channels, and so the work, to peers that are dead, as often as the membership changes. */
+	followMembership(membership: Membership): void {
+		this.membership = membership;
+		membership.onChange(() => {
+			void this.endLost(member => isLost(membership, member));
+		}, this.signal);
+	}
+
+	/** Ends the work at a peer that cannot be connected, unless its heartbeats still arrive. */
+	endIfSilent(host: string): void {
+		void this.endLost(member => member.host === host && silentMs(this.membership, host) > unreachableSilenceMs);
+	}
+
 	/** Gives the opener of units of work at a peer. */
 	openerFor(member: Member): WorkOpener {
 		return {open: async (request, signal) => this.open(member, request, signal)};
@@ -46,6 +66,27 @@
 		});
 	}
 
+	private async endLost(isLostPeer: (member: Member) => boolean): Promise<void> {
+		const suspects = this.channelsTo(isLostPeer);
+		if (suspects.length === 0) {
+			return;
+		}
+
+		try {
+			await this.ports.clock.sleep(secondLookMs, this.signal);
+		} catch {
+			return;
+		}
+
+		for (const channel of this.channelsTo(isLostPeer)) {
+			channel.close();
+		}
+	}
+
+	private channelsTo(isWanted: (member: Member) => boolean): readonly FrameSocket[] {
+		return [...this.connected].filter(([, member]) => isWanted(member)).map(([channel]) => channel);
+	}
+
 	private takeIdle(member: Member): FrameSocket | undefined {
 		const channels = this.idle.get(channelKey(member));
 		for (;;) {
@@ -95,7 +136,9 @@
 		void this.ports.clock.sleep(connectTimeoutMs, finished.signal).then(abort, () => undefined);
 		try {
 			const channel = new FrameSocket(await connectSocket(member.address, member.workPort, attempt.signal), member.host);
+			this.connected.set(channel, member);
 			channel.closed.addEventListener('abort', () => {
+				this.connected.delete(channel);
 				this.forget(channelKey(member), channel);
 			}, {once: true});
 			return channel;
@@ -113,3 +156,13 @@
 function channelKey({host, address, workPort, incarnation}: Member): string {
 	return `${host} ${address}:${workPort} ${incarnation}`;
 }
+
+/** A peer of which only another process is known was restarted. */
+function isLost(membership: Membership, {host, incarnation}: Member): boolean {
+	const known = membership.members().find(member => member.host === host);
+	return known === undefined || known.state === 'dead' || known.incarnation !== incarnation;
+}
+
+function silentMs(membership: Membership | undefined, host: string): number {
+	return membership?.members().find(member => member.host === host)?.silentMs ?? Number.POSITIVE_INFINITY;
+}
--- a/packages/work/src/workDispatcher.ts
+++ b/packages/work/src/workDispatcher.ts
@@ -7,7 +7,7 @@
 import {DatabaseChoice} from './databaseChoice.js';
 import {DatabaseLoads} from './databaseLoad.js';
 import {
-	firstPauseMs, leadershipOf, longestPauseMs, notRunReason, refuse, remedyFor, type DispatchRun,
+	firstPauseMs, leadershipOf, longestPauseMs, mayRunAgain, notRunReason, refuse, remedyFor, type DispatchRun,
 } from './dispatchRun.js';
 import {FirstAnswerSink} from './firstAnswerSink.js';
 import {type Holder} from './holder.js';
@@ -43,23 +43,28 @@
 	constructor(
 		private readonly ports: DispatcherPorts,
 		private readonly holder: Pick<Holder, 'openNow' | 'stats'>,
-		private readonly channels: Pick<WorkChannelPool, 'open'>,
+		private readonly channels: Pick<WorkChannelPool, 'open' | 'followMembership' | 'endIfSilent'>,
 	) {
+		channels.followMembership(ports.membership);
 		this.choice = new DatabaseChoice(ports, this.loads);
 	}
 
 	async dispatch(intent: WorkIntent, frames: Buffer, sink: FrameSink, options: ExchangeOptions): Promise<Dispatched> {
 		this.budget.noteRequest(intent.group, intent.callerKey);
+		const progress = {hasForwarded: false};
 		const run: DispatchRun = {
 			intent,
 			frames,
-			sink,
+			sink: intent.mode === 'read' ? noteForwarded(progress, sink) : sink,
 			options,
 			deadlineMs: this.ports.clock.nowMs() + intent.waitLimitMs,
 			excluded: new Set(),
 			hasChosen: false,
 			primaryOnly: false,
 			triedReplicaBehind: false,
+			progress,
+			lostRuns: [],
+			mayWrite: false,
 			pauseMs: firstPauseMs,
 			seen: '',
 		};
@@ -71,7 +76,8 @@
 				}
 			} catch (error) {
 				if (!await this.mayRepeat(run, error)) {
-					throw error;
+					// A refusal of a later run does not say that nothing ran.
+					throw run.lostRuns.at(-1) ?? error;
 				}
 			}
 		}
@@ -121,6 +127,11 @@
 		const dispatched = await this.runFirst(run, work, first.sink);
 		if (dispatched.result.sqlState === readOnlyTransaction && first.isUntouched) {
 			work.release();
+			run.mayWrite = true;
+			if (run.lostRuns.length > 0) {
+				throw run.lostRuns.at(-1);
+			}
+
 			run.primaryOnly = true;
 			this.ports.metrics.count('reads_rerun_at_primary', {group: run.intent.group});
 			return undefined;
@@ -174,6 +185,7 @@
 		} catch (error) {
 			if (notRunReason(error) === 'unreachable' && !signal.aborted) {
 				this.ports.membership.reportUnreachable(member.host);
+				this.channels.endIfSilent(member.host);
 			}
 
 			throw error;
@@ -182,6 +194,10 @@
 
 	/** Applies the remedy for a refusal. Anything that may have run is never repeated. */
 	private async mayRepeat(run: DispatchRun, error: unknown): Promise<boolean> {
+		if (mayRunAgain(run, error)) {
+			return this.runAgain(run, error);
+		}
+
 		const reason = notRunReason(error);
 		if (!reason || run.options.signal.aborted || this.ports.clock.nowMs() >= run.deadlineMs) {
 			return false;
@@ -211,6 +227,13 @@
 		}
 	}
 
+	/** The wait limit counts anew, because a loss is noticed only after a time that is longer than most limits. */
+	private runAgain(run: DispatchRun, error: unknown): boolean {
+		run.lostRuns.push(error);
+		run.deadlineMs = this.ports.clock.nowMs() + run.intent.waitLimitMs;
+		return this.takeRetry(run);
+	}
+
 	/** A bounded read is refused when no database is proven young enough; other reads are always served by the primary. */
 	private async turnToPrimary(run: DispatchRun): Promise<boolean> {
 		if (run.intent.freshness.mode === 'bounded') {
@@ -279,3 +302,10 @@
 		}
 	}
 }
+
+function noteForwarded(progress: {hasForwarded: boolean}, sink: FrameSink): FrameSink {
+	return async frames => {
+		progress.hasForwarded = true;
+		return sink(frames);
+	};
+}
