Let writes wait for a new primary beyond their rank's target

Cause: a write that was refused for want of a primary waited no longer than its rank's target (150 ms for bookings), and each refusal for a failed connection cost a retry, so that most writes of a failover of 0.8 s ended as 57P03. Writes queued at a frozen primary were shed as if by load.

At the holder the wait stays bounded by that target. A queue whose database has been silent for 250 ms refuses as unreachable instead of shed.

Ruled out: a longer wait limit in the request itself, which would make the holder's queue longer in normal service.

--- a/packages/work/src/__tests__/lossWatch.test.ts
+++ b/packages/work/src/__tests__/lossWatch.test.ts
@@ -71,6 +71,20 @@
 		expect(await run()).to.equal(undefined);
 	});
 
+	it('does not blame the load for what a silent database did not start (guards against a shed write during a failover)', async () => {
+		for (const [silentMs, reason] of [[300, 'unreachable'], [100, 'shed']] as const) {
+			const {holder, view, server, clock} = setUp();
+			server.gate = never();
+			const run = async (waitLimitMs: number) => outcomeOf(holder.openNow(workRequest({waitLimitMs})).exchange(query('X'), () => undefined, exchangeOptions()));
+			void Promise.all([run(1000), run(1000), run(1000)]);
+			await until(() => server.log.length === 3);
+			const waiting = run(150);
+			view.current = silent(silentMs);
+			await clock.advance(200);
+			expect(await waiting).to.include({kind: 'notRun', reason});
+		}
+	});
+
 	it('ends the wait for a majority with the database (guards against a commit that waits out its full limit)', async () => {
 		const {holder, view, clock} = setUp();
 		view.gate = never();
--- a/packages/work/src/admissionQueue.ts
+++ b/packages/work/src/admissionQueue.ts
@@ -190,7 +190,7 @@
 		const limitMs = Math.min(state.policy.targetMs, request.waitLimitMs);
 		if (queue.length >= maximumQueuedPerRank || (!request.inTransaction && expectedMs > limitMs)) {
 			state.shed++;
-			throw this.refusal('shed', `expected wait of ${Math.ceil(expectedMs)} ms for rank ${request.rank} is above ${limitMs} ms`, Math.ceil(expectedMs));
+			throw this.shed(`expected wait of ${Math.ceil(expectedMs)} ms for rank ${request.rank} is above ${limitMs} ms`, Math.ceil(expectedMs));
 		}
 	}
 
@@ -258,11 +258,18 @@
 		for (const ticket of queue) {
 			if (ticket.deadlineMs <= nowMs && queue.remove(ticket.request.callerKey, ticket)) {
 				state.shed++;
-				ticket.reject(this.refusal('shed', `no slot within ${ticket.request.waitLimitMs} ms`, Math.ceil(this.expectedWaitMs(ticket.request))));
+				ticket.reject(this.shed(`no slot within ${ticket.request.waitLimitMs} ms`, Math.ceil(this.expectedWaitMs(ticket.request))));
 			}
 		}
 	}
 
+	/** A statement that a silent database did not start waits for a failover rather than for a lower load. */
+	private shed(message: string, retryAfterMs: number): FailureError {
+		return this.gate.isDoubtful()
+			? this.refusal('unreachable', `${message}, and the database is silent`)
+			: this.refusal('shed', message, retryAfterMs);
+	}
+
 	private refusal(reason: NotRunReason, message: string, retryAfterMs?: number): FailureError {
 		return new FailureError({
 			kind: 'notRun', reason, step: 'admission', peer: this.database, message, retryAfterMs,
--- a/packages/work/src/dispatchRun.ts
+++ b/packages/work/src/dispatchRun.ts
@@ -25,6 +25,10 @@
 	readonly lostRuns: unknown[];
 	/** True once the read turned out to write, so that it must not be run twice. */
 	mayWrite: boolean;
+	/** True once the write waits for a primary beyond its rank's target. */
+	awaitsFailover: boolean;
+	/** True during an attempt that the failover queue allowed. */
+	hasTurn: boolean;
 	pauseMs: number;
 	/** Term and primary at the last attempt. */
 	seen: string;
@@ -60,14 +64,16 @@
 		| 'primary'
 	/** Wait until the leadership changes or a pause is over; costs nothing. */
 		| 'awaitLeader'
+	/** Wait likewise in the failover queue, for longer than the rank's target. */
+		| 'awaitFailover'
 	/** Wait likewise, and take a retry from the budget unless the leadership changed. */
 		| 'pause'
 		| 'giveUp';
 
 const writeRemedies: Readonly<Record<NotRunReason, Remedy>> = {
-	notPrimary: 'awaitLeader',
-	noPrimary: 'awaitLeader',
-	unreachable: 'pause',
+	notPrimary: 'awaitFailover',
+	noPrimary: 'awaitFailover',
+	unreachable: 'awaitFailover',
 	leaving: 'pause',
 	draining: 'pause',
 	tooStale: 'pause',
@@ -78,6 +84,8 @@
 
 const readRemedies: Readonly<Record<NotRunReason, Remedy>> = {
 	...writeRemedies,
+	notPrimary: 'awaitLeader',
+	noPrimary: 'awaitLeader',
 	unreachable: 'elsewhere',
 	leaving: 'elsewhere',
 	draining: 'elsewhere',
@@ -86,7 +94,12 @@
 };
 
 /** Looks up what to do after a refusal. */
-export function remedyFor({intent}: DispatchRun, reason: NotRunReason): Remedy {
+export function remedyFor({intent, awaitsFailover}: DispatchRun, reason: NotRunReason): Remedy {
+	// The first statements at a new primary measure its run times, so that a waiter may be shed once too early.
+	if (awaitsFailover && reason === 'shed') {
+		return 'awaitFailover';
+	}
+
 	return (intent.mode === 'read' ? readRemedies : writeRemedies)[reason];
 }
 
--- a/packages/work/src/heldDatabase.ts
+++ b/packages/work/src/heldDatabase.ts
@@ -49,6 +49,7 @@
 			reserve: () => {
 				this.pool.reserve();
 			},
+			isDoubtful: () => this.losses.isDoubtful,
 		});
 		this.losses = new LossWatch(found.database.name, ports.clock, {
 			view: () => ports.groupViews.get(group),
--- a/packages/work/src/lossWatch.ts
+++ b/packages/work/src/lossWatch.ts
@@ -4,6 +4,8 @@
 
 /** Silence after which a database counts as unreachable; equal to the monitors' time of suspicion. */
 export const lostAfterMs = 600;
+/** Silence above which a full queue is taken for a sign of a failure; the monitor asks every 200 ms. */
+const doubtAfterMs = 250;
 /** Time between two checks while units of work are open. */
 export const lossCheckIntervalMs = 100;
 /** Checks in sequence that must find silence. After a pause of this process, the first one precedes the reading of answers that arrived meanwhile. */
@@ -35,6 +37,7 @@
 	private isChecking = false;
 	private silentChecks = 0;
 	private unreachable = false;
+	private doubtful = false;
 
 	/**
 	 * @param database - the watched database
@@ -48,6 +51,11 @@
 		return this.unreachable;
 	}
 
+	/** True while the database may have stopped answering; statements that it does not start in time are not shed for load then. */
+	get isDoubtful(): boolean {
+		return this.doubtful;
+	}
+
 	/** Watches a unit of work until it is removed. */
 	add(work: EndableWork): void {
 		this.open.add(work);
@@ -69,6 +77,7 @@
 
 		this.isChecking = false;
 		this.silentChecks = 0;
+		this.doubtful = false;
 	}
 
 	private check(): void {
@@ -85,6 +94,7 @@
 	}
 
 	private noteSilence(seen: DatabaseView | undefined): void {
+		this.doubtful = seen !== undefined && seen.silentMs > doubtAfterMs;
 		this.silentChecks = seen && seen.silentMs > lostAfterMs ? this.silentChecks + 1 : 0;
 		const needed = seen?.silentMs === Number.POSITIVE_INFINITY ? checksOfNewMonitor : checksOfSilence;
 		this.unreachable = this.silentChecks >= needed;
--- a/packages/work/src/rankState.ts
+++ b/packages/work/src/rankState.ts
@@ -60,9 +60,11 @@
 	mayReserve(moreUrgentRanks: number): boolean;
 	/** Promises a connection to the unit of work that is being granted a slot. */
 	reserve(): void;
+	/** True while the database may have stopped answering. */
+	isDoubtful(): boolean;
 };
 
-export const openGate: ConnectionGate = {mayReserve: () => true, reserve: () => undefined};
+export const openGate: ConnectionGate = {mayReserve: () => true, reserve: () => undefined, isDoubtful: () => false};
 
 /** Policy of a rank that the configuration does not name: behind all others, without a floor. */
 export function unknownRank(rank: string): RankPolicy {
--- a/packages/work/src/workDispatcher.ts
+++ b/packages/work/src/workDispatcher.ts
@@ -9,6 +9,7 @@
 import {
 	firstPauseMs, leadershipOf, longestPauseMs, mayRunAgain, notRunReason, refuse, remedyFor, type DispatchRun,
 } from './dispatchRun.js';
+import {FailoverQueue, failoverWaitLimitMs} from './failoverQueue.js';
 import {FirstAnswerSink} from './firstAnswerSink.js';
 import {type Holder} from './holder.js';
 import {RetryBudget} from './retryBudget.js';
@@ -34,6 +35,7 @@
 	private readonly loads = new DatabaseLoads();
 	private readonly budget = new RetryBudget();
 	private readonly choice: DatabaseChoice;
+	private readonly failovers: FailoverQueue;
 
 	/**
 	 * @param ports - configuration, directory, membership and the like
@@ -46,6 +48,7 @@
 		private readonly channels: Pick<WorkChannelPool, 'open' | 'followMembership' | 'endIfSilent'>,
 	) {
 		channels.followMembership(ports.membership);
+		this.failovers = new FailoverQueue(ports.clock, ports.directory);
 		this.choice = new DatabaseChoice(ports, this.loads);
 	}
 
@@ -65,12 +68,14 @@
 			progress,
 			lostRuns: [],
 			mayWrite: false,
+			awaitsFailover: false,
+			hasTurn: false,
 			pauseMs: firstPauseMs,
 			seen: '',
 		};
 		for (;;) {
 			try {
-				const dispatched = await this.attempt(run);
+				const dispatched = await this.attemptInTurn(run);
 				if (dispatched) {
 					return dispatched;
 				}
@@ -91,6 +96,17 @@
 		return this.holder.stats();
 	}
 
+	private async attemptInTurn(run: DispatchRun): Promise<Dispatched | undefined> {
+		try {
+			return await this.attempt(run);
+		} finally {
+			if (run.hasTurn) {
+				run.hasTurn = false;
+				this.failovers.endTurn(run.intent.group);
+			}
+		}
+	}
+
 	/** Makes one attempt; nothing is returned when the read has to be run again at the primary. */
 	private async attempt(run: DispatchRun): Promise<Dispatched | undefined> {
 		const {intent, options} = run;
@@ -152,8 +168,9 @@
 	}
 
 	private requestFor({intent, deadlineMs}: DispatchRun, database: string, {minimumPosition, maxAgeMs}: Demands): WorkRequest {
-		const {group, mode, rank, callerKey, traceparent} = intent;
-		const waitLimitMs = Math.max(0, deadlineMs - this.ports.clock.nowMs());
+		const {group, mode, rank, callerKey, traceparent, waitLimitMs: intentLimitMs} = intent;
+		// A write that waited for a failover queues for its rank's target at most.
+		const waitLimitMs = Math.max(0, Math.min(intentLimitMs, deadlineMs - this.ports.clock.nowMs()));
 		return {
 			group, database, mode, rank, callerKey, waitLimitMs, minimumPosition, maxAgeMs, traceparent,
 		};
@@ -199,11 +216,20 @@
 		}
 
 		const reason = notRunReason(error);
-		if (!reason || run.options.signal.aborted || this.ports.clock.nowMs() >= run.deadlineMs) {
+		if (!reason || run.options.signal.aborted) {
+			return false;
+		}
+
+		const remedy = remedyFor(run, reason);
+		if (remedy === 'awaitFailover') {
+			return this.awaitFailover(run);
+		}
+
+		if (this.ports.clock.nowMs() >= run.deadlineMs) {
 			return false;
 		}
 
-		switch (remedyFor(run, reason)) {
+		switch (remedy) {
 			case 'giveUp': {
 				return false;
 			}
@@ -227,6 +253,22 @@
 		}
 	}
 
+	/** Waits for a new primary, or for the next attempt at the present one. */
+	private async awaitFailover(run: DispatchRun): Promise<boolean> {
+		const {intent, options, seen, pauseMs} = run;
+		if (!run.awaitsFailover) {
+			run.awaitsFailover = true;
+			run.deadlineMs += Math.max(0, failoverWaitLimitMs - intent.waitLimitMs);
+			this.ports.metrics.count('writes_awaiting_failover', {group: intent.group});
+		}
+
+		run.pauseMs = Math.min(longestPauseMs, pauseMs * 2);
+		run.hasTurn = await this.failovers.takeTurn(intent.group, {
+			seen, pauseMs: pauseMs * (0.5 + this.ports.random.next()), deadlineMs: run.deadlineMs, signal: options.signal,
+		});
+		return run.hasTurn;
+	}
+
 	/** The wait limit counts anew, because a loss is noticed only after a time that is longer than most limits. */
 	private runAgain(run: DispatchRun, error: unknown): boolean {
 		run.lostRuns.push(error);
