Keep the computed holder of a database for 50 ms

Cause: every statement asks the membership for the holder of its database and for this host's own record.

The service keeps the holders until the membership changes, and at most for 50 ms, because members fall silent without a message. Its own record is kept until the leaving mark or the configuration revision changes.

--- a/packages/membership/src/membershipService.ts
+++ b/packages/membership/src/membershipService.ts
@@ -34,6 +34,11 @@
 	readonly configurationRevision: () => number;
 };
 
+/** Longest time for which a computed holder is kept: members fall silent without a message, and every statement asks for a holder. */
+const holderCacheMs = 50;
+
+type HolderCache = {readonly validUntilMs: number; readonly holders: Map<string, Member>};
+
 /** Prefix of the names under which peers are addressed before their host name is known. */
 const seedPrefix = 'seed:';
 
@@ -44,6 +49,8 @@
 	private readonly seeds = new Map<string, PeerAddress>();
 	private counter = 0;
 	private isLeaving = false;
+	private cachedSelf: Member | undefined;
+	private cache: HolderCache = {validUntilMs: 0, holders: new Map()};
 
 	constructor(private readonly options: MembershipOptions) {
 		this.table = new MemberTable(options.clock);
@@ -57,8 +64,14 @@
 	}
 
 	get self(): Member {
+		const known = this.cachedSelf;
+		if (known?.leaving === this.isLeaving && known.configurationRevision === this.options.configurationRevision()) {
+			return known;
+		}
+
 		const {counter, ...record} = this.ownRecord();
-		return {...record, state: 'alive', silentMs: 0};
+		this.cachedSelf = {...record, state: 'alive', silentMs: 0};
+		return this.cachedSelf;
 	}
 
 	/** Sends heartbeats until the signal aborts. */
@@ -84,12 +97,20 @@
 	}
 
 	holderOf(database: string, failureDomain: string): Member {
-		const records = this.table.usableRecords();
-		const candidates = this.isLeaving ? records : [this.ownRecord(), ...records];
-		const local = candidates.filter(record => record.failureDomain === failureDomain);
-		const pool = local.length > 0 ? local : candidates;
-		const host = rendezvousFirst(database, pool.map(record => record.host));
-		return this.members().find(member => member.host === host) ?? this.self;
+		const nowMs = this.options.clock.nowMs();
+		if (nowMs >= this.cache.validUntilMs) {
+			this.cache = {validUntilMs: nowMs + holderCacheMs, holders: new Map()};
+		}
+
+		const {holders} = this.cache;
+		const key = `${failureDomain} ${database}`;
+		let holder = holders.get(key);
+		if (!holder) {
+			holder = this.computeHolder(database, failureDomain);
+			holders.set(key, holder);
+		}
+
+		return holder;
 	}
 
 	reportUnreachable(host: string): void {
@@ -120,6 +141,15 @@
 		}
 	}
 
+	private computeHolder(database: string, failureDomain: string): Member {
+		const records = this.table.usableRecords();
+		const candidates = this.isLeaving ? records : [this.ownRecord(), ...records];
+		const local = candidates.filter(record => record.failureDomain === failureDomain);
+		const pool = local.length > 0 ? local : candidates;
+		const host = rendezvousFirst(database, pool.map(record => record.host));
+		return this.members().find(member => member.host === host) ?? this.self;
+	}
+
 	private ownRecord(): MemberRecord {
 		return {
 			...this.options.self,
@@ -175,6 +205,7 @@
 	}
 
 	private announce(): void {
+		this.cache = {validUntilMs: 0, holders: new Map()};
 		for (const listener of this.listeners) {
 			listener();
 		}
