--- a/packages/work/src/dispatchRun.ts
+++ b/packages/work/src/dispatchRun.ts
@@ -8,7 +8,8 @@
 	readonly frames: Buffer;
 	readonly sink: FrameSink;
 	readonly options: ExchangeOptions;
-	readonly deadlineMs: number;
+	/** End of the wait limit; a read that is run again after a loss gets a new one. */
+	deadlineMs: number;
 	/** Databases that refused this read. */
 	readonly excluded: Set<string>;
 	commitPosition?: LogPosition;
@@ -18,6 +19,16 @@
 	primaryOnly: boolean;
 	/** True once a replica that was behind was asked to wait. */
 	triedReplicaBehind: boolean;
+	/** Whether a byte of the answer went to the caller; kept for reads only. */
+	readonly progress: {hasForwarded: boolean};
+	/** Failures of the runs of this read whose answer was lost. */
+	readonly lostRuns: unknown[];
+	/** True once the read turned out to write, so that it must not be run twice. */
+	mayWrite: boolean;
+	/** True once the write waits for a primary beyond its rank's target. */
+	awaitsFailover: boolean;
+	/** True during an attempt that the failover queue allowed. */
+	hasTurn: boolean;
 	pauseMs: number;
 	/** Term and primary at the last attempt. */
 	seen: string;
@@ -27,6 +38,19 @@
 export const firstPauseMs = 20;
 export const longestPauseMs = 320;
 
+/** Runs of a read that may be lost before the loss is reported. */
+const maximumLostRuns = 3;
+
+/**
+ * Tells whether a lost run may be followed by another one: only that of a read of which the caller has seen nothing.
+ */
+export function mayRunAgain(run: DispatchRun, error: unknown): boolean {
+	const {intent, options, progress} = run;
+	const isLost = error instanceof FailureError && error.failure.kind === 'unknown';
+	const isWanted = !options.signal.aborted && !options.cancelSignal?.aborted;
+	return isLost && isWanted && intent.mode === 'read' && !progress.hasForwarded && !run.mayWrite && run.lostRuns.length < maximumLostRuns;
+}
+
 /** Identifies who leads, so that a change of it is noticed. */
 export function leadershipOf(state: GroupState | undefined): string {
 	return `${state?.term ?? 0} ${state?.primary ?? ''}`;
@@ -40,14 +64,16 @@
 		| 'primary'
 	/** Wait until the leadership changes or a pause is over; costs nothing. */
 		| 'awaitLeader'
+	/** Wait likewise in the failover queue, for longer than the rank's target. */
+		| 'awaitFailover'
 	/** Wait likewise, and take a retry from the budget unless the leadership changed. */
 		| 'pause'
 		| 'giveUp';
 
 const writeRemedies: Readonly<Record<NotRunReason, Remedy>> = {
-	notPrimary: 'awaitLeader',
-	noPrimary: 'awaitLeader',
-	unreachable: 'pause',
+	notPrimary: 'awaitFailover',
+	noPrimary: 'awaitFailover',
+	unreachable: 'awaitFailover',
 	leaving: 'pause',
 	draining: 'pause',
 	tooStale: 'pause',
@@ -58,6 +84,8 @@
 
 const readRemedies: Readonly<Record<NotRunReason, Remedy>> = {
 	...writeRemedies,
+	notPrimary: 'awaitLeader',
+	noPrimary: 'awaitLeader',
 	unreachable: 'elsewhere',
 	leaving: 'elsewhere',
 	draining: 'elsewhere',
@@ -66,7 +94,12 @@
 };
 
 /** Looks up what to do after a refusal. */
-export function remedyFor({intent}: DispatchRun, reason: NotRunReason): Remedy {
+export function remedyFor({intent, awaitsFailover}: DispatchRun, reason: NotRunReason): Remedy {
+	// The first statements at a new primary measure its run times, so that a waiter may be shed once too early.
+	if (awaitsFailover && reason === 'shed') {
+		return 'awaitFailover';
+	}
+
 	return (intent.mode === 'read' ? readRemedies : writeRemedies)[reason];
 }
 
--- a/packages/work/src/workDispatcher.ts
+++ b/packages/work/src/workDispatcher.ts
@@ -7,8 +7,9 @@
 import {DatabaseChoice} from './databaseChoice.js';
 import {DatabaseLoads} from './databaseLoad.js';
 import {
-	firstPauseMs, leadershipOf, longestPauseMs, notRunReason, refuse, remedyFor, type DispatchRun,
+	firstPauseMs, leadershipOf, longestPauseMs, mayRunAgain, notRunReason, refuse, remedyFor, type DispatchRun,
 } from './dispatchRun.js';
+import {FailoverQueue, failoverWaitLimitMs} from './failoverQueue.js';
 import {FirstAnswerSink} from './firstAnswerSink.js';
 import {type Holder} from './holder.js';
 import {RetryBudget} from './retryBudget.js';
@@ -34,6 +35,7 @@
 	private readonly loads = new DatabaseLoads();
 	private readonly budget = new RetryBudget();
 	private readonly choice: DatabaseChoice;
+	private readonly failovers: FailoverQueue;
 
 	/**
 	 * @param ports - configuration, directory, membership and the like
@@ -43,35 +45,44 @@
 	constructor(
 		private readonly ports: DispatcherPorts,
 		private readonly holder: Pick<Holder, 'openNow' | 'stats'>,
-		private readonly channels: Pick<WorkChannelPool, 'open'>,
+		private readonly channels: Pick<WorkChannelPool, 'open' | 'followMembership' | 'endIfSilent'>,
 	) {
+		channels.followMembership(ports.membership);
+		this.failovers = new FailoverQueue(ports.clock, ports.directory);
 		this.choice = new DatabaseChoice(ports, this.loads);
 	}
 
 	async dispatch(intent: WorkIntent, frames: Buffer, sink: FrameSink, options: ExchangeOptions): Promise<Dispatched> {
 		this.budget.noteRequest(intent.group, intent.callerKey);
+		const progress = {hasForwarded: false};
 		const run: DispatchRun = {
 			intent,
 			frames,
-			sink,
+			sink: intent.mode === 'read' ? noteForwarded(progress, sink) : sink,
 			options,
 			deadlineMs: this.ports.clock.nowMs() + intent.waitLimitMs,
 			excluded: new Set(),
 			hasChosen: false,
 			primaryOnly: false,
 			triedReplicaBehind: false,
+			progress,
+			lostRuns: [],
+			mayWrite: false,
+			awaitsFailover: false,
+			hasTurn: false,
 			pauseMs: firstPauseMs,
 			seen: '',
 		};
 		for (;;) {
 			try {
-				const dispatched = await this.attempt(run);
+				const dispatched = await this.attemptInTurn(run);
 				if (dispatched) {
 					return dispatched;
 				}
 			} catch (error) {
 				if (!await this.mayRepeat(run, error)) {
-					throw error;
+					// A refusal of a later run does not say that nothing ran.
+					throw run.lostRuns.at(-1) ?? error;
 				}
 			}
 		}
@@ -85,6 +96,17 @@
 		return this.holder.stats();
 	}
 
+	private async attemptInTurn(run: DispatchRun): Promise<Dispatched | undefined> {
+		try {
+			return await this.attempt(run);
+		} finally {
+			if (run.hasTurn) {
+				run.hasTurn = false;
+				this.failovers.endTurn(run.intent.group);
+			}
+		}
+	}
+
 	/** Makes one attempt; nothing is returned when the read has to be run again at the primary. */
 	private async attempt(run: DispatchRun): Promise<Dispatched | undefined> {
 		const {intent, options} = run;
@@ -121,6 +143,11 @@
 		const dispatched = await this.runFirst(run, work, first.sink);
 		if (dispatched.result.sqlState === readOnlyTransaction && first.isUntouched) {
 			work.release();
+			run.mayWrite = true;
+			if (run.lostRuns.length > 0) {
+				throw run.lostRuns.at(-1);
+			}
+
 			run.primaryOnly = true;
 			this.ports.metrics.count('reads_rerun_at_primary', {group: run.intent.group});
 			return undefined;
@@ -141,8 +168,9 @@
 	}
 
 	private requestFor({intent, deadlineMs}: DispatchRun, database: string, {minimumPosition, maxAgeMs}: Demands): WorkRequest {
-		const {group, mode, rank, callerKey, traceparent} = intent;
-		const waitLimitMs = Math.max(0, deadlineMs - this.ports.clock.nowMs());
+		const {group, mode, rank, callerKey, traceparent, waitLimitMs: intentLimitMs} = intent;
+		// A write that waited for a failover queues for its rank's target at most.
+		const waitLimitMs = Math.max(0, Math.min(intentLimitMs, deadlineMs - this.ports.clock.nowMs()));
 		return {
 			group, database, mode, rank, callerKey, waitLimitMs, minimumPosition, maxAgeMs, traceparent,
 		};
@@ -174,6 +202,7 @@
 		} catch (error) {
 			if (notRunReason(error) === 'unreachable' && !signal.aborted) {
 				this.ports.membership.reportUnreachable(member.host);
+				this.channels.endIfSilent(member.host);
 			}
 
 			throw error;
@@ -182,12 +211,25 @@
 
 	/** Applies the remedy for a refusal. Anything that may have run is never repeated. */
 	private async mayRepeat(run: DispatchRun, error: unknown): Promise<boolean> {
+		if (mayRunAgain(run, error)) {
+			return this.runAgain(run, error);
+		}
+
 		const reason = notRunReason(error);
-		if (!reason || run.options.signal.aborted || this.ports.clock.nowMs() >= run.deadlineMs) {
+		if (!reason || run.options.signal.aborted) {
+			return false;
+		}
+
+		const remedy = remedyFor(run, reason);
+		if (remedy === 'awaitFailover') {
+			return this.awaitFailover(run);
+		}
+
+		if (this.ports.clock.nowMs() >= run.deadlineMs) {
 			return false;
 		}
 
-		switch (remedyFor(run, reason)) {
+		switch (remedy) {
 			case 'giveUp': {
 				return false;
 			}
@@ -211,6 +253,29 @@
 		}
 	}
 
+	/** Waits for a new primary, or for the next attempt at the present one. */
+	private async awaitFailover(run: DispatchRun): Promise<boolean> {
+		const {intent, options, seen, pauseMs} = run;
+		if (!run.awaitsFailover) {
+			run.awaitsFailover = true;
+			run.deadlineMs += Math.max(0, failoverWaitLimitMs - intent.waitLimitMs);
+			this.ports.metrics.count('writes_awaiting_failover', {group: intent.group});
+		}
+
+		run.pauseMs = Math.min(longestPauseMs, pauseMs * 2);
+		run.hasTurn = await this.failovers.takeTurn(intent.group, {
+			seen, pauseMs: pauseMs * (0.5 + this.ports.random.next()), deadlineMs: run.deadlineMs, signal: options.signal,
+		});
+		return run.hasTurn;
+	}
+
+	/** The wait limit counts anew, because a loss is noticed only after a time that is longer than most limits. */
+	private runAgain(run: DispatchRun, error: unknown): boolean {
+		run.lostRuns.push(error);
+		run.deadlineMs = this.ports.clock.nowMs() + run.intent.waitLimitMs;
+		return this.takeRetry(run);
+	}
+
 	/** A bounded read is refused when no database is proven young enough; other reads are always served by the primary. */
 	private async turnToPrimary(run: DispatchRun): Promise<boolean> {
 		if (run.intent.freshness.mode === 'bounded') {
@@ -279,3 +344,10 @@
 		}
 	}
 }
+
+function noteForwarded(progress: {hasForwarded: boolean}, sink: FrameSink): FrameSink {
+	return async frames => {
+		progress.hasForwarded = true;
+		return sink(frames);
+	};
+}
