Add the load and experiment tool

Arrivals follow a seeded Poisson schedule and latency counts from the scheduled arrival, so that a slow system cannot slow the load down.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,1 @@
-/** Placeholder until the package has exports. */
-export type Placeholder = never;
+export * from './types.js';
--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,73 @@
+/**
+ * Load and experiment tool.
+ */
+import {deployments} from '@crocusloom/standins';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {machineFacts} from './machine.js';
+import {writeMarkdown, writePlot} from './output.js';
+import {consoleText} from './report.js';
+import {
+	experimentNames, nameOf, productViolations, runExperiment, type ExperimentResult,
+} from './run.js';
+
+const options = await yargs(hideBin(process.argv))
+	.strict()
+	.options({
+		experiment: {type: 'string', choices: experimentNames, describe: 'experiment to run'},
+		all: {type: 'boolean', default: false, describe: 'run every experiment in turn'},
+		seed: {type: 'number', default: 1, describe: 'seed of arrivals and requests'},
+		json: {type: 'boolean', default: false, describe: 'print the results as JSON'},
+		deployment: {type: 'string', choices: deployments.map(({name}) => name), describe: 'run only this deployment'},
+		seconds: {type: 'number', describe: 'length of the load; default: that of the experiment'},
+		workers: {type: 'number', default: 2, describe: 'processes that generate load'},
+		'lag-ms': {type: 'number', default: 0, describe: 'delay with which replicas apply records'},
+		plot: {type: 'boolean', default: false, describe: 'write docs/plots/NAME.svg'},
+		markdown: {type: 'string', describe: 'write a page of results, with plots beside it in plots/'},
+	})
+	.check(({experiment, all}) => experiment !== undefined || all || 'either --experiment or --all is needed')
+	.check(({seconds, workers}) => ((seconds ?? 1) > 0 && (seconds ?? 1) <= 60 && workers >= 1 && workers <= 2) || '--seconds must be above 0 and at most 60, --workers 1 or 2')
+	.parse();
+
+const machine = machineFacts();
+const names = options.all ? experimentNames : [options.experiment!];
+const results: ExperimentResult[] = [];
+for (const name of names) {
+	results.push(await runExperiment(name, {
+		deployments: deployments.filter(deployment => options.deployment === undefined || deployment.name === options.deployment),
+		seed: options.seed,
+		durationMs: options.seconds === undefined ? undefined : options.seconds * 1000,
+		workers: options.workers,
+		databaseArgs: options.lagMs > 0 ? ['--lag-ms', String(options.lagMs)] : [],
+		onProgress(text) {
+			console.error(text);
+		},
+	}));
+}
+
+if (options.json) {
+	const output = results.map(result => ({
+		experiment: nameOf(result),
+		results: result.kind === 'hop' ? result.results : result.phases.map(({summary}) => summary),
+		violations: productViolations(result),
+	}));
+	console.log(JSON.stringify({seed: options.seed, machine, experiments: output}, undefined, '\t'));
+} else {
+	console.log(results.map(result => consoleText(result)).join('\n'));
+}
+
+if (options.markdown !== undefined) {
+	const command = `npm run bench -- ${hideBin(process.argv).join(' ')}`;
+	await writeMarkdown(options.markdown, {command, machine, results});
+} else if (options.plot) {
+	for (const result of results) {
+		await writePlot('docs/plots', result);
+	}
+}
+
+const violations = results.flatMap(result => productViolations(result).map(text => `${nameOf(result)}: ${text}`));
+for (const text of violations) {
+	console.error(`violation: ${text}`);
+}
+
+process.exitCode = violations.length > 0 ? 1 : 0;
