--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -21,6 +21,7 @@
 		deployment: {type: 'string', choices: deployments.map(({name}) => name), describe: 'run only this deployment'},
 		seconds: {type: 'number', describe: 'length of the load; default: that of the experiment'},
 		workers: {type: 'number', default: 2, describe: 'processes that generate load'},
+		'flood-connections': {type: 'number', describe: 'most connections of the flooding rank in one load process'},
 		'lag-ms': {type: 'number', default: 0, describe: 'delay with which replicas apply records'},
 		plot: {type: 'boolean', default: false, describe: 'write docs/plots/NAME.svg'},
 		markdown: {type: 'string', describe: 'write a page of results, with plots beside it in plots/'},
@@ -38,6 +39,7 @@
 		seed: options.seed,
 		durationMs: options.seconds === undefined ? undefined : options.seconds * 1000,
 		workers: options.workers,
+		floodConnections: options.floodConnections,
 		databaseArgs: options.lagMs > 0 ? ['--lag-ms', String(options.lagMs)] : [],
 		onProgress(text) {
 			console.error(text);
