Measure the slopes of costs by size with npm run slopes

Capacity at the target size is worked out from lines that are fitted to small deployments with stand-ins and to parts run in one process. Processor time of monitors is fitted up to 80 groups only: in a trial at 200 and 400 groups, the one process was at a core and its questions no longer rose with the groups.

--- a/packages/capacity/src/index.ts
+++ b/packages/capacity/src/index.ts
@@ -1,2 +1,5 @@
-/** Placeholder until the package has exports. */
-export type Placeholder = never;
+export {fitLine} from './fit.js';
+export {formatFigure, toMarkdown} from './markdown.js';
+export {measurements} from './measurements.js';
+export {runMeasurement} from './runMeasurements.js';
+export * from './types.js';
