--- a/packages/capacity/src/__tests__/capacity.test.ts
+++ b/packages/capacity/src/__tests__/capacity.test.ts
@@ -1,11 +1,12 @@
 import {assert} from 'chai';
 import fc from 'fast-check';
 import {fitLine} from '../fit.js';
-import {formatFigure, toMarkdown} from '../markdown.js';
+import {formatFigure, targetTable, toMarkdown} from '../markdown.js';
 import {measurements} from '../measurements.js';
 import {callsBetween, sortCalls} from '../platformCalls.js';
 import {ratesBetween, sumMetric} from '../proxyMetrics.js';
 import {runMeasurement} from '../runMeasurements.js';
+import {workOut} from '../target.js';
 
 const seed = 20_261_204;
 
@@ -79,4 +80,17 @@
 	it('guards against two measurements of one name, of which --only runs both', () => {
 		assert.lengthOf(new Set(measurements.map(({id}) => id)), measurements.length);
 	});
+
+	it('guards against a figure that is shown although its series was not measured', () => {
+		const callers = {
+			id: 'memory-idle-callers', title: '', xName: '', yUnit: 'bytes', points: [], line: {intercept: 0, slope: 10_000, residual: 0},
+		};
+		const figures = workOut([{
+			kind: 'measured', id: 'callers', title: '', tookMs: 0, results: [callers],
+		}]);
+		const valueOf = (name: string) => figures.find(({figure}) => figure === name)!.value;
+		assert.closeTo(valueOf('callers')!, 71.95, 0.01);
+		assert.isUndefined(valueOf('control: peers'));
+		assert.include(targetTable(figures), '| control: peers | not known |');
+	});
 });
--- a/packages/capacity/src/main.ts
+++ b/packages/capacity/src/main.ts
@@ -1,12 +1,13 @@
 /**
  * `npm run slopes`: measures what each part costs at several sizes and fits lines.
  */
-import {writeFile} from 'node:fs/promises';
+import {readFile, writeFile} from 'node:fs/promises';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
-import {toMarkdown} from './markdown.js';
+import {targetTable, toMarkdown} from './markdown.js';
 import {measurements} from './measurements.js';
 import {runMeasurement} from './runMeasurements.js';
+import {workOut} from './target.js';
 import {type MeasurementResult} from './types.js';
 
 const options = await yargs(hideBin(process.argv))
@@ -14,22 +15,29 @@
 	.options({
 		json: {type: 'boolean', default: false, describe: 'print results as JSON'},
 		markdown: {type: 'string', describe: 'file that receives the tables'},
+		from: {type: 'string', describe: 'file with the output of --json, to make tables without measuring again'},
 		only: {
 			type: 'string', array: true, choices: measurements.map(({id}) => id), describe: 'run only these measurements',
 		},
 	})
 	.parse();
 
-const results: MeasurementResult[] = [];
-for (const measurement of measurements.filter(({id}) => options.only?.includes(id) ?? true)) {
-	const result = await runMeasurement(measurement);
-	console.error(`${result.id}: ${result.kind} in ${Math.round(result.tookMs)} ms${result.kind === 'failed' ? `: ${result.message}` : ''}`);
-	results.push(result);
+async function measureAll(): Promise<readonly MeasurementResult[]> {
+	const results: MeasurementResult[] = [];
+	for (const measurement of measurements.filter(({id}) => options.only?.includes(id) ?? true)) {
+		const result = await runMeasurement(measurement);
+		console.error(`${result.id}: ${result.kind} in ${Math.round(result.tookMs)} ms${result.kind === 'failed' ? `: ${result.message}` : ''}`);
+		results.push(result);
+	}
+
+	return results;
 }
 
+const results = options.from === undefined ? await measureAll() : JSON.parse(await readFile(options.from, 'utf8')) as readonly MeasurementResult[];
+const tables = `${toMarkdown(results)}\n${targetTable(workOut(results))}`;
 if (options.markdown !== undefined) {
-	await writeFile(options.markdown, toMarkdown(results));
+	await writeFile(options.markdown, tables);
 }
 
-console.log(options.json ? JSON.stringify(results, undefined, '\t') : toMarkdown(results));
+console.log(options.json ? JSON.stringify(results, undefined, '\t') : tables);
 process.exitCode = results.some(({kind}) => kind === 'failed') ? 1 : 0;
--- a/packages/capacity/src/markdown.ts
+++ b/packages/capacity/src/markdown.ts
@@ -1,3 +1,4 @@
+import {type WorkedOut} from './target.js';
 import {type MeasurementResult, type SlopeResult} from './types.js';
 
 const significantDigits = 3;
@@ -31,3 +32,12 @@
 	const figures = line ? [line.slope, line.intercept, line.residual].map(value => formatFigure(value)) : ['', '', ''];
 	return `| ${[id, title, `${yUnit} by ${xName}`, values, ...figures].join(' | ')} |`;
 }
+
+/** Writes the figures of the target size as a table. */
+export function targetTable(figures: readonly WorkedOut[]): string {
+	const rows = figures.map(({figure, unit, from, limit, value}) => {
+		const cells = [figure, value === undefined ? 'not known' : formatFigure(value), unit, limit === undefined ? '' : formatFigure(limit), from];
+		return `| ${cells.join(' | ')} |`;
+	});
+	return ['### At the target size', '', '| figure | value | unit | limit | worked out from |', '|---|---|---|---|---|', ...rows, ''].join('\n');
+}
