--- a/packages/capacity/src/measurements/members.ts
+++ b/packages/capacity/src/measurements/members.ts
@@ -1,3 +1,4 @@
+import {type Member} from '@crocusloom/model';
 import {keptBytes} from '../heap.js';
 import {startFleet} from '../memberFleet.js';
 import {buildSeries, type SeriesHead} from '../seriesBuilder.js';
@@ -17,7 +18,8 @@
 	readonly messagesPerSecond: number;
 	readonly cpuCores: number;
 	readonly bytesKept: number;
-	readonly shareNotAlive: number;
+	readonly shareSuspected: number;
+	readonly shareDead: number;
 };
 
 async function measureSize(count: number): Promise<MemberCountRecord> {
@@ -32,7 +34,9 @@
 	const {user, system} = process.cpuUsage(cpuBefore);
 	const bytesKept = (await keptBytes() - before) / count;
 	const perMemberSecond = 1000 / observedMs / count;
-	const alive = members.reduce((total, member) => total + member.members().filter(({state}) => state === 'alive').length, 0);
+	const shareOf = (wanted: Member['state']) =>
+		members.reduce((total, member) => total + member.members().filter(({state}) => state === wanted).length, 0) / (count * count);
+	const shares = {shareSuspected: shareOf('suspected'), shareDead: shareOf('dead')};
 	lifetime.abort(new Error('measured'));
 	return {
 		members: count,
@@ -40,7 +44,7 @@
 		messagesPerSecond: (traffic.messages - messages) * perMemberSecond,
 		cpuCores: (user + system) / 1_000_000 * perMemberSecond,
 		bytesKept,
-		shareNotAlive: 1 - (alive / (count * count)),
+		...shares,
 	};
 }
 
@@ -62,6 +66,7 @@
 		{...head('member-messages', 'heartbeats sent by a host', 'messages/s'), valueOf: record => record.messagesPerSecond},
 		{...head('member-cpu', 'processor time of the membership of a host, without sockets', 'cores'), valueOf: record => record.cpuCores},
 		{...head('member-memory', 'heap of the membership of a host', 'bytes'), valueOf: record => record.bytesKept},
-		{...head('member-not-alive', 'share of live members that a host does not see as alive after 20 s', 'share'), valueOf: record => record.shareNotAlive},
+		{...head('member-suspected', 'share of live members that a host suspects after 22 s', 'share'), valueOf: record => record.shareSuspected},
+		{...head('member-dead', 'share of live members that a host takes for dead after 22 s', 'share'), valueOf: record => record.shareDead},
 	]);
 }
