--- a/packages/bench/src/__tests__/checks.test.ts
+++ b/packages/bench/src/__tests__/checks.test.ts
@@ -13,6 +13,7 @@
 		['an error of the server counted as unknown', {code: '25006', message: 'read-only'}, 'failed'],
 		['a closed connection counted as not run', {message: 'Connection terminated unexpectedly'}, 'unknown'],
 		['an error of the socket counted as the server\'s', {code: 'EPIPE', message: 'write EPIPE'}, 'unknown'],
+		['a request that was never sent counted as unknown', {message: 'Client has encountered a connection error and is not queryable'}, 'notSent'],
 		['a missing answer counted as unknown', new NoAnswerError('no answer'), 'lost'],
 	] as const;
 	for (const [failure, error, expected] of cases) {
--- a/packages/bench/src/callerSession.ts
+++ b/packages/bench/src/callerSession.ts
@@ -118,6 +118,10 @@
 		}
 
 		this.client = client;
+		// An error comes before the end; until then the session must not be taken for a request.
+		client.once('error', () => {
+			this.client = undefined;
+		});
 		client.once('end', () => {
 			this.reopen();
 		});
--- a/packages/bench/src/experiments.ts
+++ b/packages/bench/src/experiments.ts
@@ -157,12 +157,14 @@
 		baselineNote: 'The baseline has nobody who promotes: it waits for the same primary.',
 	},
 	{
-		name: 'host-lost', title: 'Entry host killed', durationMs: 5000, baselineDurationMs: 2000, serviceMs, events: loseHost, baselineNote: 'The baseline has no entry hosts and runs undisturbed.',
+		name: 'host-lost', title: 'Entry host killed', durationMs: 5000, baselineDurationMs: 2000, serviceMs, events: loseHost,
+		baselineNote: 'The baseline has no entry hosts and runs undisturbed.',
 	},
 	{
 		name: 'platform-down', title: 'Platform down for the whole run', durationMs: 4000, baselineDurationMs: 2000, serviceMs, before: stopPlatform,
 	},
 	{
-		name: 'mass-restart', title: 'All proxies restarted', durationMs: 8000, baselineDurationMs: 2000, serviceMs, events: restartProxies, baselineNote: 'The baseline has no proxies and runs undisturbed.',
+		name: 'mass-restart', title: 'All proxies restarted', durationMs: 8000, baselineDurationMs: 2000, serviceMs, events: restartProxies,
+		baselineNote: 'The baseline has no proxies and runs undisturbed.',
 	},
 ];
--- a/packages/bench/src/loadRun.ts
+++ b/packages/bench/src/loadRun.ts
@@ -141,7 +141,7 @@
 		} catch (error) {
 			const outcome = outcomeOf(error) as Exclude<ReturnType<typeof outcomeOf>, 'completed'>;
 			lane.recorder.ended(outcome, errorKind(error));
-			this.note(outcome === 'notRun' ? 'notRun' : 'unknown', id);
+			this.note(outcome === 'notRun' || outcome === 'notSent' ? 'notRun' : 'unknown', id);
 		} finally {
 			lane.pool.release(session);
 		}
--- a/packages/bench/src/outcome.ts
+++ b/packages/bench/src/outcome.ts
@@ -8,6 +8,9 @@
 	override readonly name = 'NoAnswerError';
 }
 
+/** Message by which `pg` refuses a request on a connection that has failed before; nothing is sent. */
+const notQueryable = 'Client has encountered a connection error and is not queryable';
+
 /**
  * Tells the outcome from an error.
  * @param error - as `pg` rejects with it
@@ -18,7 +21,11 @@
 		return 'lost';
 	}
 
-	const {code, detail} = error as ErrorShape;
+	const {code, detail, message} = error as ErrorShape;
+	if (message === notQueryable) {
+		return 'notSent';
+	}
+
 	if (detail?.includes('outcome=not_run')) {
 		return 'notRun';
 	}
