--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -154,6 +154,7 @@
 			dialer: from.resolve(tokens.dialer),
 			clock: from.resolve(tokens.clock),
 			random: from.resolve(tokens.random),
+			metrics: from.resolve(tokens.metrics),
 		}),
 		deployment: host.deployment,
 		store: from.resolve(tokens.keyValueStore),
--- a/packages/model/src/types.ts
+++ b/packages/model/src/types.ts
@@ -116,6 +116,7 @@
 	readonly kind: 'entry' | 'backend';
 	readonly failureDomain: string;
 	readonly address: string;
+	/** The peers' port of an entry host, or the PostgreSQL port of a backend server. */
 	readonly port: number;
 	readonly state: 'live' | 'leaving';
 };
--- a/packages/standins/src/launcher/cluster.ts
+++ b/packages/standins/src/launcher/cluster.ts
@@ -42,6 +42,8 @@
 	port: number;
 	controlPort?: number;
 	readonly operatorPort?: number;
+	/** Port that the host list shows for a proxy. */
+	readonly peerPort?: number;
 };
 
 const host = '127.0.0.1';
@@ -232,7 +234,7 @@
 			name: proxy.name, script, args: ['--settings', settingsFile], logFile: path.join(this.directoryPath, `${proxy.name}.log`), printsReady: false,
 		});
 		const member: Member = {
-			process, kind: 'proxy', deployment: deployment.name, failureDomain: proxy.failureDomain, port: ports.callers, operatorPort: ports.operators,
+			process, kind: 'proxy', deployment: deployment.name, failureDomain: proxy.failureDomain, port: ports.callers, peerPort: ports.peers, operatorPort: ports.operators,
 		};
 		this.members.set(proxy.name, member);
 		await this.launch(member);
@@ -256,8 +258,8 @@
 	private listedHosts(deployment: string): readonly ListedHost[] {
 		return [...this.members]
 			.filter(([, member]) => member.deployment === deployment && member.kind !== 'platform')
-			.map(([name, {kind, failureDomain, port}]) => ({
-				host: name, kind: kind === 'proxy' ? 'entry' : 'backend', failureDomain, address: host, port, state: 'live',
+			.map(([name, {kind, failureDomain, port, peerPort}]) => ({
+				host: name, kind: kind === 'proxy' ? 'entry' : 'backend', failureDomain, address: host, port: peerPort ?? port, state: 'live',
 			}));
 	}
 
