--- a/packages/endToEnd/src/callerSession.ts
+++ b/packages/endToEnd/src/callerSession.ts
@@ -2,6 +2,7 @@
  * A caller that keeps its session over connections to several proxies.
  */
 import {type EventEmitter} from 'node:events';
+import {connect} from 'node:net';
 import pg from 'pg';
 import {type CallerEndpoint} from '@crocusloom/standins';
 import {type AttemptOutcome} from './types.js';
@@ -16,6 +17,9 @@
 /** The stated bound of a failover: a request that takes longer counts as unanswered. */
 export const failoverBoundMs = 13_000;
 
+/** Number in place of a protocol version that makes a startup packet a cancel request. */
+const cancelRequestCode = 80_877_102;
+
 /** Thrown when a request was not answered within the bound of a failover. */
 export class UnansweredError extends Error {
 	override readonly name = 'UnansweredError';
@@ -114,6 +118,32 @@
 		}
 	}
 
+	/** Resolves with the SQLSTATE of the error that ends the idle connection; undefined if it ends without one. */
+	async closed(): Promise<string | undefined> {
+		const {client} = this;
+		return new Promise(resolve => {
+			client?.once('error', (error: ErrorFields) => {
+				resolve(error.code);
+			});
+			client?.once('end', () => {
+				resolve(undefined);
+			});
+		});
+	}
+
+	/** Sends the cancel request of this session's running statement to a proxy. */
+	cancelThrough({host, port}: CallerEndpoint): void {
+		const {processID: processId, secretKey} = this.client as unknown as {readonly processID: number; readonly secretKey: number};
+		const packet = Buffer.alloc(16);
+		packet.writeInt32BE(packet.length, 0);
+		packet.writeInt32BE(cancelRequestCode, 4);
+		packet.writeInt32BE(Math.trunc(processId), 8);
+		packet.writeInt32BE(Math.trunc(secretKey), 12);
+		const socket = connect({host, port});
+		socket.on('error', () => undefined);
+		socket.end(packet);
+	}
+
 	private forget(client: pg.Client): void {
 		if (this.client === client) {
 			this.client = undefined;
