Keep monitoring a group for 15 s after its holder changed

Cause: a COMMIT at a draining proxy that holds the primary was answered 08007 "the group is not monitored by this host". Leaving hands the databases to other hosts at once, and the monitor was closed with them, although open transactions still need it to see a majority.

Ruled out: the callers' side, which waited for the transaction, and the holder, which kept the connection.

The monitor now ends 15 s later, unless the databases come back. The test that a monitor stops when its databases go elsewhere waits for that time, and two more tests cover the time before.

--- a/packages/group/src/__tests__/directory.test.ts
+++ b/packages/group/src/__tests__/directory.test.ts
@@ -4,6 +4,7 @@
 } from '@crocusloom/model';
 import {Directory} from '../directory.js';
 import {GroupMonitors} from '../groupMonitors.js';
+import {monitorLingerMs} from '../timing.js';
 import {decodeStates} from '../stateMessage.js';
 import {type PublishedStatus} from '../statusPublisher.js';
 import {FakeClock, Gate, seededRandom} from './fakeClock.js';
@@ -276,10 +277,25 @@
 
 	it('stops the monitor when another host holds the databases (guards against connections beyond the budget)', withHosts(async fleet => {
 		fleet.changeHolders({a: 'h2', b: 'h2', c: 'h2'});
-		await fleet.run(600);
+		await fleet.run(monitorLingerMs + 600);
 		expect(hosts.map(host => fleet.monitors.get(host)!.groups())).to.deep.equal([[], [], ['g']]);
 	}));
 
+	it('goes on monitoring for a while after another host took over (guards against a COMMIT that its monitor does not outlive)', withHosts(async fleet => {
+		fleet.changeHolders({a: 'h2', b: 'h2', c: 'h2'});
+		await fleet.run(600);
+		expect(hosts.map(host => fleet.monitors.get(host)!.groups())).to.deep.equal([['g'], ['g'], ['g']]);
+	}));
+
+	it('keeps the monitor when the databases come back to their holder (guards against a late stop)', withHosts(async fleet => {
+		const before = fleet.monitors.get('h0')!.get('g');
+		fleet.changeHolders({a: 'h2', b: 'h2', c: 'h2'});
+		await fleet.run(600);
+		fleet.changeHolders({a: 'h0', b: 'h1', c: 'h2'});
+		await fleet.run(monitorLingerMs + 600);
+		expect(fleet.monitors.get('h0')!.get('g')).to.equal(before);
+	}));
+
 	const published = [
 		{name: 'publishes a promotion', before: undefined, term: 2},
 		{name: 'replaces a lower term', before: 1, term: 2},
--- a/packages/group/src/groupMonitors.ts
+++ b/packages/group/src/groupMonitors.ts
@@ -8,7 +8,7 @@
 import {GroupMonitor} from './groupMonitor.js';
 import {Promoter} from './promoter.js';
 import {StatusPublisher} from './statusPublisher.js';
-import {suspectAfterMs} from './timing.js';
+import {monitorLingerMs, suspectAfterMs} from './timing.js';
 
 export type GroupMonitorsOptions = {
 	readonly clock: Clock;
@@ -85,10 +85,12 @@
 		const {configuration, membership} = this.options;
 		const self = membership.self.host;
 		const wanted = [...configuration.current().databaseGroups.keys()].filter(group => this.monitoringHosts(group).includes(self));
-		for (const [group, {monitor, databases}] of this.running) {
-			if (!wanted.includes(group) || databases !== databasesText(this.specOf(group)!)) {
-				monitor.close();
-				this.running.delete(group);
+		for (const [group, running] of this.running) {
+			const spec = this.specOf(group);
+			if (!spec || running.databases !== databasesText(spec)) {
+				this.stopMonitor(group, running);
+			} else if (!wanted.includes(group)) {
+				void this.stopAfterLinger(group, running);
 			}
 		}
 
@@ -99,6 +101,26 @@
 		}
 	}
 
+	private stopMonitor(group: string, running: RunningMonitor): void {
+		running.monitor.close();
+		if (this.running.get(group) === running) {
+			this.running.delete(group);
+		}
+	}
+
+	/** Transactions that are open when the holder changes still need the monitor to acknowledge their commit. */
+	private async stopAfterLinger(group: string, running: RunningMonitor): Promise<void> {
+		try {
+			await this.options.clock.sleep(monitorLingerMs, running.monitor.signal);
+		} catch {
+			return;
+		}
+
+		if (!this.monitoringHosts(group).includes(this.options.membership.self.host)) {
+			this.stopMonitor(group, running);
+		}
+	}
+
 	private startMonitor(group: string): void {
 		const {clock, random, membership, createControl, log} = this.options;
 		const {self} = membership;
--- a/packages/group/src/timing.ts
+++ b/packages/group/src/timing.ts
@@ -35,3 +35,8 @@
 /** First and longest pause before a control connection is dialled again. */
 export const reconnectFirstMs = 50;
 export const reconnectLongestMs = 1000;
+/**
+ * Time for which a host goes on monitoring a group of which it holds no database any more. A COMMIT at a draining host was
+ * answered "unknown" because its monitor had ended first.
+ */
+export const monitorLingerMs = 15_000;
