Cancel first exchanges, wait when a fenced primary refuses a write, and trust heartbeats of slow peers

Cancel had no effect outside a transaction: the callers' side set cancelSignal and nothing read it. Local and remote work now listen to it for the length of the exchange.

A write that reached a primary just after its fence was answered 25006. Nothing ran, so the dispatcher now waits for the new primary.

An attempt to connect to a peer that was given up after 1 s marked the peer as unreachable, so that a slow peer lost its databases in a flood. Only a refused connection does so now; the heartbeats tell the rest.

The status lists a held database only at its holder, or where connections are still open.

--- a/packages/work/src/__tests__/workChannel.test.ts
+++ b/packages/work/src/__tests__/workChannel.test.ts
@@ -1,3 +1,4 @@
+import {getEventListeners} from 'node:events';
 import {
 	connect, createServer, type AddressInfo, type Socket,
 } from 'node:net';
@@ -11,7 +12,8 @@
 import {WorkChannelPool} from '../workChannelPool.js';
 import {WorkServer} from '../workServer.js';
 import {
-	endlessSignal, exchangeOptions, failureOf, FakeConfiguration, FakeServer, FakeView, groupState, holderPorts, ManualClock, member, never, outcomeOf, query, RecordingSink, settle, until, workRequest,
+	endlessSignal, exchangeOptions, failureOf, FakeConfiguration, FakeServer, FakeView, groupState, holderPorts, ManualClock, member, never,
+	outcomeOf, query, RecordingSink, settle, until, workRequest,
 } from './fakes.js';
 
 /** A holder behind a work server on a port. */
@@ -163,6 +165,30 @@
 		peer.stop();
 	});
 
+	for (const place of ['here', 'at a peer'] as const) {
+		it(`honours the cancel signal of a first exchange ${place}, and stops listening (guards against a cancel that is lost)`, async () => {
+			const peer = await startPeer();
+			const open = async () => place === 'here' ? peer.holder.openNow(workRequest()) : peer.channels.open(member(peer.port), workRequest(), endlessSignal());
+			const cancelling = new AbortController();
+			let answer!: () => void;
+			peer.server.gate = new Promise(resolve => {
+				answer = resolve;
+			});
+			const work = await open();
+			const sink = new RecordingSink();
+			const running = work.exchange(query('SLOW'), sink.sink, exchangeOptions({cancelSignal: cancelling.signal}));
+			await until(() => peer.server.log.includes('SLOW'));
+			cancelling.abort();
+			await until(() => peer.server.sessions.some(({cancels}) => cancels === 1));
+			answer();
+			await running;
+			expect(sink.types, 'the answer still comes').to.equal('TDCZ');
+			expect(getEventListeners(cancelling.signal, 'abort')).to.be.empty;
+			work.release();
+			peer.stop();
+		});
+	}
+
 	it('says notRun for a refused connection (guards against a retry that is not allowed)', async () => {
 		const peer = await startPeer();
 		peer.stop();
--- a/packages/work/src/__tests__/workDispatcher.test.ts
+++ b/packages/work/src/__tests__/workDispatcher.test.ts
@@ -12,7 +12,7 @@
 	exchangeOptions, FakeConfiguration, groupState, ManualClock, member, never, outcomeOf, query, RecordingSink, seededRandom, until,
 } from './fakes.js';
 
-type Answer = 'ok' | 'readOnly' | NotRunReason | 'unknown' | 'lostMidway';
+type Answer = 'ok' | 'readOnly' | NotRunReason | 'slowPeer' | 'unknown' | 'lostMidway';
 
 const [self, peer] = ['self', 'peer'].map((host): Member => ({
 	...member(0), host,
@@ -20,9 +20,16 @@
 
 function failureFor(answer: Exclude<Answer, 'ok' | 'readOnly'>): Failure {
 	const base = {step: 'admission', peer: 'x', message: answer} as const;
-	return answer === 'unknown' || answer === 'lostMidway' ? {kind: 'unknown', ...base} : {kind: 'notRun', reason: answer, ...base};
+	if (answer === 'unknown' || answer === 'lostMidway') {
+		return {kind: 'unknown', ...base};
+	}
+
+	return {kind: 'notRun', reason: answer === 'slowPeer' ? 'unreachable' : answer, ...base};
 }
 
+/** Error of a socket whose connection was refused; an attempt that was given up has no code. */
+const refusedConnection = Object.assign(new Error('connect ECONNREFUSED'), {code: 'ECONNREFUSED'});
+
 /** A dispatcher whose holders answer as a test says; the primary `a` is held here, its replicas at a peer. */
 function setUpDispatcher(answerOf: (request: WorkRequest, attempt: number) => Answer) {
 	const clock = new ManualClock();
@@ -79,9 +86,10 @@
 		{openNow: work, stats: () => []},
 		{
 			async open(_member, request) {
-				if (answerOf(request, requests.length + 1) === 'unreachable') {
+				const answer = answerOf(request, requests.length + 1);
+				if (answer === 'unreachable' || answer === 'slowPeer') {
 					requests.push(request);
-					throw new FailureError(failureFor('unreachable'));
+					throw new FailureError(failureFor(answer), {cause: answer === 'unreachable' ? refusedConnection : undefined});
 				}
 
 				return work(request);
@@ -199,6 +207,12 @@
 		{
 			name: 'repeats a read elsewhere when a holder is unreachable, and reports it', mode: 'read', answers: ['unreachable', 'ok'], attempts: 2, reported: 1,
 		},
+		{
+			name: 'repeats a read elsewhere when a peer is slow to accept, and does not take it for dead', mode: 'read', answers: ['slowPeer', 'ok'], attempts: 2, reported: 0,
+		},
+		{
+			name: 'waits for the new primary when a fenced one refuses a write', mode: 'write', answers: ['readOnly', 'ok'], attempts: 2,
+		},
 		{
 			name: 'repeats a shed read elsewhere', mode: 'read', answers: ['shed', 'ok'], attempts: 2,
 		},
--- a/packages/work/src/holder.ts
+++ b/packages/work/src/holder.ts
@@ -7,6 +7,8 @@
 /** Runs units of work at the databases that this process holds. */
 export class Holder implements WorkOpener {
 	private readonly held = new Map<string, HeldDatabase>();
+	/** Keys of the databases of which another host is the holder now. */
+	private readonly heldElsewhere = new Set<string>();
 	private isDraining = false;
 
 	/**
@@ -65,7 +67,8 @@
 	}
 
 	stats(): readonly HolderStats[] {
-		return [...this.held.values()].map(held => held.stats());
+		const shown = [...this.held].filter(([key, held]) => !this.heldElsewhere.has(key) || held.pool.openCount > 0);
+		return shown.map(([, held]) => held.stats());
 	}
 
 	private updateHeld(membership: Membership): void {
@@ -74,7 +77,9 @@
 				const isHolder = membership.holderOf(name, failureDomain).host === membership.self.host;
 				const held = this.held.get(heldKey(group, name));
 				held?.pool.keepIdle(isHolder);
+				this.heldElsewhere.add(heldKey(group, name));
 				if (isHolder) {
+					this.heldElsewhere.delete(heldKey(group, name));
 					void (held ?? this.heldDatabase(group, name)).pool.warmUp(spec.slotsPerDatabase);
 				}
 			}
--- a/packages/work/src/localWork.ts
+++ b/packages/work/src/localWork.ts
@@ -51,10 +51,16 @@
 		}
 
 		this.isRunning = true;
-		this.isCancelled = false;
+		this.isCancelled = options.cancelSignal?.aborted ?? false;
+		const cancel = () => {
+			this.cancel();
+		};
+
+		options.cancelSignal?.addEventListener('abort', cancel, {once: true});
 		try {
 			return await this.runWithSlot(frames, sink, options);
 		} finally {
+			options.cancelSignal?.removeEventListener('abort', cancel);
 			this.isRunning = false;
 			if (this.isReleased) {
 				this.finish();
--- a/packages/work/src/remoteWork.ts
+++ b/packages/work/src/remoteWork.ts
@@ -41,12 +41,21 @@
 			throw this.notRun('unreachable', 'the work channel ended before the exchange');
 		}
 
+		if (options.cancelSignal?.aborted) {
+			throw this.notRun('limit', 'the caller cancelled the exchange before it was sent');
+		}
+
 		this.isRunning = true;
 		const abort = () => {
 			this.channel.close();
 		};
 
+		const cancel = () => {
+			this.cancel();
+		};
+
 		options.signal.addEventListener('abort', abort, {once: true});
+		options.cancelSignal?.addEventListener('abort', cancel, {once: true});
 		try {
 			this.send(frames, options);
 			return await this.readAnswer(sink);
@@ -56,6 +65,7 @@
 		} finally {
 			this.isRunning = false;
 			options.signal.removeEventListener('abort', abort);
+			options.cancelSignal?.removeEventListener('abort', cancel);
 		}
 	}
 
--- a/packages/work/src/workDispatcher.ts
+++ b/packages/work/src/workDispatcher.ts
@@ -1,5 +1,5 @@
 import {
-	FailureError, type Clock, type ConfigurationSource, type DatabaseGroupSpec, type Dispatcher, type ExchangeOptions, type ExchangeResult,
+	childSignal, FailureError, type Clock, type ConfigurationSource, type DatabaseGroupSpec, type Dispatcher, type ExchangeOptions, type ExchangeResult,
 	type FrameSink, type GroupDirectory, type HolderStats, type Membership, type Metrics, type RandomSource,
 	type RoutingExplanation, type Work, type WorkIntent, type WorkRequest,
 } from '@crocusloom/model';
@@ -121,7 +121,11 @@
 		run.hasChosen = true;
 		try {
 			const work = await this.openTracked(spec, this.requestFor(run, database, demands), options.signal);
-			return await (intent.mode === 'read' && !candidate.isPrimary ? this.runAtReplica(run, work) : this.runFirst(run, work, run.sink));
+			if (intent.mode === 'write') {
+				return await this.runWrite(run, work);
+			}
+
+			return await (candidate.isPrimary ? this.runFirst(run, work, run.sink) : this.runAtReplica(run, work));
 		} catch (error) {
 			run.excluded.add(database);
 			this.noteShed(error, database);
@@ -138,6 +142,20 @@
 		}
 	}
 
+	/** A primary that was fenced a moment ago refuses writes; nothing ran, so the write waits for the new primary. */
+	private async runWrite(run: DispatchRun, work: Work): Promise<Dispatched> {
+		const first = new FirstAnswerSink(run.sink);
+		const dispatched = await this.runFirst(run, work, first.sink);
+		const {sqlState, transactionStatus, database} = dispatched.result;
+		if (sqlState === readOnlyTransaction && transactionStatus === 'I' && first.isUntouched) {
+			work.release();
+			throw refuse('notPrimary', database, 'the database takes no writes');
+		}
+
+		await first.flush();
+		return dispatched;
+	}
+
 	private async runAtReplica(run: DispatchRun, work: Work): Promise<Dispatched | undefined> {
 		const first = new FirstAnswerSink(run.sink);
 		const dispatched = await this.runFirst(run, work, first.sink);
@@ -201,7 +219,10 @@
 			return await this.channels.open(member, request, signal);
 		} catch (error) {
 			if (notRunReason(error) === 'unreachable' && !signal.aborted) {
-				this.ports.membership.reportUnreachable(member.host);
+				if (wasRefused(error)) {
+					this.ports.membership.reportUnreachable(member.host);
+				}
+
 				this.channels.endIfSilent(member.host);
 			}
 
@@ -216,7 +237,7 @@
 		}
 
 		const reason = notRunReason(error);
-		if (!reason || run.options.signal.aborted) {
+		if (!reason || run.options.signal.aborted || run.options.cancelSignal?.aborted) {
 			return false;
 		}
 
@@ -263,9 +284,11 @@
 		}
 
 		run.pauseMs = Math.min(longestPauseMs, pauseMs * 2);
+		const giveUp = childSignal(options.signal, ...(options.cancelSignal ? [options.cancelSignal] : []));
 		run.hasTurn = await this.failovers.takeTurn(intent.group, {
-			seen, pauseMs: pauseMs * (0.5 + this.ports.random.next()), deadlineMs: run.deadlineMs, signal: options.signal,
+			seen, pauseMs: pauseMs * (0.5 + this.ports.random.next()), deadlineMs: run.deadlineMs, signal: giveUp.signal,
 		});
+		giveUp.release();
 		return run.hasTurn;
 	}
 
@@ -351,3 +374,9 @@
 		return sink(frames);
 	};
 }
+
+/** A peer that does not accept a connection in time may only be slow; its heartbeats tell whether it is dead. */
+function wasRefused(error: unknown): boolean {
+	const cause = error instanceof Error ? error.cause : undefined;
+	return cause instanceof Error && 'code' in cause;
+}
