Follow the hints of refusals at the entry proxy

Cause: in a flood of the least urgent rank, each refused statement took a round trip to the holder. The holders' event loops were busy with refusals, and slots stayed taken while they lagged.

Ruled out: the order of the queue, which kept the first rank within its target on a controlled clock, and the load tool, whose own lag was below 7 ms at p99.

--- a/packages/work/src/workDispatcher.ts
+++ b/packages/work/src/workDispatcher.ts
@@ -13,6 +13,7 @@
 import {FirstAnswerSink} from './firstAnswerSink.js';
 import {type Holder} from './holder.js';
 import {RetryBudget} from './retryBudget.js';
+import {ShedHints} from './shedHints.js';
 import {TrackedWork} from './trackedWork.js';
 import {type WorkChannelPool} from './workChannelPool.js';
 
@@ -33,6 +34,7 @@
 /** Chooses a database for each unit of work, opens it at the holder, and repeats only what was not run. */
 export class WorkDispatcher implements Dispatcher {
 	private readonly loads = new DatabaseLoads();
+	private readonly shedHints: ShedHints;
 	private readonly budget = new RetryBudget();
 	private readonly choice: DatabaseChoice;
 	private readonly failovers: FailoverQueue;
@@ -49,6 +51,7 @@
 	) {
 		channels.followMembership(ports.membership);
 		this.failovers = new FailoverQueue(ports.clock, ports.directory);
+		this.shedHints = new ShedHints(ports.clock);
 		this.choice = new DatabaseChoice(ports, this.loads);
 	}
 
@@ -128,7 +131,7 @@
 			return await (candidate.isPrimary ? this.runFirst(run, work, run.sink) : this.runAtReplica(run, work));
 		} catch (error) {
 			run.excluded.add(database);
-			this.noteShed(error, database);
+			this.noteShed(error, {...intent, database});
 			throw error;
 		}
 	}
@@ -208,6 +211,7 @@
 	}
 
 	private open(spec: DatabaseGroupSpec, request: WorkRequest, signal: AbortSignal): Work | Promise<Work> {
+		this.shedHints.check(request);
 		const member = this.choice.holderOf(spec, request.database);
 		return member.host === this.ports.membership.self.host
 			? this.holder.openNow(request)
@@ -361,9 +365,10 @@
 		}
 	}
 
-	private noteShed(error: unknown, database: string): void {
+	private noteShed(error: unknown, key: Pick<WorkRequest, 'database' | 'rank' | 'callerKey'>): void {
 		if (error instanceof FailureError && error.failure.kind === 'notRun' && error.failure.retryAfterMs !== undefined) {
-			this.loads.observeWait(database, error.failure.retryAfterMs);
+			this.loads.observeWait(key.database, error.failure.retryAfterMs);
+			this.shedHints.note(key, error.failure);
 		}
 	}
 }
