Send reads to replicas that keep up although their reported position is old

Cause: entry proxies judged replicas by positions that are up to a second old. Under writes each replica looked behind, and two thirds of the reads went to the primary, although no replica lagged.

Ruled out: lag (a replica held the primary's position of one sample before in 100% of the samples) and load (7 outstanding requests at the most).

A holder whose monitor has not started yet makes the statement wait instead of using up retries.

--- a/packages/work/src/__tests__/workDispatcher.test.ts
+++ b/packages/work/src/__tests__/workDispatcher.test.ts
@@ -121,7 +121,13 @@
 
 const behind = (state: GroupState): GroupState => ({
 	...state,
-	databases: state.databases.map(view => view.database === 'a' ? view : {...view, position: {term: 1, offsetBytes: view.database === 'b' ? 40 : 60}}),
+	databases: state.databases.map(view => view.database === 'a' ? view : {...view, position: {term: 1, offsetBytes: view.database === 'b' ? 40 : 60}, provenAgeMs: 5000}),
+});
+
+/** Replicas that keep up, but whose positions were reported before the last write. */
+const reportedEarlier = (state: GroupState): GroupState => ({
+	...behind(state),
+	databases: behind(state).databases.map(view => ({...view, provenAgeMs: 400})),
 });
 
 describe('WorkDispatcher', () => {
@@ -141,6 +147,9 @@
 		{
 			name: 'a session read to the primary when replicas are behind', intent: {}, state: behind(groupState()), pattern: /^a$/v,
 		},
+		{
+			name: 'a session read to a replica that keeps up, although its reported position is older', intent: {}, state: reportedEarlier(groupState()), pattern: /^[bc]$/v, minimum: 100,
+		},
 		{
 			name: 'a read without a token after a probe', intent: {hasSessionToken: false, sessionPosition: {term: 0, offsetBytes: 0}}, pattern: /^[bc]$/v, probes: 1, minimum: 100,
 		},
@@ -164,6 +173,18 @@
 		});
 	}
 
+	it('passes over a replica that its holder found behind, for a moment (guards against reads that each wait in vain)', async () => {
+		const {run, databases, world, clock} = setUpDispatcher(({database}) => database === 'a' ? 'ok' : 'tooStale');
+		world.state = reportedEarlier(groupState());
+		await run();
+		await run();
+		await run();
+		expect(databases()).to.match(/^(?:bacaa|cabaa)$/v);
+		await clock.advance(600);
+		await run();
+		expect(databases()).to.match(/[bc]a$/v);
+	});
+
 	it('spreads reads over replicas by work in flight (guards against one replica taking all)', async () => {
 		const {run, requests, world, dispatcher} = setUpDispatcher(() => 'ok');
 		world.gate = never();
--- a/packages/work/src/candidates.ts
+++ b/packages/work/src/candidates.ts
@@ -40,17 +40,27 @@
 	return mode === 'read' && (freshness.mode === 'primary' || (freshness.mode === 'session' && !hasSessionToken));
 }
 
-/** Judges every database of a group. */
-export function judgeCandidates(spec: DatabaseGroupSpec, state: GroupState, demands: Demands): readonly Candidate[] {
+/**
+ * A replica whose data is proven to be younger than this keeps up. Its position in a state is up to a second old, so that
+ * under writes it looks behind although it is not; its holder, which knows it exactly, waits or refuses.
+ */
+const keepsUpAgeMs = 1000;
+
+/**
+ * Judges every database of a group.
+ * @param lagsBehind - tells whether a replica was found behind by its holder a moment ago
+ */
+export function judgeCandidates(spec: DatabaseGroupSpec, state: GroupState, demands: Demands, lagsBehind: (database: string) => boolean): readonly Candidate[] {
 	return state.databases.map(view => {
 		const isPrimary = view.database === state.primary;
 		return {
-			database: view.database, isPrimary, position: view.position, verdict: judge(spec, view, isPrimary, demands),
+			database: view.database, isPrimary, position: view.position, verdict: judge(spec, view, isPrimary, demands, lagsBehind),
 		};
 	});
 }
 
-function judge(spec: DatabaseGroupSpec, view: DatabaseView, isPrimary: boolean, demands: Demands): Candidate['verdict'] {
+// eslint-disable-next-line max-params
+function judge(spec: DatabaseGroupSpec, view: DatabaseView, isPrimary: boolean, demands: Demands, lagsBehind: (database: string) => boolean): Candidate['verdict'] {
 	const configured = spec.databases.find(({name}) => name === view.database);
 	if (!configured || configured.leaving) {
 		return 'leaving';
@@ -69,5 +79,7 @@
 		return 'tooOld';
 	}
 
-	return demands.minimumPosition && !isPrimary && !holdsPosition(view.position, demands.minimumPosition) ? 'behind' : 'fresh';
+	const isReported = !demands.minimumPosition || isPrimary || holdsPosition(view.position, demands.minimumPosition);
+	const keepsUp = view.provenAgeMs <= keepsUpAgeMs && !lagsBehind(view.database);
+	return isReported || keepsUp ? 'fresh' : 'behind';
 }
--- a/packages/work/src/databaseChoice.ts
+++ b/packages/work/src/databaseChoice.ts
@@ -31,7 +31,7 @@
 			return {candidates: [], reason: 'the group is not configured or has not been monitored yet'};
 		}
 
-		const candidates = judgeCandidates(spec, state, demandsOf(intent));
+		const candidates = judgeCandidates(spec, state, demandsOf(intent), database => this.loads.lagsBehind(database));
 		const chosen = this.pick(candidates, spec);
 		return {
 			database: chosen?.database,
@@ -65,7 +65,7 @@
 		}
 
 		const needsPrimary = demands.needsPrimary || run.primaryOnly;
-		const judged = judgeCandidates(spec, state, {...demands, needsPrimary});
+		const judged = judgeCandidates(spec, state, {...demands, needsPrimary}, database => this.loads.lagsBehind(database));
 		const open = run.intent.mode === 'read' ? judged.filter(({database}) => !run.excluded.has(database)) : judged;
 		const candidate = this.replicaBehind(run, open, spec) ?? this.pick(open, spec);
 		if (!candidate) {
--- a/packages/work/src/heldDatabase.ts
+++ b/packages/work/src/heldDatabase.ts
@@ -130,7 +130,7 @@
 	view(): GroupView {
 		const view = this.ports.groupViews.get(this.group);
 		if (!view) {
-			throw this.refusal('unreachable', 'the group is not monitored by this host');
+			throw this.refusal('noPrimary', 'the group is not monitored by this host yet');
 		}
 
 		return view;
--- a/packages/work/src/workDispatcher.ts
+++ b/packages/work/src/workDispatcher.ts
@@ -33,7 +33,7 @@
 
 /** Chooses a database for each unit of work, opens it at the holder, and repeats only what was not run. */
 export class WorkDispatcher implements Dispatcher {
-	private readonly loads = new DatabaseLoads();
+	private readonly loads: DatabaseLoads;
 	private readonly shedHints: ShedHints;
 	private readonly budget = new RetryBudget();
 	private readonly choice: DatabaseChoice;
@@ -51,6 +51,7 @@
 	) {
 		channels.followMembership(ports.membership);
 		this.failovers = new FailoverQueue(ports.clock, ports.directory);
+		this.loads = new DatabaseLoads(ports.clock);
 		this.shedHints = new ShedHints(ports.clock);
 		this.choice = new DatabaseChoice(ports, this.loads);
 	}
@@ -132,6 +133,10 @@
 		} catch (error) {
 			run.excluded.add(database);
 			this.noteShed(error, {...intent, database});
+			if (notRunReason(error) === 'tooStale' && !candidate.isPrimary) {
+				this.loads.noteBehind(database);
+			}
+
 			throw error;
 		}
 	}
