--- a/packages/work/src/workDispatcher.ts
+++ b/packages/work/src/workDispatcher.ts
@@ -1,5 +1,5 @@
 import {
-	childSignal, FailureError, type Clock, type ConfigurationSource, type DatabaseGroupSpec, type Dispatcher, type ExchangeOptions, type ExchangeResult,
+	FailureError, type Clock, type ConfigurationSource, type DatabaseGroupSpec, type Dispatcher, type ExchangeOptions, type ExchangeResult,
 	type FrameSink, type GroupDirectory, type HolderStats, type Membership, type Metrics, type RandomSource,
 	type RoutingExplanation, type Work, type WorkIntent, type WorkRequest,
 } from '@crocusloom/model';
@@ -7,11 +7,12 @@
 import {DatabaseChoice} from './databaseChoice.js';
 import {DatabaseLoads} from './databaseLoad.js';
 import {
-	firstPauseMs, leadershipOf, longestPauseMs, mayRunAgain, notRunReason, refuse, remedyFor, type DispatchRun,
+	firstPauseMs, leadershipOf, notRunReason, refuse, type DispatchRun,
 } from './dispatchRun.js';
-import {FailoverQueue, failoverWaitLimitMs} from './failoverQueue.js';
+import {FailoverQueue} from './failoverQueue.js';
 import {FirstAnswerSink} from './firstAnswerSink.js';
 import {type Holder} from './holder.js';
+import {Remedies} from './remedies.js';
 import {RetryBudget} from './retryBudget.js';
 import {ShedHints} from './shedHints.js';
 import {TrackedWork} from './trackedWork.js';
@@ -38,6 +39,7 @@
 	private readonly budget = new RetryBudget();
 	private readonly choice: DatabaseChoice;
 	private readonly failovers: FailoverQueue;
+	private readonly remedies: Remedies;
 
 	/**
 	 * @param ports - configuration, directory, membership and the like
@@ -54,6 +56,7 @@
 		this.loads = new DatabaseLoads(ports.clock);
 		this.shedHints = new ShedHints(ports.clock);
 		this.choice = new DatabaseChoice(ports, this.loads);
+		this.remedies = new Remedies(ports, this.failovers, this.budget);
 	}
 
 	async dispatch(intent: WorkIntent, frames: Buffer, sink: FrameSink, options: ExchangeOptions): Promise<Dispatched> {
@@ -84,7 +87,7 @@
 					return dispatched;
 				}
 			} catch (error) {
-				if (!await this.mayRepeat(run, error)) {
+				if (!await this.remedies.mayRepeat(run, error)) {
 					// A refusal of a later run does not say that nothing ran.
 					throw run.lostRuns.at(-1) ?? error;
 				}
@@ -239,137 +242,6 @@
 		}
 	}
 
-	/** Applies the remedy for a refusal. Anything that may have run is never repeated. */
-	private async mayRepeat(run: DispatchRun, error: unknown): Promise<boolean> {
-		if (mayRunAgain(run, error)) {
-			return this.runAgain(run, error);
-		}
-
-		const reason = notRunReason(error);
-		if (!reason || run.options.signal.aborted || run.options.cancelSignal?.aborted) {
-			return false;
-		}
-
-		const remedy = remedyFor(run, reason);
-		if (remedy === 'awaitFailover') {
-			return this.awaitFailover(run);
-		}
-
-		if (this.ports.clock.nowMs() >= run.deadlineMs) {
-			return false;
-		}
-
-		switch (remedy) {
-			case 'giveUp': {
-				return false;
-			}
-
-			case 'primary': {
-				return this.turnToPrimary(run);
-			}
-
-			case 'elsewhere': {
-				return this.tryElsewhere(run);
-			}
-
-			case 'awaitLeader': {
-				return await this.pause(run) !== 'expired';
-			}
-
-			case 'pause': {
-				const outcome = await this.pause(run);
-				return outcome === 'changed' || (outcome === 'elapsed' && this.takeRetry(run));
-			}
-		}
-	}
-
-	/** Waits for a new primary, or for the next attempt at the present one. */
-	private async awaitFailover(run: DispatchRun): Promise<boolean> {
-		const {intent, options, seen, pauseMs} = run;
-		if (!run.awaitsFailover) {
-			run.awaitsFailover = true;
-			run.deadlineMs += Math.max(0, failoverWaitLimitMs - intent.waitLimitMs);
-			this.ports.metrics.count('writes_awaiting_failover', {group: intent.group});
-		}
-
-		run.pauseMs = Math.min(longestPauseMs, pauseMs * 2);
-		const giveUp = childSignal(options.signal, ...(options.cancelSignal ? [options.cancelSignal] : []));
-		run.hasTurn = await this.failovers.takeTurn(intent.group, {
-			seen, pauseMs: pauseMs * (0.5 + this.ports.random.next()), deadlineMs: run.deadlineMs, signal: giveUp.signal,
-		});
-		giveUp.release();
-		return run.hasTurn;
-	}
-
-	/** The wait limit counts anew, because a loss is noticed only after a time that is longer than most limits. */
-	private runAgain(run: DispatchRun, error: unknown): boolean {
-		run.lostRuns.push(error);
-		run.deadlineMs = this.ports.clock.nowMs() + run.intent.waitLimitMs;
-		return this.takeRetry(run);
-	}
-
-	/** A bounded read is refused when no database is proven young enough; other reads are always served by the primary. */
-	private async turnToPrimary(run: DispatchRun): Promise<boolean> {
-		if (run.intent.freshness.mode === 'bounded') {
-			return run.hasChosen && this.tryElsewhere(run);
-		}
-
-		if (run.primaryOnly || !run.hasChosen) {
-			return this.tryLater(run);
-		}
-
-		run.primaryOnly = true;
-		return true;
-	}
-
-	/** Tries the databases that have not refused yet; the attempt that finds none left ends in `tryLater`. */
-	private async tryElsewhere(run: DispatchRun): Promise<boolean> {
-		return run.hasChosen ? this.takeRetry(run) : this.tryLater(run);
-	}
-
-	/** Starts again with all databases after a pause. */
-	private async tryLater(run: DispatchRun): Promise<boolean> {
-		const outcome = await this.pause(run);
-		run.excluded.clear();
-		run.primaryOnly = false;
-		return outcome !== 'expired' && this.takeRetry(run);
-	}
-
-	private takeRetry({intent}: DispatchRun): boolean {
-		const isAllowed = this.budget.tryRetry(intent.group, intent.callerKey);
-		this.ports.metrics.count(isAllowed ? 'retries' : 'retries_refused', {group: intent.group});
-		return isAllowed;
-	}
-
-	/** Waits until the leadership differs from what the attempt saw, the pause is over, or the wait limit is reached. */
-	private async pause(run: DispatchRun): Promise<'changed' | 'elapsed' | 'expired'> {
-		const {clock, random, directory} = this.ports;
-		const endMs = clock.nowMs() + (run.pauseMs * (0.5 + random.next()));
-		run.pauseMs = Math.min(longestPauseMs, run.pauseMs * 2);
-		while (clock.nowMs() < endMs) {
-			const leftMs = Math.min(endMs, run.deadlineMs) - clock.nowMs();
-			if (leftMs <= 0 || !await this.sleep(Math.min(firstPauseMs, leftMs), run.options.signal)) {
-				return 'expired';
-			}
-
-			if (leadershipOf(directory.stateOf(run.intent.group)) !== run.seen) {
-				run.pauseMs = firstPauseMs;
-				return 'changed';
-			}
-		}
-
-		return clock.nowMs() < run.deadlineMs ? 'elapsed' : 'expired';
-	}
-
-	private async sleep(durationMs: number, signal: AbortSignal): Promise<boolean> {
-		try {
-			await this.ports.clock.sleep(durationMs, signal);
-			return true;
-		} catch {
-			return false;
-		}
-	}
-
 	private noteShed(error: unknown, key: Pick<WorkRequest, 'database' | 'rank' | 'callerKey'>): void {
 		if (error instanceof FailureError && error.failure.kind === 'notRun' && error.failure.retryAfterMs !== undefined) {
 			this.loads.observeWait(key.database, error.failure.retryAfterMs);
