--- a/packages/endToEnd/src/__tests__/platformFailures.test.ts
+++ b/packages/endToEnd/src/__tests__/platformFailures.test.ts
@@ -1,12 +1,12 @@
 import {assert} from 'chai';
 import {CallerSession} from '../callerSession.js';
-import {FaultCluster, request} from '../faultCluster.js';
+import {type FaultCluster, request} from '../faultCluster.js';
 import {type Load} from '../load.js';
 import {pollUntil} from '../poll.js';
+import {describeFailures, type FailureCase} from './failureCases.js';
 
 type Rank = {readonly revision: number; readonly spec: {readonly targetMs: number}};
 type Group = {readonly revision: number; readonly spec: {readonly databases: ReadonlyArray<{readonly name: string}>}};
-type Case = {readonly name: string; readonly guardsAgainst: string; readonly seed: number; readonly act: (faults: FaultCluster, load: Load) => Promise<void>};
 
 /** Stated target for a change to be in force everywhere. */
 const configurationBoundMs = 7000;
@@ -32,8 +32,8 @@
 	{name: 'losing answers after the effect', faults: {loseAnswers: 50}, seed: 23},
 ] as const;
 
-const cases: readonly Case[] = [
-	...platformFaults.map(({name, faults: settings, seed}): Case => ({
+const cases: readonly FailureCase[] = [
+	...platformFaults.map(({name, faults: settings, seed}): FailureCase => ({
 		name: `the platform is ${name} during a promotion`, guardsAgainst: 'a promotion or statements that need the platform', seed,
 		async act(faults, load) {
 			await faults.setPlatformFaults(settings);
@@ -55,7 +55,7 @@
 			}, configurationBoundMs);
 		},
 	},
-	...(['resource', 'host list'] as const).map((source, index): Case => ({
+	...(['resource', 'host list'] as const).map((source, index): FailureCase => ({
 		name: `a backend server is marked leaving in the ${source}`, guardsAgainst: 'new work at a server that leaves', seed: 25 + index,
 		async act(faults, load) {
 			const [leaving] = await faults.replicas();
@@ -119,24 +119,4 @@
 	assert.equal(status, 200);
 }
 
-describe('failures of the platform and of failure domains, in real processes', () => {
-	const faults = new FaultCluster();
-	before(async () => faults.start());
-	after(async () => faults.stop());
-	afterEach(async () => {
-		await faults.heal();
-		await faults.untilHealthy();
-	});
-
-	for (const {name, guardsAgainst, seed, act} of cases) {
-		it(`${name} (guards against ${guardsAgainst})`, async () => {
-			const load = await faults.startLoad(seed);
-			await load.untilServed();
-			await act(faults, load);
-			await faults.heal();
-			await faults.untilHealthy();
-			await load.untilServed();
-			assert.deepEqual(await load.finish(), []);
-		});
-	}
-});
+describeFailures('failures of the platform and of failure domains, in real processes', cases);
--- a/packages/endToEnd/src/__tests__/primaryFailures.test.ts
+++ b/packages/endToEnd/src/__tests__/primaryFailures.test.ts
@@ -1,6 +1,7 @@
 import {assert} from 'chai';
-import {FaultCluster} from '../faultCluster.js';
+import {type FaultCluster} from '../faultCluster.js';
 import {primaryFaults} from '../faults.js';
+import {describeFailures} from './failureCases.js';
 
 type Case = {
 	readonly name: string;
@@ -56,24 +57,6 @@
 	},
 ];
 
-describe('failures of the primary, in real processes', () => {
-	const faults = new FaultCluster();
-	before(async () => faults.start());
-	after(async () => faults.stop());
-	afterEach(async () => {
-		await faults.heal();
-		await faults.untilHealthy();
-	});
-
-	for (const {name, guardsAgainst, seed, act} of cases) {
-		it(`${name} (guards against ${guardsAgainst})`, async () => {
-			const load = await faults.startLoad(seed);
-			await load.untilServed();
-			await act(faults, async () => load.untilServed());
-			await faults.heal();
-			await faults.untilHealthy();
-			await load.untilServed();
-			assert.deepEqual(await load.finish(), []);
-		});
-	}
-});
+describeFailures('failures of the primary, in real processes', cases.map(given => ({
+	...given, act: async (faults, load) => given.act(faults, async () => load.untilServed()),
+})));
--- a/packages/endToEnd/src/__tests__/proxyFailures.test.ts
+++ b/packages/endToEnd/src/__tests__/proxyFailures.test.ts
@@ -1,10 +1,9 @@
 import {assert} from 'chai';
 import {CallerSession, outcomeOfError} from '../callerSession.js';
-import {FaultCluster, request} from '../faultCluster.js';
+import {type FaultCluster, request} from '../faultCluster.js';
 import {type Load} from '../load.js';
 import {pollUntil} from '../poll.js';
-
-type Case = {readonly name: string; readonly guardsAgainst: string; readonly seed: number; readonly act: (faults: FaultCluster, load: Load) => Promise<void>};
+import {describeFailures, type FailureCase} from './failureCases.js';
 
 const sqlStateOf = async (promise: Promise<unknown>) => promise.then(() => 'none', (error: unknown) => (error as {code?: string}).code);
 
@@ -14,7 +13,7 @@
 	return session;
 }
 
-const cases: readonly Case[] = [
+const cases: readonly FailureCase[] = [
 	{
 		name: 'a proxy is killed in the middle of a transaction', guardsAgainst: 'half a transaction, and locks or slots that stay taken', seed: 11,
 		async act(faults) {
@@ -131,7 +130,7 @@
 			}
 		},
 	},
-	...(['inside', 'outside'] as const).map((place, index): Case => ({
+	...(['inside', 'outside'] as const).map((place, index): FailureCase => ({
 		name: `cancel through another proxy, ${place} a transaction`, guardsAgainst: 'cancel requests that get lost behind a load balancer', seed: 17 + index,
 		async act(faults) {
 			const [session, locker] = [await connected(faults, 0), await connected(faults, 1)];
@@ -159,24 +158,4 @@
 	})),
 ];
 
-describe('failures of proxies, in real processes', () => {
-	const faults = new FaultCluster();
-	before(async () => faults.start());
-	after(async () => faults.stop());
-	afterEach(async () => {
-		await faults.heal();
-		await faults.untilHealthy();
-	});
-
-	for (const {name, guardsAgainst, seed, act} of cases) {
-		it(`${name} (guards against ${guardsAgainst})`, async () => {
-			const load = await faults.startLoad(seed);
-			await load.untilServed();
-			await act(faults, load);
-			await faults.heal();
-			await faults.untilHealthy();
-			await load.untilServed();
-			assert.deepEqual(await load.finish(), []);
-		});
-	}
-});
+describeFailures('failures of proxies, in real processes', cases);
