Serve the platform's callers through a session proxy and an adapter

The new package packages/proxy holds the decisions for typed statements and whole answers: sessions, transactions, freshness, placement, connection pools, proofs of leadership and promotion. platform/ translates the platform's text protocol, store, settings and promotion calls. Each host runs one process that connects to the databases directly; nothing lasts outside the store but one leased key for the duty to promote.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,2 +1,3 @@
 export * from './settings.js';
 export * from './tracing.js';
+export * from './metrics.js';
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -17,8 +17,13 @@
 	private readonly gauges = new Map<string, Gauge>();
 	private readonly histograms = new Map<string, Histogram>();
 
-	constructor() {
-		collectDefaultMetrics({register: this.registry});
+	/**
+	 * @param withRuntime - whether to add the metrics of the Node.js runtime, whose observers cost processor time
+	 */
+	constructor(withRuntime = true) {
+		if (withRuntime) {
+			collectDefaultMetrics({register: this.registry});
+		}
 	}
 
 	count(name: string, labels: Labels = {}, by = 1): void {
--- /dev/null
+++ b/packages/proxy/src/backend.ts
@@ -0,0 +1,262 @@
+import {
+	type Clock, comparePositions, type Log, type LogPosition, type RandomSource,
+} from '@crocusloom/model';
+import {
+	AdmissionQueue, type RankPolicy, type SlotGrant, type SlotRequest,
+} from '@crocusloom/work';
+import {ConnectionPool} from './connectionPool.js';
+import {type PooledConnection} from './pooledConnection.js';
+import {
+	type BackendDialer, type BackendServer, ConnectionError, type ConnectionFailure,
+} from './ports.js';
+import {noValues, type SessionValues} from './sessionValues.js';
+import {SlotLimit} from './slotLimit.js';
+import {type Answer, type BackendCommand, type ServerStatus} from './statement.js';
+
+/** Run time assumed before any statement was measured. */
+const initialRunMs = 20;
+/** Weight of the newest run time in the moving mean. */
+const runMeanWeight = 0.1;
+/** A replica that lacked a position is not asked for a newer one than it is known to hold for this time. */
+const laggingPauseMs = 40;
+/** Connections kept open without need. */
+const warmConnections = 1;
+/** Failed dials in a row after which a server is not offered work while others can take it. */
+const failuresUntilAvoided = 1;
+/** Time for which a server that refuses connections is not offered work. */
+const avoidedMs = 1000;
+
+export type BackendPorts = {
+	readonly dialer: BackendDialer;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly log: Log;
+};
+
+export type BackendLimits = {readonly connections: number; readonly ranks: readonly RankPolicy[]};
+
+/** One backend server as this proxy uses it: its queue, its connections and what is known of it. */
+export class Backend {
+	readonly pool: ConnectionPool;
+	readonly queue: AdmissionQueue;
+	/** Time of the last answer of any kind. */
+	lastHeardMs: number;
+	/** Failed dials since the last success. */
+	failedDials = 0;
+	/** Newest status that the server gave of itself. */
+	status: ServerStatus | undefined;
+	/** Highest term that any answer of this server has shown. */
+	seenTerm = 0;
+	private entry: BackendServer;
+	private readonly slots: SlotLimit;
+	private ranks: readonly RankPolicy[];
+	private appliedPosition: LogPosition | undefined;
+	private laggingUntilMs = 0;
+	private avoidedUntilMs = 0;
+	private leavingSinceMs: number | undefined;
+	private meanRunMs = initialRunMs;
+	private inFlight = 0;
+
+	constructor(entry: BackendServer, limits: BackendLimits, private readonly ports: BackendPorts) {
+		this.entry = entry;
+		this.ranks = limits.ranks;
+		this.lastHeardMs = ports.clock.nowMs();
+		this.noteLeaving();
+		this.slots = new SlotLimit(Math.max(1, entry.slots));
+		this.pool = new ConnectionPool(entry, limits.connections, {
+			...ports,
+			onAvailable: () => {
+				this.queue.grantWaiting();
+			},
+			onDial: failure => {
+				this.noteDial(failure);
+			},
+		});
+		this.queue = new AdmissionQueue(entry.id, {slotLimit: this.slots.current, ranks: limits.ranks}, ports.clock, this.pool);
+	}
+
+	get server(): BackendServer {
+		return this.entry;
+	}
+
+	get id(): string {
+		return this.entry.id;
+	}
+
+	/** Time since discovery listed the server as leaving; 0 if it is not. */
+	get leavingForMs(): number {
+		return this.leavingSinceMs === undefined ? 0 : this.ports.clock.nowMs() - this.leavingSinceMs;
+	}
+
+	/** Statements of this proxy in flight there. */
+	get load(): number {
+		return this.inFlight;
+	}
+
+	/** True while connections to it fail. */
+	get isAvoided(): boolean {
+		return this.ports.clock.nowMs() < this.avoidedUntilMs;
+	}
+
+	/** Puts a changed entry or changed limits in force. */
+	configure(entry: BackendServer, limits: BackendLimits): void {
+		if (entry.startedAtMs !== this.entry.startedAtMs) {
+			this.appliedPosition = undefined;
+			this.status = undefined;
+		}
+
+		this.entry = entry;
+		this.noteLeaving();
+		this.ranks = limits.ranks;
+		this.slots.setCeiling(Math.max(1, entry.slots));
+		this.pool.configure(entry, limits.connections);
+		this.applySlots();
+	}
+
+	/** Work per slot that a new statement would find, in milliseconds. */
+	expectedMs(): number {
+		return (this.meanRunMs * (this.inFlight + 1)) / Math.max(1, this.entry.slots);
+	}
+
+	/** False if the server is known to lack the position at this moment. */
+	mayHold(position: LogPosition | undefined): boolean {
+		if (position === undefined || this.ports.clock.nowMs() >= this.laggingUntilMs) {
+			return true;
+		}
+
+		return this.appliedPosition !== undefined && comparePositions(this.appliedPosition, position) >= 0;
+	}
+
+	/** Asks for a slot; a grant comes with a reserved connection unless the request is inside a transaction. */
+	acquireSlot(request: SlotRequest, signal: AbortSignal): SlotGrant | Promise<SlotGrant> {
+		return this.queue.acquire(request, signal);
+	}
+
+	/**
+	 * Runs a command on a connection and notes what the answer tells of the server.
+	 * @throws ConnectionError if the connection ends first
+	 */
+	async run(connection: PooledConnection, command: BackendCommand, minimumPosition?: LogPosition): Promise<Answer> {
+		const startedMs = this.ports.clock.nowMs();
+		this.inFlight++;
+		try {
+			const answer = await connection.connection.run({command, minimumPosition});
+			connection.isInTransaction = answer.state !== 'idle';
+			this.noteAnswer(answer, command, startedMs);
+			return answer;
+		} finally {
+			this.inFlight--;
+		}
+	}
+
+	/**
+	 * Runs a command of the proxy's own that answers with the server's status.
+	 * @param timeLimitMs - after this the connection is ended, because it may have gone silent
+	 * @returns the status, or undefined if the server was too busy to answer
+	 * @throws ConnectionError if the server does not answer in time
+	 */
+	async control(command: BackendCommand, timeLimitMs: number): Promise<ServerStatus | undefined> {
+		this.pool.reserve();
+		const taking = this.pool.take(noValues);
+		const connection = await this.within(taking, timeLimitMs, () => {
+			void taking.then(late => {
+				this.pool.giveBack(late);
+			}, () => undefined);
+		});
+		try {
+			const answer = await this.within(connection.connection.run({command}), timeLimitMs, () => {
+				connection.close();
+			});
+			this.lastHeardMs = this.ports.clock.nowMs();
+			const status = connection.connection.readStatus(answer);
+			if (status) {
+				this.status = status;
+				this.seenTerm = Math.max(this.seenTerm, status.term);
+			}
+
+			return status;
+		} finally {
+			this.pool.giveBack(connection);
+		}
+	}
+
+	/** Records a control question that was not answered. */
+	noteSilence(error: unknown): void {
+		this.ports.log.warn({
+			server: this.id, reason: error instanceof Error ? error.message : String(error), lastHeardMs: Math.round(this.ports.clock.nowMs() - this.lastHeardMs),
+		}, 'a backend server did not answer a question about its status');
+	}
+
+	/** Opens and closes connections as needed; called at regular intervals. */
+	maintain(): void {
+		this.pool.maintain(this.isAvoided ? 0 : warmConnections);
+	}
+
+	close(): void {
+		this.pool.close();
+		this.queue.refuseWaiting('leaving', 'the backend server is no longer used');
+	}
+
+	private async within<T>(work: Promise<T>, timeLimitMs: number, onTimeout: () => void): Promise<T> {
+		return new Promise((resolve, reject) => {
+			const timer = setTimeout(() => {
+				onTimeout();
+				reject(new ConnectionError({kind: 'unreachable', message: `no answer within ${timeLimitMs} ms`}, 'execute', this.id));
+			}, timeLimitMs);
+			work.then(resolve, reject).finally(() => {
+				clearTimeout(timer);
+			});
+		});
+	}
+
+	/** A server at its connection limit is alive, so that failure counts as an answer. */
+	private noteDial(failure: ConnectionFailure | undefined): void {
+		const nowMs = this.ports.clock.nowMs();
+		if (failure === undefined || failure.kind === 'connectionLimit') {
+			this.failedDials = 0;
+			this.avoidedUntilMs = 0;
+			this.lastHeardMs = nowMs;
+			return;
+		}
+
+		this.failedDials++;
+		if (this.failedDials >= failuresUntilAvoided) {
+			this.avoidedUntilMs = nowMs + avoidedMs;
+		}
+	}
+
+	private noteLeaving(): void {
+		this.leavingSinceMs = this.entry.leaving ? this.leavingSinceMs ?? this.ports.clock.nowMs() : undefined;
+	}
+
+	private noteAnswer(answer: Answer, command: BackendCommand, startedMs: number): void {
+		const nowMs = this.ports.clock.nowMs();
+		this.lastHeardMs = nowMs;
+		if (answer.position) {
+			this.appliedPosition = answer.position;
+			this.seenTerm = Math.max(this.seenTerm, answer.position.term);
+		}
+
+		if (answer.error?.kind === 'overloaded') {
+			this.slots.noteOverloaded(nowMs);
+			this.applySlots();
+			return;
+		}
+
+		if (answer.error?.kind === 'stale') {
+			this.laggingUntilMs = nowMs + laggingPauseMs;
+			return;
+		}
+
+		if (command.kind === 'data' || command.kind === 'executePrepared') {
+			this.meanRunMs += (nowMs - startedMs - this.meanRunMs) * runMeanWeight;
+			if (this.slots.noteServed(nowMs)) {
+				this.applySlots();
+			}
+		}
+	}
+
+	private applySlots(): void {
+		this.queue.configure({slotLimit: this.slots.current, ranks: this.ranks});
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/connectionPool.ts
@@ -0,0 +1,263 @@
+import {type Clock, type Log, type RandomSource} from '@crocusloom/model';
+import {type ConnectionGate} from '@crocusloom/work';
+import {PooledConnection} from './pooledConnection.js';
+import {
+	type BackendDialer, type BackendServer, ConnectionError, type ConnectionFailure,
+} from './ports.js';
+import {type SessionValues} from './sessionValues.js';
+
+/** Time in which a backend server must accept a connection; a new one also waits for a slot there. */
+const dialLimitMs = 700;
+/** Dials at the same time; a new connection takes a slot of the backend server. */
+const maximumDials = 2;
+/** Pause after the backend server refused a connection because of its limit; half of it is random. */
+const limitPauseMs = 400;
+/** Pause after a failed dial, so that a dead server is not flooded with attempts. */
+const failurePauseMs = 100;
+/** An idle connection that is kept beyond the first ones is closed after this time, so that other proxies can use it. */
+const spareIdleMs = 10_000;
+
+type Waiter = {
+	readonly values: SessionValues;
+	readonly resolve: (connection: PooledConnection) => void;
+	readonly reject: (error: unknown) => void;
+};
+
+export type PoolPorts = {
+	readonly dialer: BackendDialer;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly log: Log;
+	/** Called when a connection became available to new work. */
+	readonly onAvailable: () => void;
+	/** Called with each failed dial, and with undefined after a successful one. */
+	readonly onDial: (failure: ConnectionFailure | undefined) => void;
+};
+
+/** The connections of this proxy to one backend server. */
+export class ConnectionPool implements ConnectionGate {
+	private readonly idle: PooledConnection[] = [];
+	private readonly waiters: Waiter[] = [];
+	private readonly all = new Set<PooledConnection>();
+	private dials = 0;
+	private reserved = 0;
+	private inUse = 0;
+	/** Lowered when the backend server is at its limit, raised again with time. */
+	private learnedLimit = Number.POSITIVE_INFINITY;
+	private noDialBeforeMs = 0;
+	private isClosed = false;
+
+	constructor(private server: BackendServer, private limit: number, private readonly ports: PoolPorts) {}
+
+	get openCount(): number {
+		return this.all.size;
+	}
+
+	get idleCount(): number {
+		return this.idle.length;
+	}
+
+	/** Puts a changed entry or limit in force. */
+	configure(server: BackendServer, limit: number): void {
+		this.server = server;
+		this.limit = limit;
+	}
+
+	/** A unit of work may start if a connection is idle or may be opened for it. */
+	mayReserve(): boolean {
+		return this.inUse + this.reserved < Math.max(1, this.currentLimit());
+	}
+
+	reserve(): void {
+		this.reserved++;
+	}
+
+	/** Gives up a reservation that is not used. */
+	cancelReservation(): void {
+		this.reserved--;
+		this.ports.onAvailable();
+	}
+
+	isDoubtful(): boolean {
+		return false;
+	}
+
+	/**
+	 * Takes a connection for a reserved unit of work.
+	 * @param values - values of the session; a connection that has them already is preferred
+	 * @throws ConnectionError if none can be opened
+	 */
+	async take(values: SessionValues): Promise<PooledConnection> {
+		this.reserved--;
+		this.inUse++;
+		const idle = this.takeIdle(values);
+		if (idle) {
+			return idle;
+		}
+
+		try {
+			return await this.wait(values);
+		} catch (error) {
+			this.inUse--;
+			throw error;
+		}
+	}
+
+	/** Gives a connection back; it must be outside any transaction. */
+	giveBack(connection: PooledConnection): void {
+		this.inUse--;
+		if (connection.isOpen && !this.isClosed) {
+			this.offer(connection);
+		} else {
+			connection.close();
+			this.dialForWaiters();
+		}
+
+		this.ports.onAvailable();
+	}
+
+	/** Opens connections ahead of need, up to `count`, and for those that wait since a pause began. */
+	maintain(count: number): void {
+		this.dialForWaiters();
+		if (this.all.size + this.dials < count && this.mayDial()) {
+			void this.dial();
+		}
+
+		this.closeSpare(count);
+	}
+
+	/** Ends all connections; requests in flight fail. */
+	close(): void {
+		this.isClosed = true;
+		for (const connection of this.all) {
+			connection.close();
+		}
+
+		this.failWaiters(new ConnectionError({kind: 'closed', message: 'the backend server is no longer used'}, 'connect', this.server.id));
+	}
+
+	/** Ends all idle connections, because the server may have been replaced or cannot be reached on them. */
+	closeIdle(): void {
+		for (const connection of this.idle.splice(0)) {
+			connection.close();
+		}
+	}
+
+	/** Closes idle connections that other proxies may need. */
+	private closeSpare(keep: number): void {
+		const nowMs = this.ports.clock.nowMs();
+		while (this.all.size > keep && this.idle[0] && nowMs - this.idle[0].idleSinceMs > spareIdleMs) {
+			this.idle.shift()!.close();
+		}
+	}
+
+	private currentLimit(): number {
+		return Math.min(this.limit, this.learnedLimit);
+	}
+
+	private takeIdle(values: SessionValues): PooledConnection | undefined {
+		const matching = this.idle.findLastIndex(connection => connection.hasValues(values));
+		const [found] = this.idle.splice(matching === -1 ? this.idle.length - 1 : matching, 1);
+		return found;
+	}
+
+	private async wait(values: SessionValues): Promise<PooledConnection> {
+		return new Promise((resolve, reject) => {
+			this.waiters.push({values, resolve, reject});
+			this.dialForWaiters();
+		});
+	}
+
+	private offer(connection: PooledConnection): void {
+		const waiter = this.waiters.shift();
+		if (waiter) {
+			waiter.resolve(connection);
+			return;
+		}
+
+		connection.idleSinceMs = this.ports.clock.nowMs();
+		this.idle.push(connection);
+	}
+
+	private mayDial(): boolean {
+		return !this.isClosed
+			&& this.dials < maximumDials
+			&& this.all.size + this.dials < this.currentLimit()
+			&& this.ports.clock.nowMs() >= this.noDialBeforeMs;
+	}
+
+	private dialForWaiters(): void {
+		if (this.waiters.length === 0) {
+			return;
+		}
+
+		while (this.dials < this.waiters.length && this.mayDial()) {
+			void this.dial();
+		}
+
+		if (this.dials === 0 && this.all.size === 0) {
+			this.failWaiters(new ConnectionError({kind: 'unreachable', message: 'no connection, and the last attempt failed a moment ago'}, 'connect', this.server.id));
+		}
+	}
+
+	private async dial(): Promise<void> {
+		this.dials++;
+		try {
+			const connection = await this.ports.dialer.dial(this.server, dialLimitMs);
+			this.dials--;
+			this.adopt(new PooledConnection(connection, this.server.id));
+		} catch (error) {
+			this.dials--;
+			this.noteFailedDial(error);
+		}
+	}
+
+	private adopt(connection: PooledConnection): void {
+		if (this.isClosed) {
+			connection.close();
+			return;
+		}
+
+		this.all.add(connection);
+		this.learnedLimit = Math.max(this.learnedLimit, this.all.size + 1);
+		connection.connection.onClose(() => {
+			this.forget(connection);
+		});
+		this.ports.onDial(undefined);
+		this.offer(connection);
+		this.ports.onAvailable();
+		this.dialForWaiters();
+	}
+
+	private forget(connection: PooledConnection): void {
+		this.all.delete(connection);
+		const index = this.idle.indexOf(connection);
+		if (index !== -1) {
+			this.idle.splice(index, 1);
+		}
+	}
+
+	private noteFailedDial(error: unknown): void {
+		const failure: ConnectionFailure = error instanceof ConnectionError ? error.failure : {kind: 'protocol', message: String(error)};
+		const {clock, random, log, onDial} = this.ports;
+		const isLimit = failure.kind === 'connectionLimit';
+		this.noDialBeforeMs = clock.nowMs() + (isLimit ? limitPauseMs * (0.5 + (random.next() / 2)) : failurePauseMs);
+		if (isLimit) {
+			this.learnedLimit = Math.max(1, this.all.size);
+		}
+
+		log.warn({
+			server: this.server.id, failure: failure.kind, reason: failure.message, openConnections: this.all.size, waiting: this.waiters.length,
+		}, 'a connection to a backend server could not be opened');
+		onDial(failure);
+		if (this.all.size === 0 && this.dials === 0) {
+			this.failWaiters(error);
+		}
+	}
+
+	private failWaiters(error: unknown): void {
+		for (const waiter of this.waiters.splice(0)) {
+			waiter.reject(error);
+		}
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/placement.ts
@@ -0,0 +1,59 @@
+import {type LogPosition} from '@crocusloom/model';
+import {type Backend} from './backend.js';
+import {type ServiceView} from './serviceView.js';
+
+/** Added to the expected time of a server in another failure domain: the longer way and its bytes. */
+const otherDomainMs = 4;
+/** Factor on the expected time of the primary, whose slots writes and strict reads need. */
+const primaryFactor = 1.5;
+
+/** Time for which a leaving server still gets reads if no other server can take them. */
+const leavingReadsMs = 2000;
+
+/** What a read needs of the server that runs it. */
+export type ReadNeeds = {
+	readonly minimumPosition: LogPosition | undefined;
+	/** Servers that this read was refused by. */
+	readonly excluded: ReadonlySet<Backend>;
+	/** Failure domain of this proxy. */
+	readonly failureDomain: string;
+};
+
+/**
+ * Chooses the server for a read that replicas may serve: the one that is expected to answer first.
+ * @returns undefined if no server can take it
+ */
+export function chooseForRead(view: ServiceView, needs: ReadNeeds): Backend | undefined {
+	const listed = view.listed().filter(backend => !needs.excluded.has(backend) && backend.leavingForMs <= leavingReadsMs);
+	const preferences: ReadonlyArray<(backend: Backend) => boolean> = [
+		backend => !backend.isAvoided && !backend.server.leaving && backend.mayHold(needs.minimumPosition),
+		backend => !backend.isAvoided && !backend.server.leaving,
+		backend => !backend.isAvoided && backend.mayHold(needs.minimumPosition),
+		backend => !backend.isAvoided,
+	];
+	for (const isPreferred of preferences) {
+		const candidates = listed.filter(backend => isPreferred(backend));
+		if (candidates.length > 0) {
+			return soonest(candidates, view, needs);
+		}
+	}
+
+	return undefined;
+}
+
+function soonest(candidates: readonly Backend[], view: ServiceView, {failureDomain}: ReadNeeds): Backend {
+	const costMs = (backend: Backend) => {
+		const factor = backend === view.currentLead?.backend ? primaryFactor : 1;
+		const extraMs = backend.server.failureDomain === failureDomain ? 0 : otherDomainMs;
+		return (backend.expectedMs() * factor) + extraMs;
+	};
+
+	let best = candidates[0]!;
+	for (const backend of candidates) {
+		if (costMs(backend) < costMs(best)) {
+			best = backend;
+		}
+	}
+
+	return best;
+}
--- /dev/null
+++ b/packages/proxy/src/primaryWatch.ts
@@ -0,0 +1,72 @@
+import {type Clock, type Log} from '@crocusloom/model';
+import {type Backend} from './backend.js';
+import {askStatus} from './leadProof.js';
+import {type ServiceView} from './serviceView.js';
+
+/** Silence of a primary after which it is asked. */
+export const quietMs = 400;
+/** Time in which it must answer. */
+const answerLimitMs = 450;
+/** Unanswered questions in a row after which it is taken for failed. */
+const failuresUntilSuspected = 2;
+/** Failed connections in a row after which it is taken for failed. */
+const failedDialsUntilSuspected = 3;
+
+export type PromotionNeed
+	= | {readonly kind: 'none'}
+		/** The primary does not answer. */
+		| {readonly kind: 'failed'; readonly primary: Backend}
+		/** The primary is leaving and still answers. */
+		| {readonly kind: 'leaving'; readonly primary: Backend}
+		/** No server says that it is the primary. */
+		| {readonly kind: 'missing'};
+
+/** Time for which no primary was found after which one is made. */
+const missingMs = 1500;
+
+/** Decides whether the primary of one service has to be replaced. */
+export class PrimaryWatch {
+	private failures = 0;
+	private missingSinceMs: number | undefined;
+
+	constructor(private readonly view: ServiceView, private readonly clock: Clock, private readonly log: Log) {}
+
+	/** Looks at the primary, and asks it if it has been silent. */
+	async look(): Promise<PromotionNeed> {
+		const lead = this.view.currentLead;
+		if (!lead) {
+			return this.lookForMissing();
+		}
+
+		this.missingSinceMs = undefined;
+		const {backend} = lead;
+		if (backend.server.leaving) {
+			return {kind: 'leaving', primary: backend};
+		}
+
+		const silentMs = this.clock.nowMs() - backend.lastHeardMs;
+		if (silentMs < quietMs) {
+			this.failures = 0;
+			return {kind: 'none'};
+		}
+
+		const status = await askStatus(backend, answerLimitMs);
+		if (status !== undefined || this.clock.nowMs() - backend.lastHeardMs < quietMs) {
+			this.failures = 0;
+			return {kind: 'none'};
+		}
+
+		this.failures++;
+		const isFailed = this.failures >= failuresUntilSuspected || backend.failedDials >= failedDialsUntilSuspected;
+		this.log.warn({
+			service: this.view.name, server: backend.id, silentMs: Math.round(silentMs), failures: this.failures, failedDials: backend.failedDials, isFailed,
+		}, 'the primary is silent');
+		return isFailed ? {kind: 'failed', primary: backend} : {kind: 'none'};
+	}
+
+	private lookForMissing(): PromotionNeed {
+		const nowMs = this.clock.nowMs();
+		this.missingSinceMs ??= nowMs;
+		return nowMs - this.missingSinceMs >= missingMs ? {kind: 'missing'} : {kind: 'none'};
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/promotion.ts
@@ -0,0 +1,258 @@
+import {
+	type Clock, comparePositions, type Log, type LogPosition,
+} from '@crocusloom/model';
+import {type Backend} from './backend.js';
+import {askStatus} from './leadProof.js';
+import {type PromotionDuty, type PromotionOrders} from './ports.js';
+import {PrimaryWatch, type PromotionNeed} from './primaryWatch.js';
+import {type ServiceView} from './serviceView.js';
+import {type BackendCommand, type ServerStatus} from './statement.js';
+
+/** Interval between two looks at each primary. */
+const lookIntervalMs = 150;
+/** Time in which a server must answer a command of a promotion. */
+const commandLimitMs = 500;
+/** Time in which a replica must have received what the old primary had. */
+const catchUpLimitMs = 1500;
+/** Pause between two questions while something is awaited. */
+const pollMs = 40;
+/** Time in which a promoted server must lead. */
+const leadLimitMs = 4000;
+/** Pause between two orders to the platform that were not accepted. */
+const orderRetryMs = 150;
+/** Orders for one candidate before the promotion is begun anew. */
+const maximumOrders = 6;
+/** Time for which the old primary is told to step down after a promotion. */
+const stepDownForMs = 20_000;
+const stepDownRetryMs = 500;
+
+export type PromotionPorts = {
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly duty: PromotionDuty;
+	readonly orders: PromotionOrders;
+};
+
+type Candidate = {readonly backend: Backend; readonly status: ServerStatus};
+
+/** Why a promotion was not made now. */
+class PromotionHalt extends Error {
+	override readonly name = 'PromotionHalt';
+}
+
+/**
+ * Replaces failed and leaving primaries while this process holds the duty.
+ *
+ * No commit of the old primary may be acknowledged unless the new one has it. Either the old primary steps down and says
+ * up to where its log goes, or replication to all other servers is paused first, so that it cannot get another commit
+ * acknowledged, and the one that has received most is promoted.
+ */
+export class PromotionTask {
+	private readonly watches = new Map<ServiceView, PrimaryWatch>();
+	private readonly running = new Set<ServiceView>();
+
+	constructor(private readonly services: () => readonly ServiceView[], private readonly ports: PromotionPorts) {}
+
+	/** Runs until the signal aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			await this.ports.clock.sleep(lookIntervalMs, signal);
+			if (this.ports.duty.currentToken() === undefined) {
+				this.watches.clear();
+				continue;
+			}
+
+			for (const view of this.services()) {
+				if (!this.running.has(view)) {
+					void this.lookAt(view, signal);
+				}
+			}
+		}
+	}
+
+	/** Looks at one service, and promotes if there is a need. */
+	private async lookAt(view: ServiceView, signal: AbortSignal): Promise<void> {
+		this.running.add(view);
+		try {
+			const watch = this.watchOf(view);
+			const need = await watch.look();
+			if (need.kind !== 'none') {
+				await this.promote(view, need, signal);
+			}
+		} catch (error) {
+			if (!signal.aborted) {
+				this.ports.log.warn({service: view.name, reason: error instanceof Error ? error.message : String(error)}, 'a promotion was not made');
+			}
+		} finally {
+			this.running.delete(view);
+		}
+	}
+
+	private watchOf(view: ServiceView): PrimaryWatch {
+		const watch = this.watches.get(view) ?? new PrimaryWatch(view, this.ports.clock, this.ports.log);
+		this.watches.set(view, watch);
+		return watch;
+	}
+
+	private async promote(view: ServiceView, need: PromotionNeed, signal: AbortSignal): Promise<void> {
+		const startedMs = this.ports.clock.nowMs();
+		const primary = 'primary' in need ? need.primary : undefined;
+		const others = view.listed().filter(backend => backend !== primary);
+		const statuses = await Promise.all(view.listed().map(async backend => ({backend, status: await askStatus(backend)})));
+		const found = statuses.find(({backend, status}) => status?.role === 'primary' && backend !== primary);
+		for (const {backend, status} of statuses) {
+			if (status) {
+				view.noteStatus(backend, status);
+			}
+		}
+
+		if (found && view.currentLead?.backend === found.backend) {
+			return;
+		}
+
+		if (need.kind !== 'leaving' && statuses.some(({backend, status}) => backend === primary && status)) {
+			throw new PromotionHalt('the primary answers again');
+		}
+
+		const term = Math.max(0, ...statuses.map(({status}) => Math.max(status?.term ?? 0, status?.pausedTerm ?? 0))) + 1;
+		this.ports.log.info({
+			service: view.name, need: need.kind, primary: primary?.id, term, others: others.map(({id}) => id),
+		}, 'a promotion begins');
+		const candidate = need.kind === 'leaving'
+			? await this.takeOver(need.primary, others, term)
+			: await this.pauseAndChoose(others, term);
+		const isOrdered = await this.order(view, candidate, signal);
+		if (!isOrdered) {
+			await this.resume(others);
+			throw new PromotionHalt(`the order for ${candidate.backend.id} was not accepted`);
+		}
+
+		await this.awaitLead(view, candidate.backend, term, startedMs);
+		await this.resume(others.filter(backend => backend !== candidate.backend));
+		if (primary) {
+			void this.stepDownLater(primary, term, signal);
+		}
+	}
+
+	/** Makes a primary that answers step down, and waits until another server has its whole log. */
+	private async takeOver(primary: Backend, others: readonly Backend[], term: number): Promise<Candidate> {
+		const staying = others.filter(backend => !backend.server.leaving);
+		const answers = await Promise.all((staying.length > 0 ? staying : others).map(async backend => ({backend, status: await askStatus(backend)})));
+		if (!answers.some(({status}) => status)) {
+			throw new PromotionHalt('no other server answers');
+		}
+
+		const last = await this.command(primary, {kind: 'stepDown', term});
+		if (!last) {
+			throw new PromotionHalt('the leaving primary was too busy to step down');
+		}
+
+		const endMs = this.ports.clock.nowMs() + catchUpLimitMs;
+		const required = last.receivedPosition;
+		while (this.ports.clock.nowMs() < endMs) {
+			for (const {backend} of answers) {
+				const status = await askStatus(backend);
+				if (status && comparePositions(status.receivedPosition, required) >= 0) {
+					return {backend, status};
+				}
+			}
+
+			await this.ports.clock.sleep(pollMs);
+		}
+
+		return this.pauseAndChoose([...others, primary], term + 1);
+	}
+
+	/**
+	 * Pauses replication to all servers and chooses the one that has received most.
+	 * @throws PromotionHalt if one of them does not answer: it might alone hold an acknowledged commit
+	 */
+	private async pauseAndChoose(others: readonly Backend[], term: number): Promise<Candidate> {
+		const answers = await Promise.all(others.map(async backend => ({backend, status: await this.command(backend, {kind: 'pause', term})})));
+		const known = answers.filter((answer): answer is Candidate => answer.status !== undefined);
+		if (known.length < others.length || known.length === 0) {
+			await this.resume(known.map(({backend}) => backend));
+			const missing = answers.filter(({status}) => !status).map(({backend}) => backend.id);
+			throw new PromotionHalt(`no answer from ${missing.join(', ') || 'any server'}, which may hold an acknowledged commit alone`);
+		}
+
+		return known.toSorted(compareCandidates)[0]!;
+	}
+
+	/** Orders the promotion, as long as the duty is held. */
+	private async order(view: ServiceView, {backend, status}: Candidate, signal: AbortSignal): Promise<boolean> {
+		for (let attempt = 0; attempt < maximumOrders; attempt++) {
+			const isHeld = await this.ports.duty.confirm(signal);
+			const token = this.ports.duty.currentToken();
+			if (!isHeld || token === undefined) {
+				throw new PromotionHalt('the duty is no longer held');
+			}
+
+			const result = await this.ports.orders.promote(view.name, backend.id, {holder: this.ports.duty.holder, token}, signal);
+			this.ports.log.info({
+				service: view.name, server: backend.id, token, result, position: positionText(status.receivedPosition), attempt,
+			}, 'a promotion was ordered');
+			if (result !== 'retry') {
+				return result === 'accepted';
+			}
+
+			await this.ports.clock.sleep(orderRetryMs, signal);
+		}
+
+		return false;
+	}
+
+	private async awaitLead(view: ServiceView, backend: Backend, term: number, startedMs: number): Promise<void> {
+		const endMs = this.ports.clock.nowMs() + leadLimitMs;
+		while (this.ports.clock.nowMs() < endMs) {
+			const status = await askStatus(backend);
+			if (status?.role === 'primary') {
+				view.noteStatus(backend, status);
+				this.ports.log.info({
+					service: view.name, server: backend.id, term: status.term, plannedTerm: term, tookMs: Math.round(this.ports.clock.nowMs() - startedMs),
+				}, 'a promotion took effect');
+				return;
+			}
+
+			await this.ports.clock.sleep(pollMs);
+		}
+
+		throw new PromotionHalt(`${backend.id} does not lead ${leadLimitMs} ms after the order`);
+	}
+
+	private async resume(backends: readonly Backend[]): Promise<void> {
+		await Promise.all(backends.map(async backend => this.command(backend, {kind: 'resume'})));
+	}
+
+	/** Tells a replaced primary to step down as soon as it can be reached. */
+	private async stepDownLater(primary: Backend, term: number, signal: AbortSignal): Promise<void> {
+		const endMs = this.ports.clock.nowMs() + stepDownForMs;
+		while (!signal.aborted && this.ports.clock.nowMs() < endMs) {
+			const status = await this.command(primary, {kind: 'stepDown', term});
+			if (status?.role === 'replica') {
+				return;
+			}
+
+			await this.ports.clock.sleep(stepDownRetryMs, signal);
+		}
+	}
+
+	private async command(backend: Backend, command: BackendCommand): Promise<ServerStatus | undefined> {
+		try {
+			return await backend.control(command, commandLimitMs);
+		} catch (error) {
+			backend.noteSilence(error);
+			return undefined;
+		}
+	}
+}
+
+/** More of the log comes first; among equals, a server that stays. */
+function compareCandidates(a: Candidate, b: Candidate): number {
+	const difference = comparePositions(b.status.receivedPosition, a.status.receivedPosition);
+	return difference === 0 ? Number(a.backend.server.leaving) - Number(b.backend.server.leaving) : difference;
+}
+
+function positionText({term, offsetBytes}: LogPosition): string {
+	return `${term}.${offsetBytes}`;
+}
--- /dev/null
+++ b/packages/proxy/src/statementRunner.ts
@@ -0,0 +1,447 @@
+import {
+	type Clock, comparePositions, FailureError, type LogPosition,
+} from '@crocusloom/model';
+import {type SlotGrant} from '@crocusloom/work';
+import {type Backend} from './backend.js';
+import {type Lead} from './leadProof.js';
+import {type PooledConnection} from './pooledConnection.js';
+import {chooseForRead} from './placement.js';
+import {ConnectionError} from './ports.js';
+import {rankOf} from './routeTable.js';
+import {type ServiceView} from './serviceView.js';
+import {
+	type Answer, type AnswerError, type BackendCommand, errorAnswer, isNotRun,
+} from './statement.js';
+import {
+	type DataWork, type OpenTransaction, type Target, type WorkContext, type WorkResult,
+} from './work.js';
+
+/** Attempts at one statement before its last error is given to the caller. */
+const maximumAttempts = 5;
+/** Share of an operation's latency objective for which it waits for a primary or a fresh replica. */
+const waitShare = 0.25;
+/** Pause before a server that lacks a position or is full is asked again. */
+const retryPauseMs = 8;
+/** Time after which a caller may come back when no primary is known. */
+const failoverRetryAfterMs = 1000;
+/** Time for which a leaving primary still gets work; a planned promotion takes less. */
+const leavingPrimaryMs = 4000;
+
+/** Time in which a server must roll a transaction back; after it the connection is ended, which does the same. */
+const rollbackLimitMs = 1000;
+
+/** A statement that was not run, with what the caller is told. */
+class Refusal extends Error {
+	override readonly name = 'Refusal';
+
+	constructor(readonly error: AnswerError, readonly isFinal = false) {
+		super(error.message);
+	}
+}
+
+export type RunnerPorts = {
+	readonly clock: Clock;
+	readonly failureDomain: string;
+	/** Finds the view of a service. */
+	readonly viewOf: (service: string) => ServiceView | undefined;
+};
+
+type Attempt = {
+	readonly context: WorkContext;
+	readonly deadlineMs: number;
+	readonly excluded: Set<Backend>;
+	count: number;
+	waitedMs: number;
+	target: Target | undefined;
+	/** True once a write may have reached a server. */
+	isWriteSent: boolean;
+};
+
+/** Runs statements at backend servers: places, admits, forwards and, where nothing was run, tries again. */
+export class StatementRunner {
+	constructor(private readonly ports: RunnerPorts) {}
+
+	/** Runs a single statement outside any transaction. */
+	async runSingle(context: WorkContext, work: DataWork): Promise<WorkResult> {
+		return this.retry(context, work.mode === 'write', async attempt => this.trySingle(attempt, work));
+	}
+
+	/**
+	 * Begins a transaction on a connection of its own.
+	 * @returns the open transaction, or the answer that refuses it
+	 */
+	async begin(context: WorkContext, readOnly: boolean): Promise<OpenTransaction | WorkResult> {
+		let opened: OpenTransaction | undefined;
+		const result = await this.retry(context, false, async attempt => {
+			opened = await this.tryBegin(attempt, readOnly);
+			return {rows: [], state: 'open'};
+		});
+		return opened ?? result;
+	}
+
+	/**
+	 * Runs a statement of an open transaction.
+	 * @param hasWritten - whether the transaction has written, so that a lost commit is in doubt
+	 */
+	async runInTransaction(context: WorkContext, transaction: OpenTransaction, work: DataWork, hasWritten: boolean): Promise<WorkResult> {
+		const {backend, connection} = transaction;
+		const attempt = this.newAttempt(context);
+		attempt.target = {backend, lead: undefined, minimumPosition: undefined};
+		attempt.count = 1;
+		const isCommit = work.command.kind === 'commit';
+		try {
+			const grant = await this.admit(attempt, backend, true);
+			try {
+				await connection.align(context.values, work.prepared);
+				attempt.isWriteSent = isCommit && hasWritten;
+				const answer = await this.runWithin(attempt, connection, work.command);
+				const isCurrent = isCommit || await this.limit(attempt, transaction.isCurrent, () => undefined);
+				return resultOf(attempt, isCurrent ? answer : this.endStale(connection));
+			} finally {
+				grant.release();
+			}
+		} catch (error) {
+			return resultOf(attempt, this.failInTransaction(attempt, connection, error));
+		}
+	}
+
+	/** Ends a transaction that its session is done with, and gives its connection back. */
+	async release({backend, connection}: OpenTransaction): Promise<void> {
+		if (connection.isOpen && connection.isInTransaction) {
+			const timer = setTimeout(() => {
+				connection.close();
+			}, rollbackLimitMs);
+			try {
+				const answer = await backend.run(connection, {kind: 'rollback'});
+				if (answer.state !== 'idle') {
+					connection.close();
+				}
+			} catch {
+				// The connection has ended, and with it the transaction.
+			} finally {
+				clearTimeout(timer);
+			}
+		}
+
+		backend.pool.giveBack(connection);
+	}
+
+	private endStale(connection: PooledConnection): Answer {
+		connection.close();
+		return errorAnswer('aborted', 'the primary was replaced; the transaction is rolled back', 'failed');
+	}
+
+	private failInTransaction(attempt: Attempt, connection: PooledConnection, error: unknown): Answer {
+		connection.close();
+		const reason = error instanceof Error ? error.message : String(error);
+		return attempt.isWriteSent
+			? errorAnswer('inDoubt', `the commit was sent and not answered: ${reason}`, 'idle')
+			: errorAnswer('aborted', `the transaction is rolled back: ${reason}`, 'failed');
+	}
+
+	/** Repeats an attempt until it is answered, runs out of time, or may have been run. */
+	private async retry(context: WorkContext, isWrite: boolean, run: (attempt: Attempt) => Promise<Answer>): Promise<WorkResult> {
+		const attempt = this.newAttempt(context);
+		for (;;) {
+			attempt.count++;
+			try {
+				const answer = await run(attempt);
+				if (!answer.error || !this.mayRepeat(attempt, answer.error, isWrite)) {
+					return resultOf(attempt, answer);
+				}
+
+				attempt.excluded.add(attempt.target!.backend);
+				await this.noteAnswerError(attempt, answer.error);
+			} catch (error) {
+				const refusal = this.refusalFor(attempt, error, isWrite);
+				if (refusal) {
+					return resultOf(attempt, refusal);
+				}
+			}
+		}
+	}
+
+	private mayRepeat(attempt: Attempt, error: AnswerError, isWrite: boolean): boolean {
+		const mayRun = isNotRun(error) || (!isWrite && error.kind === 'failed');
+		return mayRun && attempt.count < maximumAttempts && this.leftMs(attempt) > retryPauseMs;
+	}
+
+	private async noteAnswerError(attempt: Attempt, error: AnswerError): Promise<void> {
+		const {target, context} = attempt;
+		if (error.kind === 'notPrimary' && target?.lead) {
+			this.ports.viewOf(context.route.service)?.doubtLead(target.lead, 'it refused work as a replica');
+		}
+
+		if (target?.lead !== undefined || error.kind === 'stale') {
+			await this.ports.clock.sleep(retryPauseMs);
+		}
+	}
+
+	/** Decides what an error that is no answer means: a refusal, an unknown outcome, or (undefined) another attempt. */
+	private refusalFor(attempt: Attempt, error: unknown, isWrite: boolean): Answer | undefined {
+		const message = error instanceof Error ? error.message : String(error);
+		if (isWrite && attempt.isWriteSent) {
+			return errorAnswer(this.leftMs(attempt) <= 0 ? 'timeout' : 'inDoubt', `the write was sent and not answered: ${message}`, 'idle');
+		}
+
+		if (error instanceof Refusal && error.isFinal) {
+			return errorAnswer(error.error.kind, error.error.message, 'idle');
+		}
+
+		if (error instanceof FailureError && error.failure.kind === 'notRun') {
+			const {retryAfterMs} = error.failure;
+			return errorAnswer('overloaded', `${message}${retryAfterMs === undefined ? '' : `, retry after ${retryAfterMs} ms`}`, 'idle');
+		}
+
+		if (attempt.target) {
+			attempt.excluded.add(attempt.target.backend);
+		}
+
+		if (attempt.count >= maximumAttempts || this.leftMs(attempt) <= retryPauseMs) {
+			return errorAnswer('overloaded', `not run: ${message}`, 'idle');
+		}
+
+		return undefined;
+	}
+
+	private async trySingle(attempt: Attempt, work: DataWork): Promise<Answer> {
+		const target = await this.place(attempt, work.mode === 'write');
+		const proof = target.lead && work.mode === 'read' ? this.proofOf(attempt, target.lead) : Promise.resolve(true);
+		const grant = await this.admit(attempt, target.backend, false);
+		try {
+			const connection = await this.takeConnection(attempt, target.backend);
+			try {
+				await connection.align(attempt.context.values, work.prepared);
+				attempt.isWriteSent = work.mode === 'write';
+				const answer = await this.runWithin(attempt, connection, work.command);
+				this.checkSingle(answer, connection, work);
+				if (answer.error && isNotRun(answer.error)) {
+					attempt.isWriteSent = false;
+				}
+
+				await this.requireProof(attempt, target, answer, proof);
+				return answer;
+			} finally {
+				target.backend.pool.giveBack(connection);
+			}
+		} finally {
+			grant.release();
+		}
+	}
+
+	private async tryBegin(attempt: Attempt, readOnly: boolean): Promise<OpenTransaction> {
+		const target = await this.place(attempt, !readOnly);
+		const isCurrent = target.lead ? this.proofOf(attempt, target.lead) : Promise.resolve(true);
+		const grant = await this.admit(attempt, target.backend, false);
+		try {
+			const connection = await this.takeConnection(attempt, target.backend);
+			try {
+				await connection.align(attempt.context.values, undefined);
+				const answer = await this.runWithin(attempt, connection, {kind: 'begin', readOnly});
+				if (answer.state !== 'open') {
+					await this.noteAnswerError(attempt, answer.error ?? {kind: 'other', message: 'no transaction was begun'});
+					throw new Refusal(answer.error ?? {kind: 'other', message: 'no transaction was begun'});
+				}
+			} catch (error) {
+				connection.close();
+				target.backend.pool.giveBack(connection);
+				throw error;
+			}
+
+			return {backend: target.backend, connection, isCurrent};
+		} finally {
+			grant.release();
+		}
+	}
+
+	/** A result counts only with the server's digest, and a single statement leaves no transaction open. */
+	private checkSingle(answer: Answer, connection: PooledConnection, work: DataWork): void {
+		if ((!answer.error && answer.digest === undefined) || answer.state !== 'idle') {
+			connection.close();
+			throw new ConnectionError({kind: 'protocol', message: `unexpected answer to a ${work.mode}`}, 'execute', connection.server);
+		}
+
+		if (answer.error?.kind === 'unknownPrepared' && work.prepared) {
+			connection.forgetPrepared(work.prepared);
+		}
+	}
+
+	private async requireProof(attempt: Attempt, target: Target, answer: Answer, proof: Promise<boolean>): Promise<void> {
+		if (answer.error !== undefined || !target.lead) {
+			return;
+		}
+
+		if (answer.position && answer.position.term > target.lead.term) {
+			this.ports.viewOf(attempt.context.route.service)?.doubtLead(target.lead, 'it answered from a newer term');
+		}
+
+		if (!await proof) {
+			throw new Refusal({kind: 'overloaded', message: `it is not proven that ${target.backend.id} leads term ${target.lead.term}`});
+		}
+	}
+
+	private async proofOf(attempt: Attempt, lead: Lead): Promise<boolean> {
+		const view = this.ports.viewOf(attempt.context.route.service);
+		const outcome = await view?.prove(lead);
+		return outcome?.kind === 'leads';
+	}
+
+	/** Chooses a server; waits a part of the latency objective if none can take the work at present. */
+	private async place(attempt: Attempt, needsPrimary: boolean): Promise<Target> {
+		const {route, arrivedMs} = attempt.context;
+		const view = this.ports.viewOf(route.service);
+		if (!view) {
+			throw new Refusal({kind: 'overloaded', message: `service ${route.service} is not known`}, true);
+		}
+
+		const startedMs = this.ports.clock.nowMs();
+		const waitUntilMs = Math.min(attempt.deadlineMs, arrivedMs + (route.targetMs * waitShare));
+		for (;;) {
+			const target = needsPrimary || route.freshness.kind === 'primary'
+				? this.placeAtPrimary(attempt, view)
+				: await this.placeRead(attempt, view);
+			if (target) {
+				attempt.target = target;
+				attempt.waitedMs += this.ports.clock.nowMs() - startedMs;
+				return target;
+			}
+
+			const leftMs = waitUntilMs - this.ports.clock.nowMs();
+			if (leftMs <= 0) {
+				throw new Refusal({kind: 'overloaded', message: `no server of ${route.service} can serve this at present, retry after ${failoverRetryAfterMs} ms`}, true);
+			}
+
+			await this.changeWithin(view, Math.min(leftMs, retryPauseMs * 2));
+		}
+	}
+
+	private placeAtPrimary(attempt: Attempt, view: ServiceView): Target | undefined {
+		const lead = view.currentLead;
+		if (!lead || lead.backend.isAvoided || lead.backend.leavingForMs > leavingPrimaryMs) {
+			return undefined;
+		}
+
+		const {freshness} = attempt.context.route;
+		// Writes on routes that read from replicas may see data of their own session only.
+		const minimumPosition = freshness.kind === 'primary' ? undefined : attempt.context.ownPosition;
+		return {backend: lead.backend, lead, minimumPosition};
+	}
+
+	private async placeRead(attempt: Attempt, view: ServiceView): Promise<Target | undefined> {
+		const {route: {freshness}, arrivedMs, ownPosition} = attempt.context;
+		if (freshness.kind === 'primary') {
+			return undefined;
+		}
+
+		const floor = await view.floorFor(arrivedMs, freshness.maxAgeMs);
+		if (!floor) {
+			return undefined;
+		}
+
+		const minimumPosition = freshness.kind === 'readYourWrites' ? later(floor, ownPosition) : floor;
+		const choose = () => chooseForRead(view, {minimumPosition, excluded: attempt.excluded, failureDomain: this.ports.failureDomain});
+		let backend = choose();
+		if (!backend && attempt.excluded.size > 0) {
+			attempt.excluded.clear();
+			await this.ports.clock.sleep(retryPauseMs);
+			backend = choose();
+		}
+
+		return backend && {backend, lead: undefined, minimumPosition};
+	}
+
+	private async changeWithin(view: ServiceView, limitMs: number): Promise<void> {
+		return new Promise(resolve => {
+			const end = () => {
+				clearTimeout(timer);
+				stop();
+				resolve();
+			};
+
+			const timer = setTimeout(end, limitMs);
+			const stop = view.onChange(end);
+		});
+	}
+
+	private async admit(attempt: Attempt, backend: Backend, inTransaction: boolean): Promise<SlotGrant> {
+		const startedMs = this.ports.clock.nowMs();
+		const {route, callerKey} = attempt.context;
+		const grant = await backend.acquireSlot({
+			rank: rankOf(route), callerKey, inTransaction, waitLimitMs: Math.max(1, this.leftMs(attempt)),
+		}, neverAborted);
+		attempt.waitedMs += this.ports.clock.nowMs() - startedMs;
+		return grant;
+	}
+
+	/** Takes the connection that came with the slot; one that arrives too late goes back to the pool. */
+	private async takeConnection(attempt: Attempt, backend: Backend): Promise<PooledConnection> {
+		const startedMs = this.ports.clock.nowMs();
+		const taking = backend.pool.take(attempt.context.values);
+		const connection = await this.limit(attempt, taking, () => {
+			void taking.then(late => {
+				backend.pool.giveBack(late);
+			}, () => undefined);
+		});
+		attempt.waitedMs += this.ports.clock.nowMs() - startedMs;
+		return connection;
+	}
+
+	/** Runs a command; at the time limit the connection is ended, because its answer can no longer be told apart. */
+	private async runWithin(attempt: Attempt, connection: PooledConnection, command: BackendCommand): Promise<Answer> {
+		const {backend, minimumPosition} = attempt.target!;
+		return this.limit(attempt, backend.run(connection, command, minimumPosition), () => {
+			connection.close();
+		});
+	}
+
+	private async limit<T>(attempt: Attempt, work: Promise<T>, onTimeout: () => void): Promise<T> {
+		return new Promise((resolve, reject) => {
+			const timer = setTimeout(() => {
+				onTimeout();
+				reject(new ConnectionError({kind: 'unreachable', message: 'the time limit of the statement has passed'}, 'execute', attempt.target?.backend.id ?? '-'));
+			}, Math.max(1, this.leftMs(attempt)));
+			work.then(resolve, reject).finally(() => {
+				clearTimeout(timer);
+			});
+		});
+	}
+
+	private leftMs(attempt: Attempt): number {
+		return attempt.deadlineMs - this.ports.clock.nowMs();
+	}
+
+	private newAttempt(context: WorkContext): Attempt {
+		return {
+			context,
+			deadlineMs: this.ports.clock.nowMs() + context.route.timeoutMs,
+			excluded: new Set(),
+			count: 0,
+			waitedMs: 0,
+			target: undefined,
+			isWriteSent: false,
+		};
+	}
+}
+
+const neverAborted = new AbortController().signal;
+
+function later(a: LogPosition, b: LogPosition | undefined): LogPosition {
+	return b && comparePositions(b, a) > 0 ? b : a;
+}
+
+function resultOf(attempt: Attempt, answer: Answer): WorkResult {
+	return {
+		answer,
+		server: attempt.target?.backend.id,
+		leadTerm: attempt.target?.lead?.term,
+		minimumPosition: attempt.target?.minimumPosition,
+		attempts: attempt.count,
+		waitedMs: attempt.waitedMs,
+	};
+}
+
+/** Tells a failed `begin` from an open transaction. */
+export function isRefused(result: OpenTransaction | WorkResult): result is WorkResult {
+	return 'answer' in result;
+}
+
