--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -19,8 +19,6 @@
 const runMeanWeight = 0.1;
 /** A replica that lacked a position is not asked for a newer one than it is known to hold for this time. */
 const laggingPauseMs = 40;
-/** Connections kept open without need. */
-const warmConnections = 1;
 /** Failed dials in a row after which a server is not offered work while others can take it. */
 const failuresUntilAvoided = 1;
 /** Time for which a server that refuses connections is not offered work. */
@@ -187,8 +185,11 @@
 		}, 'a backend server did not answer a question about its status');
 	}
 
-	/** Opens and closes connections as needed; called at regular intervals. */
-	maintain(): void {
+	/**
+	 * Opens and closes connections as needed; called at regular intervals.
+	 * @param warmConnections - connections to keep open without need
+	 */
+	maintain(warmConnections: number): void {
 		this.pool.maintain(this.isAvoided ? 0 : warmConnections);
 	}
 
--- a/packages/proxy/src/connectionPool.ts
+++ b/packages/proxy/src/connectionPool.ts
@@ -10,12 +10,13 @@
 const dialLimitMs = 700;
 /** Dials at the same time; a new connection takes a slot of the backend server. */
 const maximumDials = 2;
-/** Pause after the backend server refused a connection because of its limit; half of it is random. */
-const limitPauseMs = 400;
+/** First pause after the backend server refused a connection because of its limit; doubled up to the longest. */
+const firstLimitPauseMs = 150;
+const longestLimitPauseMs = 1200;
 /** Pause after a failed dial, so that a dead server is not flooded with attempts. */
 const failurePauseMs = 100;
 /** An idle connection that is kept beyond the first ones is closed after this time, so that other proxies can use it. */
-const spareIdleMs = 10_000;
+const spareIdleMs = 2000;
 
 type Waiter = {
 	readonly values: SessionValues;
@@ -42,9 +43,10 @@
 	private dials = 0;
 	private reserved = 0;
 	private inUse = 0;
-	/** Lowered when the backend server is at its limit, raised again with time. */
-	private learnedLimit = Number.POSITIVE_INFINITY;
 	private noDialBeforeMs = 0;
+	private limitPauseMs = firstLimitPauseMs;
+	/** True if the last attempt was refused because the server is at its limit. */
+	private isAtServerLimit = false;
 	private isClosed = false;
 
 	constructor(private server: BackendServer, private limit: number, private readonly ports: PoolPorts) {}
@@ -151,8 +153,10 @@
 		}
 	}
 
+	/** While the server is at its limit, work has to share the connections that are open. */
 	private currentLimit(): number {
-		return Math.min(this.limit, this.learnedLimit);
+		const isPausing = this.isAtServerLimit && this.ports.clock.nowMs() < this.noDialBeforeMs;
+		return isPausing ? Math.min(this.limit, this.all.size) : this.limit;
 	}
 
 	private takeIdle(values: SessionValues): PooledConnection | undefined {
@@ -195,7 +199,7 @@
 			void this.dial();
 		}
 
-		if (this.dials === 0 && this.all.size === 0) {
+		if (this.dials === 0 && this.all.size === 0 && !this.isAtServerLimit) {
 			this.failWaiters(new ConnectionError({kind: 'unreachable', message: 'no connection, and the last attempt failed a moment ago'}, 'connect', this.server.id));
 		}
 	}
@@ -219,7 +223,8 @@
 		}
 
 		this.all.add(connection);
-		this.learnedLimit = Math.max(this.learnedLimit, this.all.size + 1);
+		this.isAtServerLimit = false;
+		this.limitPauseMs = firstLimitPauseMs;
 		connection.connection.onClose(() => {
 			this.forget(connection);
 		});
@@ -240,17 +245,17 @@
 	private noteFailedDial(error: unknown): void {
 		const failure: ConnectionFailure = error instanceof ConnectionError ? error.failure : {kind: 'protocol', message: String(error)};
 		const {clock, random, log, onDial} = this.ports;
-		const isLimit = failure.kind === 'connectionLimit';
-		this.noDialBeforeMs = clock.nowMs() + (isLimit ? limitPauseMs * (0.5 + (random.next() / 2)) : failurePauseMs);
-		if (isLimit) {
-			this.learnedLimit = Math.max(1, this.all.size);
+		this.isAtServerLimit = failure.kind === 'connectionLimit';
+		this.noDialBeforeMs = clock.nowMs() + (this.isAtServerLimit ? this.limitPauseMs * (0.5 + (random.next() / 2)) : failurePauseMs);
+		if (this.isAtServerLimit) {
+			this.limitPauseMs = Math.min(this.limitPauseMs * 2, longestLimitPauseMs);
 		}
 
 		log.warn({
 			server: this.server.id, failure: failure.kind, reason: failure.message, openConnections: this.all.size, waiting: this.waiters.length,
 		}, 'a connection to a backend server could not be opened');
 		onDial(failure);
-		if (this.all.size === 0 && this.dials === 0) {
+		if (this.all.size === 0 && this.dials === 0 && !this.isAtServerLimit) {
 			this.failWaiters(error);
 		}
 	}
--- a/packages/proxy/src/placement.ts
+++ b/packages/proxy/src/placement.ts
@@ -4,8 +4,10 @@
 
 /** Added to the expected time of a server in another failure domain: the longer way and its bytes. */
 const otherDomainMs = 4;
+/** Added for a server without an idle connection: opening one takes time and a slot, and connections are scarce. */
+const newConnectionMs = 12;
 /** Factor on the expected time of the primary, whose slots writes and strict reads need. */
-const primaryFactor = 1.5;
+const primaryFactor = 2;
 
 /** Time for which a leaving server still gets reads if no other server can take them. */
 const leavingReadsMs = 2000;
@@ -44,8 +46,9 @@
 function soonest(candidates: readonly Backend[], view: ServiceView, {failureDomain}: ReadNeeds): Backend {
 	const costMs = (backend: Backend) => {
 		const factor = backend === view.currentLead?.backend ? primaryFactor : 1;
-		const extraMs = backend.server.failureDomain === failureDomain ? 0 : otherDomainMs;
-		return (backend.expectedMs() * factor) + extraMs;
+		const wayMs = backend.server.failureDomain === failureDomain ? 0 : otherDomainMs;
+		const connectionMs = backend.pool.idleCount > 0 ? 0 : newConnectionMs;
+		return (backend.expectedMs() * factor) + wayMs + connectionMs;
 	};
 
 	let best = candidates[0]!;
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -89,7 +89,7 @@
 	/** Sees to connections and to an unknown primary; called at regular intervals. */
 	maintain(): void {
 		for (const backend of this.backends.values()) {
-			backend.maintain();
+			backend.maintain(backend === this.lead?.backend ? 1 : 0);
 		}
 
 		if (!this.lead) {
