--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -19,8 +19,12 @@
 const runMeanWeight = 0.1;
 /** A replica that lacked a position is not asked for a newer one than it is known to hold for this time. */
 const laggingPauseMs = 40;
-/** Failed dials in a row after which a server is not offered work while others can take it. */
-const failuresUntilAvoided = 1;
+/** Silence of a server with work in flight after which it is checked whether its host can be reached. */
+const silenceMs = 250;
+/** Time in which a host must accept a connection in that check. */
+const reachabilityLimitMs = 250;
+/** Attempts of that check at the same time; a lost packet would be sent again only after the limit. */
+const reachabilityAttempts = 2;
 /** Time for which a server that refuses connections is not offered work. */
 const avoidedMs = 1000;
 
@@ -54,6 +58,10 @@
 	private leavingSinceMs: number | undefined;
 	private meanRunMs = initialRunMs;
 	private inFlight = 0;
+	/** Time since which work has been in flight without a pause. */
+	private inFlightSinceMs = 0;
+	private isChecking = false;
+	private failuresSinceHeard = 0;
 
 	constructor(entry: BackendServer, limits: BackendLimits, private readonly ports: BackendPorts) {
 		this.entry = entry;
@@ -91,9 +99,14 @@
 		return this.inFlight;
 	}
 
-	/** True while connections to it fail. */
+	/** True while connections to it fail, or it is silent and being checked. */
 	get isAvoided(): boolean {
-		return this.ports.clock.nowMs() < this.avoidedUntilMs;
+		return this.isChecking || this.ports.clock.nowMs() < this.avoidedUntilMs;
+	}
+
+	/** Time without an answer, counted only if an attempt to get one has failed since the last. */
+	get unansweredForMs(): number {
+		return this.failuresSinceHeard === 0 ? 0 : this.ports.clock.nowMs() - this.lastHeardMs;
 	}
 
 	/** Puts a changed entry or changed limits in force. */
@@ -136,6 +149,10 @@
 	 */
 	async run(connection: PooledConnection, command: BackendCommand, minimumPosition?: LogPosition): Promise<Answer> {
 		const startedMs = this.ports.clock.nowMs();
+		if (this.inFlight === 0) {
+			this.inFlightSinceMs = startedMs;
+		}
+
 		this.inFlight++;
 		try {
 			const answer = await connection.connection.run({command, minimumPosition});
@@ -165,7 +182,7 @@
 			const answer = await this.within(connection.connection.run({command}), timeLimitMs, () => {
 				connection.close();
 			});
-			this.lastHeardMs = this.ports.clock.nowMs();
+			this.noteHeard();
 			const status = connection.connection.readStatus(answer);
 			if (status) {
 				this.status = status;
@@ -180,6 +197,7 @@
 
 	/** Records a control question that was not answered. */
 	noteSilence(error: unknown): void {
+		this.failuresSinceHeard++;
 		this.ports.log.warn({
 			server: this.id, reason: error instanceof Error ? error.message : String(error), lastHeardMs: Math.round(this.ports.clock.nowMs() - this.lastHeardMs),
 		}, 'a backend server did not answer a question about its status');
@@ -190,6 +208,10 @@
 	 * @param warmConnections - connections to keep open without need
 	 */
 	maintain(warmConnections: number): void {
+		if (!this.isChecking && this.inFlight > 0 && this.ports.clock.nowMs() - Math.max(this.lastHeardMs, this.inFlightSinceMs) > silenceMs) {
+			void this.checkReachability();
+		}
+
 		this.pool.maintain(this.isAvoided ? 0 : warmConnections);
 	}
 
@@ -198,6 +220,40 @@
 		this.queue.refuseWaiting('leaving', 'the backend server is no longer used');
 	}
 
+	/** Tells whether the host accepts at least one of several connections. */
+	async reach(): Promise<boolean> {
+		const attempts = Array.from({length: reachabilityAttempts}, async () => this.ports.dialer.isReachable(this.entry, reachabilityLimitMs));
+		const results = await Promise.all(attempts);
+		return results.includes(true);
+	}
+
+	/** Ends all connections of a server whose host cannot be reached, so that its work is not waited for. */
+	private async checkReachability(): Promise<void> {
+		this.isChecking = true;
+		const checkedMs = this.ports.clock.nowMs();
+		const isReachable = await this.reach();
+		this.isChecking = false;
+		if (isReachable || this.lastHeardMs >= checkedMs) {
+			return;
+		}
+
+		this.ports.log.warn({
+			server: this.id, silentMs: Math.round(this.ports.clock.nowMs() - this.lastHeardMs), inFlight: this.inFlight,
+		}, 'a silent backend server cannot be reached; its connections are ended');
+		this.noteFailure();
+		this.pool.closeAll();
+	}
+
+	private noteFailure(): void {
+		this.failuresSinceHeard++;
+		this.avoidedUntilMs = this.ports.clock.nowMs() + avoidedMs;
+	}
+
+	private noteHeard(): void {
+		this.lastHeardMs = this.ports.clock.nowMs();
+		this.failuresSinceHeard = 0;
+	}
+
 	private async within<T>(work: Promise<T>, timeLimitMs: number, onTimeout: () => void): Promise<T> {
 		return new Promise((resolve, reject) => {
 			const timer = setTimeout(() => {
@@ -212,18 +268,15 @@
 
 	/** A server at its connection limit is alive, so that failure counts as an answer. */
 	private noteDial(failure: ConnectionFailure | undefined): void {
-		const nowMs = this.ports.clock.nowMs();
 		if (failure === undefined || failure.kind === 'connectionLimit') {
 			this.failedDials = 0;
 			this.avoidedUntilMs = 0;
-			this.lastHeardMs = nowMs;
+			this.noteHeard();
 			return;
 		}
 
 		this.failedDials++;
-		if (this.failedDials >= failuresUntilAvoided) {
-			this.avoidedUntilMs = nowMs + avoidedMs;
-		}
+		this.noteFailure();
 	}
 
 	private noteLeaving(): void {
@@ -232,7 +285,7 @@
 
 	private noteAnswer(answer: Answer, command: BackendCommand, startedMs: number): void {
 		const nowMs = this.ports.clock.nowMs();
-		this.lastHeardMs = nowMs;
+		this.noteHeard();
 		if (answer.position) {
 			this.appliedPosition = answer.position;
 			this.seenTerm = Math.max(this.seenTerm, answer.position.term);
--- a/packages/proxy/src/connectionPool.ts
+++ b/packages/proxy/src/connectionPool.ts
@@ -138,9 +138,9 @@
 		this.failWaiters(new ConnectionError({kind: 'closed', message: 'the backend server is no longer used'}, 'connect', this.server.id));
 	}
 
-	/** Ends all idle connections, because the server may have been replaced or cannot be reached on them. */
-	closeIdle(): void {
-		for (const connection of this.idle.splice(0)) {
+	/** Ends all connections, because the server cannot be reached on them; new ones may be opened. */
+	closeAll(): void {
+		for (const connection of this.all) {
 			connection.close();
 		}
 	}
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,6 +1,7 @@
 export * from './backend.js';
 export * from './commitSamples.js';
 export * from './decisionLog.js';
+export * from './isolationWatch.js';
 export * from './leadProof.js';
 export * from './ports.js';
 export * from './primaryWatch.js';
--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -95,6 +95,8 @@
 	 * @throws ConnectionError
 	 */
 	dial(server: BackendServer, timeLimitMs: number): Promise<BackendConnection>;
+	/** Tells whether the server's host accepts a connection at all, without waiting for one of its slots. */
+	isReachable(server: BackendServer, timeLimitMs: number): Promise<boolean>;
 };
 
 /** The right to order promotions, held by one process at a time. */
--- a/packages/proxy/src/primaryWatch.ts
+++ b/packages/proxy/src/primaryWatch.ts
@@ -4,13 +4,13 @@
 import {type ServiceView} from './serviceView.js';
 
 /** Silence of a primary after which it is asked. */
-export const quietMs = 400;
+const quietMs = 300;
 /** Time in which it must answer. */
-const answerLimitMs = 450;
-/** Unanswered questions in a row after which it is taken for failed. */
-const failuresUntilSuspected = 2;
-/** Failed connections in a row after which it is taken for failed. */
-const failedDialsUntilSuspected = 3;
+const answerLimitMs = 400;
+/** Unanswered questions in a row after which it is taken for failed although its host can be reached. */
+const failuresUntilSuspected = 4;
+/** The same for a primary whose host cannot be reached. */
+const unreachableUntilSuspected = 1;
 
 export type PromotionNeed
 	= | {readonly kind: 'none'}
@@ -50,16 +50,16 @@
 			return {kind: 'none'};
 		}
 
-		const status = await askStatus(backend, answerLimitMs);
+		const [status, isReachable] = await Promise.all([askStatus(backend, answerLimitMs), backend.reach()]);
 		if (status !== undefined || this.clock.nowMs() - backend.lastHeardMs < quietMs) {
 			this.failures = 0;
 			return {kind: 'none'};
 		}
 
 		this.failures++;
-		const isFailed = this.failures >= failuresUntilSuspected || backend.failedDials >= failedDialsUntilSuspected;
+		const isFailed = this.failures >= (isReachable ? failuresUntilSuspected : unreachableUntilSuspected);
 		this.log.warn({
-			service: this.view.name, server: backend.id, silentMs: Math.round(silentMs), failures: this.failures, failedDials: backend.failedDials, isFailed,
+			service: this.view.name, server: backend.id, silentMs: Math.round(silentMs), failures: this.failures, isReachable, isFailed,
 		}, 'the primary is silent');
 		return isFailed ? {kind: 'failed', primary: backend} : {kind: 'none'};
 	}
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -31,6 +31,7 @@
 	private lastLead: Lead | undefined;
 	/** Highest term that any server has reported. */
 	private highestTerm = 0;
+	private leadLostMs: number;
 	private search: Promise<void> | undefined;
 	private searchedMs = Number.NEGATIVE_INFINITY;
 	private refresh: Promise<void> | undefined;
@@ -41,6 +42,7 @@
 	constructor(private spec: ServiceSpec, private readonly ports: BackendPorts) {
 		this.clock = ports.clock;
 		this.log = ports.log;
+		this.leadLostMs = ports.clock.nowMs();
 		this.proof = new LeadProof(
 			() => this.lead && {lead: this.lead, others: this.listed().filter(backend => backend !== this.lead?.backend), syncReplicas: this.spec.syncReplicas},
 			() => this.clock.nowMs(),
@@ -56,6 +58,11 @@
 		return this.lead;
 	}
 
+	/** Time for which writes could not have been served. */
+	get withoutPrimaryForMs(): number {
+		return this.lead ? this.lead.backend.unansweredForMs : this.clock.nowMs() - this.leadLostMs;
+	}
+
 	/** Servers that discovery lists. */
 	listed(): readonly Backend[] {
 		return [...this.backends.values()];
@@ -136,7 +143,7 @@
 			this.log.warn({
 				service: this.name, server: lead.backend.id, term: lead.term, reason,
 			}, 'the known primary is in doubt');
-			this.lead = undefined;
+			this.dropLead();
 			this.searchedMs = Number.NEGATIVE_INFINITY;
 		}
 
@@ -213,10 +220,15 @@
 		return {connections: this.spec.maxConnections, ranks: this.ranks};
 	}
 
+	private dropLead(): void {
+		this.lead = undefined;
+		this.leadLostMs = this.clock.nowMs();
+	}
+
 	private remove(backend: Backend): void {
 		this.backends.delete(backend.id);
 		if (this.lead?.backend === backend) {
-			this.lead = undefined;
+			this.dropLead();
 		}
 
 		backend.close();
