--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -5,6 +5,7 @@
 	AdmissionQueue, type RankPolicy, type SlotGrant, type SlotRequest,
 } from '@crocusloom/work';
 import {ConnectionPool} from './connectionPool.js';
+import {type ConnectionShare} from './connectionShare.js';
 import {type PooledConnection} from './pooledConnection.js';
 import {
 	type BackendDialer, type BackendServer, ConnectionError, type ConnectionFailure,
@@ -25,8 +26,8 @@
 const reachabilityLimitMs = 250;
 /** Attempts of that check at the same time; a lost packet would be sent again only after the limit. */
 const reachabilityAttempts = 2;
-/** Time for which a server that refuses connections is not offered work. */
-const avoidedMs = 1000;
+/** Interval at which a server that could not be reached is tried again. */
+const retryMs = 200;
 
 export type BackendPorts = {
 	readonly dialer: BackendDialer;
@@ -35,7 +36,7 @@
 	readonly log: Log;
 };
 
-export type BackendLimits = {readonly connections: number; readonly ranks: readonly RankPolicy[]};
+export type BackendLimits = {readonly connections: ConnectionShare; readonly ranks: readonly RankPolicy[]};
 
 /** One backend server as this proxy uses it: its queue, its connections and what is known of it. */
 export class Backend {
@@ -43,8 +44,6 @@
 	readonly queue: AdmissionQueue;
 	/** Time of the last answer of any kind. */
 	lastHeardMs: number;
-	/** Failed dials since the last success. */
-	failedDials = 0;
 	/** Newest status that the server gave of itself. */
 	status: ServerStatus | undefined;
 	/** Highest term that any answer of this server has shown. */
@@ -54,7 +53,9 @@
 	private ranks: readonly RankPolicy[];
 	private appliedPosition: LogPosition | undefined;
 	private laggingUntilMs = 0;
-	private avoidedUntilMs = 0;
+	/** True while its host is known to refuse connections or not to answer. */
+	private isDown = false;
+	private checkedMs = 0;
 	private leavingSinceMs: number | undefined;
 	private meanRunMs = initialRunMs;
 	private inFlight = 0;
@@ -101,7 +102,7 @@
 
 	/** True while connections to it fail, or it is silent and being checked. */
 	get isAvoided(): boolean {
-		return this.isChecking || this.ports.clock.nowMs() < this.avoidedUntilMs;
+		return this.isChecking || this.isDown;
 	}
 
 	/** Time without an answer, counted only if an attempt to get one has failed since the last. */
@@ -208,7 +209,9 @@
 	 * @param warmConnections - connections to keep open without need
 	 */
 	maintain(warmConnections: number): void {
-		if (!this.isChecking && this.inFlight > 0 && this.ports.clock.nowMs() - Math.max(this.lastHeardMs, this.inFlightSinceMs) > silenceMs) {
+		const nowMs = this.ports.clock.nowMs();
+		const isSilent = this.inFlight > 0 && nowMs - Math.max(this.lastHeardMs, this.inFlightSinceMs) > silenceMs;
+		if (!this.isChecking && (isSilent || this.isDown) && nowMs - this.checkedMs >= retryMs) {
 			void this.checkReachability();
 		}
 
@@ -230,28 +233,32 @@
 	/** Ends all connections of a server whose host cannot be reached, so that its work is not waited for. */
 	private async checkReachability(): Promise<void> {
 		this.isChecking = true;
-		const checkedMs = this.ports.clock.nowMs();
+		const startedMs = this.ports.clock.nowMs();
 		const isReachable = await this.reach();
 		this.isChecking = false;
-		if (isReachable || this.lastHeardMs >= checkedMs) {
+		this.checkedMs = this.ports.clock.nowMs();
+		if (isReachable || this.lastHeardMs >= startedMs) {
+			this.isDown = false;
+			return;
+		}
+
+		this.failuresSinceHeard++;
+		if (this.isDown) {
 			return;
 		}
 
+		this.isDown = true;
 		this.ports.log.warn({
 			server: this.id, silentMs: Math.round(this.ports.clock.nowMs() - this.lastHeardMs), inFlight: this.inFlight,
 		}, 'a silent backend server cannot be reached; its connections are ended');
-		this.noteFailure();
 		this.pool.closeAll();
-	}
-
-	private noteFailure(): void {
-		this.failuresSinceHeard++;
-		this.avoidedUntilMs = this.ports.clock.nowMs() + avoidedMs;
+		this.queue.refuseWaiting('unreachable', 'the backend server cannot be reached');
 	}
 
 	private noteHeard(): void {
 		this.lastHeardMs = this.ports.clock.nowMs();
 		this.failuresSinceHeard = 0;
+		this.isDown = false;
 	}
 
 	private async within<T>(work: Promise<T>, timeLimitMs: number, onTimeout: () => void): Promise<T> {
@@ -269,14 +276,12 @@
 	/** A server at its connection limit is alive, so that failure counts as an answer. */
 	private noteDial(failure: ConnectionFailure | undefined): void {
 		if (failure === undefined || failure.kind === 'connectionLimit') {
-			this.failedDials = 0;
-			this.avoidedUntilMs = 0;
 			this.noteHeard();
 			return;
 		}
 
-		this.failedDials++;
-		this.noteFailure();
+		this.failuresSinceHeard++;
+		this.isDown ||= failure.kind === 'refused' || failure.kind === 'unreachable';
 	}
 
 	private noteLeaving(): void {
--- a/packages/proxy/src/connectionPool.ts
+++ b/packages/proxy/src/connectionPool.ts
@@ -1,5 +1,6 @@
 import {type Clock, type Log, type RandomSource} from '@crocusloom/model';
 import {type ConnectionGate} from '@crocusloom/work';
+import {type ConnectionShare} from './connectionShare.js';
 import {PooledConnection} from './pooledConnection.js';
 import {
 	type BackendDialer, type BackendServer, ConnectionError, type ConnectionFailure,
@@ -10,13 +11,14 @@
 const dialLimitMs = 700;
 /** Dials at the same time; a new connection takes a slot of the backend server. */
 const maximumDials = 2;
-/** First pause after the backend server refused a connection because of its limit; doubled up to the longest. */
-const firstLimitPauseMs = 150;
-const longestLimitPauseMs = 1200;
+/** Pause after the server refused a connection because of its limit, while this host holds less than its own share. */
+const ownLimitPauseMs = 200;
+/** The same while it holds its own share or more; others need the connections. */
+const lentLimitPauseMs = 2500;
 /** Pause after a failed dial, so that a dead server is not flooded with attempts. */
 const failurePauseMs = 100;
-/** An idle connection that is kept beyond the first ones is closed after this time, so that other proxies can use it. */
-const spareIdleMs = 2000;
+/** An idle connection above the own share is closed after this time, so that other hosts can use it. */
+const spareIdleMs = 1000;
 
 type Waiter = {
 	readonly values: SessionValues;
@@ -44,12 +46,11 @@
 	private reserved = 0;
 	private inUse = 0;
 	private noDialBeforeMs = 0;
-	private limitPauseMs = firstLimitPauseMs;
 	/** True if the last attempt was refused because the server is at its limit. */
 	private isAtServerLimit = false;
 	private isClosed = false;
 
-	constructor(private server: BackendServer, private limit: number, private readonly ports: PoolPorts) {}
+	constructor(private server: BackendServer, private share: ConnectionShare, private readonly ports: PoolPorts) {}
 
 	get openCount(): number {
 		return this.all.size;
@@ -59,10 +60,10 @@
 		return this.idle.length;
 	}
 
-	/** Puts a changed entry or limit in force. */
-	configure(server: BackendServer, limit: number): void {
+	/** Puts a changed entry or share in force. */
+	configure(server: BackendServer, share: ConnectionShare): void {
 		this.server = server;
-		this.limit = limit;
+		this.share = share;
 	}
 
 	/** A unit of work may start if a connection is idle or may be opened for it. */
@@ -125,7 +126,7 @@
 			void this.dial();
 		}
 
-		this.closeSpare(count);
+		this.closeSpare();
 	}
 
 	/** Ends all connections; requests in flight fail. */
@@ -146,9 +147,9 @@
 	}
 
 	/** Closes idle connections that other proxies may need. */
-	private closeSpare(keep: number): void {
+	private closeSpare(): void {
 		const nowMs = this.ports.clock.nowMs();
-		while (this.all.size > keep && this.idle[0] && nowMs - this.idle[0].idleSinceMs > spareIdleMs) {
+		while (this.all.size > this.share.own && this.idle[0] && nowMs - this.idle[0].idleSinceMs > spareIdleMs) {
 			this.idle.shift()!.close();
 		}
 	}
@@ -156,7 +157,7 @@
 	/** While the server is at its limit, work has to share the connections that are open. */
 	private currentLimit(): number {
 		const isPausing = this.isAtServerLimit && this.ports.clock.nowMs() < this.noDialBeforeMs;
-		return isPausing ? Math.min(this.limit, this.all.size) : this.limit;
+		return isPausing ? Math.min(this.share.most, this.all.size) : this.share.most;
 	}
 
 	private takeIdle(values: SessionValues): PooledConnection | undefined {
@@ -224,7 +225,6 @@
 
 		this.all.add(connection);
 		this.isAtServerLimit = false;
-		this.limitPauseMs = firstLimitPauseMs;
 		connection.connection.onClose(() => {
 			this.forget(connection);
 		});
@@ -246,10 +246,8 @@
 		const failure: ConnectionFailure = error instanceof ConnectionError ? error.failure : {kind: 'protocol', message: String(error)};
 		const {clock, random, log, onDial} = this.ports;
 		this.isAtServerLimit = failure.kind === 'connectionLimit';
-		this.noDialBeforeMs = clock.nowMs() + (this.isAtServerLimit ? this.limitPauseMs * (0.5 + (random.next() / 2)) : failurePauseMs);
-		if (this.isAtServerLimit) {
-			this.limitPauseMs = Math.min(this.limitPauseMs * 2, longestLimitPauseMs);
-		}
+		const limitPauseMs = this.all.size < this.share.own ? ownLimitPauseMs : lentLimitPauseMs;
+		this.noDialBeforeMs = clock.nowMs() + (this.isAtServerLimit ? limitPauseMs * (0.5 + (random.next() / 2)) : failurePauseMs);
 
 		log.warn({
 			server: this.server.id, failure: failure.kind, reason: failure.message, openConnections: this.all.size, waiting: this.waiters.length,
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -4,6 +4,7 @@
 import {type RankPolicy} from '@crocusloom/work';
 import {Backend, type BackendPorts} from './backend.js';
 import {boundMarginMs, CommitSamples} from './commitSamples.js';
+import {type ConnectionShare, shareOf} from './connectionShare.js';
 import {
 	askStatus, type Lead, LeadProof, type ProofOutcome,
 } from './leadProof.js';
@@ -19,6 +20,11 @@
 
 type Listener = () => void;
 
+export type ViewPorts = BackendPorts & {
+	/** Hosts that share the servers' connections. */
+	readonly hostCount: () => number;
+};
+
 /** What this proxy knows of one service: its servers, its primary and the positions of its commits. */
 export class ServiceView {
 	readonly samples = new CommitSamples();
@@ -39,7 +45,7 @@
 	private readonly clock: Clock;
 	private readonly log: Log;
 
-	constructor(private spec: ServiceSpec, private readonly ports: BackendPorts) {
+	constructor(private spec: ServiceSpec, private readonly ports: ViewPorts) {
 		this.clock = ports.clock;
 		this.log = ports.log;
 		this.leadLostMs = ports.clock.nowMs();
@@ -72,6 +78,11 @@
 	configure(spec: ServiceSpec, ranks: readonly RankPolicy[]): void {
 		this.spec = spec;
 		this.ranks = ranks;
+		this.applyLimits();
+	}
+
+	/** Divides the servers' connections anew, because the configuration or the number of hosts changed. */
+	applyLimits(): void {
 		for (const backend of this.backends.values()) {
 			backend.configure(backend.server, this.limits());
 		}
@@ -216,8 +227,8 @@
 		}
 	}
 
-	private limits(): {readonly connections: number; readonly ranks: readonly RankPolicy[]} {
-		return {connections: this.spec.maxConnections, ranks: this.ranks};
+	private limits(): {readonly connections: ConnectionShare; readonly ranks: readonly RankPolicy[]} {
+		return {connections: shareOf(this.spec.maxConnections, this.ports.hostCount()), ranks: this.ranks};
 	}
 
 	private dropLead(): void {
--- a/packages/proxy/src/sessionProxy.ts
+++ b/packages/proxy/src/sessionProxy.ts
@@ -2,6 +2,7 @@
 	type Clock, type Log, type Metrics, type RandomSource,
 } from '@crocusloom/model';
 import {DecisionLog} from './decisionLog.js';
+import {HostCount} from './connectionShare.js';
 import {type BackendDialer, type BackendServer, type ProxyConfiguration} from './ports.js';
 import {ranksOf, RouteTable} from './routeTable.js';
 import {ServiceView} from './serviceView.js';
@@ -30,9 +31,12 @@
 	private servers: readonly BackendServer[] = [];
 	private hasServers = false;
 	private sessionCount = 0;
+	private readonly hosts: HostCount;
+	private sharedAmong = 1;
 
 	constructor(private readonly ports: SessionProxyPorts) {
 		this.routes = new RouteTable(ports.log);
+		this.hosts = new HostCount(ports.clock);
 		this.decisions = new DecisionLog(ports.log, ports.metrics, ports.clock);
 		this.runner = new StatementRunner({
 			clock: ports.clock,
@@ -62,6 +66,11 @@
 		}
 	}
 
+	/** Takes over the number of hosts that run a proxy. */
+	setHostCount(count: number): void {
+		this.hosts.note(count);
+	}
+
 	/** Starts the session of a caller. */
 	openSession(database: string, user: string): Session {
 		this.sessionCount++;
@@ -74,6 +83,7 @@
 	/** Keeps connections and the knowledge of primaries up until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
+			this.divideConnections();
 			for (const view of this.views.values()) {
 				view.maintain();
 			}
@@ -89,6 +99,19 @@
 		}
 	}
 
+	private divideConnections(): void {
+		const hosts = this.hosts.current;
+		if (hosts === this.sharedAmong) {
+			return;
+		}
+
+		this.ports.log.info({hosts, before: this.sharedAmong}, 'connections are divided among another number of hosts');
+		this.sharedAmong = hosts;
+		for (const view of this.views.values()) {
+			view.applyLimits();
+		}
+	}
+
 	private applyConfiguration(configuration: ProxyConfiguration): void {
 		for (const [name, view] of this.views) {
 			if (!configuration.services.has(name)) {
@@ -99,7 +122,7 @@
 
 		for (const spec of configuration.services.values()) {
 			const known = this.views.get(spec.name);
-			const view = known ?? new ServiceView(spec, this.ports);
+			const view = known ?? new ServiceView(spec, {...this.ports, hostCount: () => this.hosts.current});
 			view.configure(spec, ranksOf(configuration, spec.name));
 			if (!known) {
 				this.views.set(spec.name, view);
--- a/packages/proxy/src/statementRunner.ts
+++ b/packages/proxy/src/statementRunner.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, comparePositions, FailureError, type LogPosition,
+	type Clock, comparePositions, FailureError, type LogPosition, type NotRunReason,
 } from '@crocusloom/model';
 import {type SlotGrant} from '@crocusloom/work';
 import {type Backend} from './backend.js';
@@ -30,6 +30,9 @@
 /** Time in which a server must roll a transaction back; after it the connection is ended, which does the same. */
 const rollbackLimitMs = 1000;
 
+/** Refusals of a queue after which another server is tried. */
+const reasonsToMove: ReadonlySet<NotRunReason> = new Set(['unreachable', 'leaving']);
+
 /** A statement that was not run, with what the caller is told. */
 class Refusal extends Error {
 	override readonly name = 'Refusal';
@@ -188,7 +191,7 @@
 			return errorAnswer(error.error.kind, error.error.message, 'idle');
 		}
 
-		if (error instanceof FailureError && error.failure.kind === 'notRun') {
+		if (error instanceof FailureError && error.failure.kind === 'notRun' && !reasonsToMove.has(error.failure.reason)) {
 			const {retryAfterMs} = error.failure;
 			return errorAnswer('overloaded', `${message}${retryAfterMs === undefined ? '' : `, retry after ${retryAfterMs} ms`}`, 'idle');
 		}
