Test the session proxy and the platform adapter without a network and against stand-ins

A service in memory with terms, synchronous replication, pause and step-down; stand-ins of the store and of the databases behind the text protocol.

--- /dev/null
+++ b/packages/proxy/src/__tests__/decisions.test.ts
@@ -0,0 +1,176 @@
+import {noMetrics, noLog} from '@crocusloom/model';
+import {expect} from 'chai';
+import {CommitSamples} from '../commitSamples.js';
+import {HostCount, shareOf} from '../connectionShare.js';
+import {DecisionLog, type RequestDecision} from '../decisionLog.js';
+import {IsolationWatch} from '../isolationWatch.js';
+import {ranksOf, RouteTable} from '../routeTable.js';
+import {commandsToAlign} from '../sessionValues.js';
+import {SlotLimit} from '../slotLimit.js';
+import {RecordingLog} from '../testing/index.js';
+import {type ProxyConfiguration, type Route} from '../ports.js';
+import {manualClock} from './proxyHarness.js';
+
+describe('connection share', () => {
+	const cases = [
+		{
+			name: 'four hosts of a small deployment', maxConnections: 22, hosts: 4, own: 4, most: 8,
+		},
+		{
+			name: 'more hosts than the divided part has connections', maxConnections: 46, hosts: 40, own: 1, most: 2,
+		},
+		{
+			name: 'a host that knows of no other', maxConnections: 22, hosts: 0, own: 17, most: 22,
+		},
+	];
+	for (const {name, maxConnections, hosts, own, most} of cases) {
+		it(`divides the limit among ${name} (guards against a storm of refused connections)`, () => {
+			expect(shareOf(maxConnections, hosts)).to.deep.equal({own, most});
+		});
+	}
+
+	it('remembers hosts that vanished (guards against connections of dead hosts that still count at the servers)', () => {
+		const clock = manualClock();
+		const hosts = new HostCount(clock);
+		hosts.note(36);
+		clock.timeMs = 5000;
+		hosts.note(3);
+		expect(hosts.current).to.equal(36);
+		clock.timeMs = 16_000;
+		expect(hosts.current).to.equal(3);
+	});
+});
+
+describe('commit samples', () => {
+	const samples = new CommitSamples();
+	for (const takenMs of [100, 200, 300]) {
+		samples.add(takenMs, {term: 1, offsetBytes: takenMs});
+	}
+
+	const cases = [
+		{name: 'the oldest sample inside the bound', sinceMs: 150, offsetBytes: 200},
+		{name: 'the first sample for a wide bound', sinceMs: 0, offsetBytes: 100},
+		{name: 'nothing if all samples are too old', sinceMs: 301, offsetBytes: undefined},
+	];
+	for (const {name, sinceMs, offsetBytes} of cases) {
+		it(`gives ${name} (guards against reads that are older than their bound)`, () => {
+			expect(samples.floorSince(sinceMs)?.position.offsetBytes).to.equal(offsetBytes);
+		});
+	}
+
+	it('forgets positions of earlier terms (guards against waiting for commits that a promotion discarded)', () => {
+		const changed = new CommitSamples();
+		changed.add(100, {term: 1, offsetBytes: 9});
+		changed.dropBefore(2);
+		expect(changed.floorSince(0)).to.equal(undefined);
+	});
+});
+
+describe('session values', () => {
+	const cases = [
+		{
+			name: 'nothing for equal values', held: [['a', '1']], wanted: [['a', '1']], commands: [],
+		},
+		{
+			name: 'only what differs', held: [['a', '1'], ['b', '2']], wanted: [['a', '1'], ['b', '3']], commands: ['set b=3'],
+		},
+		{
+			name: 'a reset when the connection has a value that the session lacks', held: [['a', '1'], ['x', '9']], wanted: [['a', '1']], commands: ['discard', 'set a=1'],
+		},
+	] as const;
+	for (const {name, held, wanted, commands} of cases) {
+		it(`sends ${name} (guards against values of another session)`, () => {
+			const sent = commandsToAlign(new Map(held), new Map(wanted)).map(command => command.kind === 'set' ? `set ${command.name}=${command.value}` : command.kind);
+			expect(sent).to.deep.equal(commands);
+		});
+	}
+});
+
+describe('slot limit', () => {
+	it('halves when the server refuses work and grows again slowly (guards against full queues that all hosts keep full)', () => {
+		const limit = new SlotLimit(4);
+		limit.noteOverloaded(1000);
+		limit.noteOverloaded(1010);
+		expect(limit.current).to.equal(2);
+		limit.noteServed(1200);
+		expect(limit.current).to.equal(2);
+		limit.noteServed(1500);
+		expect(limit.current).to.equal(3);
+	});
+});
+
+describe('isolation watch', () => {
+	const cases = [
+		{
+			name: 'cut off from the store and from half of the primaries', storeMs: 700, primariesMs: [700, 0], isolated: true,
+		},
+		{
+			name: 'an outage of the store alone', storeMs: 5000, primariesMs: [0, 0], isolated: false,
+		},
+		{
+			name: 'a failed primary while the store answers', storeMs: 0, primariesMs: [5000], isolated: false,
+		},
+		{
+			name: 'one failed primary of three in an outage', storeMs: 5000, primariesMs: [5000, 0, 0], isolated: false,
+		},
+	];
+	for (const {name, storeMs, primariesMs, isolated} of cases) {
+		it(`decides on ${name} (guards against hosts that keep callers they cannot serve)`, () => {
+			const watch = new IsolationWatch(manualClock(), noLog);
+			watch.update({storeUnreachableForMs: storeMs, withoutPrimaryForMs: primariesMs});
+			expect(watch.isolatedForMs !== undefined).to.equal(isolated);
+		});
+	}
+
+	it('waits until all is well for a while (guards against flapping)', () => {
+		const clock = manualClock();
+		const watch = new IsolationWatch(clock, noLog);
+		const well = {storeUnreachableForMs: 0, withoutPrimaryForMs: [0]};
+		watch.update({storeUnreachableForMs: 700, withoutPrimaryForMs: [700]});
+		watch.update(well);
+		expect(watch.isolatedForMs).to.equal(0);
+		clock.timeMs = 600;
+		watch.update(well);
+		expect(watch.isolatedForMs).to.equal(undefined);
+	});
+});
+
+describe('route table', () => {
+	const route = (priority: number): Route => ({
+		database: `db-${priority}`, service: 's', freshness: {kind: 'primary'}, timeoutMs: 800, targetMs: 150, priority,
+	});
+	const configuration = (version: number): ProxyConfiguration => ({
+		version, routes: new Map([['db-0', route(0)], ['db-1', route(1)]]), services: new Map(), transactionIdleMs: 3000,
+	});
+
+	it('keeps the newest version (guards against a configuration that falls back)', () => {
+		const table = new RouteTable(noLog);
+		table.apply(configuration(7));
+		table.apply(configuration(5));
+		expect(table.version).to.equal(7);
+	});
+
+	it('makes a rank of each priority (guards against urgent work that waits behind other work)', () => {
+		expect(ranksOf(configuration(1), 's').map(({order}) => order)).to.deep.equal([0, 1]);
+	});
+});
+
+describe('decision log', () => {
+	const decision: RequestDecision = {
+		requestId: 'r', session: 's', database: 'd', operation: 'read', outcome: 'overloaded', configurationVersion: 1, attempts: 1, waitedMs: 0, tookMs: 1,
+	};
+
+	it('bounds its lines and says how many it left out (guards against logs that grow with the load)', () => {
+		const clock = manualClock();
+		const log = new RecordingLog();
+		const decisions = new DecisionLog(log, noMetrics, clock);
+		for (let index = 0; index < 500; index++) {
+			decisions.record(decision, false);
+		}
+
+		clock.timeMs = 2000;
+		decisions.record(decision, false);
+		expect(log.with('request').length).to.equal(41);
+		expect(log.with('lines about requests were left out')[0]?.fields.suppressed).to.equal(460);
+	});
+});
--- /dev/null
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -0,0 +1,116 @@
+import {systemClock} from '@crocusloom/model';
+import {expect} from 'chai';
+import {PromotionTask} from '../promotion.js';
+import {type PromotionDuty, type PromotionOrders} from '../ports.js';
+import {type MemoryService} from '../testing/index.js';
+import {
+	errorOf, type Harness, run, startProxy, until,
+} from './proxyHarness.js';
+
+/** Time after which a promotion that must not be made would have been made. */
+const noPromotionMs = 2500;
+
+describe('promotion', () => {
+	let harness: Harness;
+	let lifetime: AbortController;
+	let token: number | undefined;
+
+	function ordersOf(service: MemoryService, lostAnswers = 0): PromotionOrders {
+		let lost = lostAnswers;
+		return {
+			async promote(_service, serverId, fence) {
+				if (service.server(serverId).isDark) {
+					return 'notRunning';
+				}
+
+				service.promote(serverId, fence.token);
+				lost--;
+				return lost >= 0 ? 'retry' : 'accepted';
+			},
+		};
+	}
+
+	async function start(lostAnswers = 0): Promise<void> {
+		harness = await startProxy();
+		lifetime = new AbortController();
+		token = 7;
+		const duty: PromotionDuty = {holder: 'h', currentToken: () => token, confirm: async () => token !== undefined};
+		const task = new PromotionTask(() => harness.proxy.services, {
+			clock: systemClock, log: harness.log, duty, orders: ordersOf(harness.service, lostAnswers),
+		});
+		task.run(lifetime.signal).catch(() => undefined);
+	}
+
+	afterEach(() => {
+		lifetime.abort(new Error('the test ends'));
+		harness.stop();
+	});
+
+	it('promotes the replica that received most (guards against the loss of acknowledged commits)', async () => {
+		await start();
+		const {service} = harness;
+		const session = harness.proxy.openSession('strict', 'u');
+		await run(session, 'WRITE a 1');
+		service.server('a').cutFrom.add(service.server('b'));
+		await run(session, 'WRITE a 2');
+		service.server('a').isDark = true;
+		await until(() => service.promotions.length > 0);
+		expect(service.promotions[0]).to.deep.equal({server: 'c', token: 7});
+		await until(() => harness.view.currentLead?.backend.id === 'c');
+		const held = new Set(service.server('c').log.map(({writeId}) => writeId));
+		expect(service.acknowledged.every(write => held.has(write))).to.equal(true);
+		expect(await errorOf(session, 'WRITE a 3')).to.equal(undefined);
+	});
+
+	it('does not promote while a replica is missing that may hold a commit alone (guards against LOST)', async () => {
+		await start();
+		const {service} = harness;
+		service.server('a').isDark = true;
+		service.server('b').isDark = true;
+		await systemClock.sleep(noPromotionMs);
+		expect(service.promotions).to.deep.equal([]);
+		service.server('b').isDark = false;
+		await until(() => service.promotions.length > 0);
+	});
+
+	it('does not promote while the primary answers (guards against needless gaps)', async () => {
+		await start();
+		await systemClock.sleep(noPromotionMs);
+		expect(harness.service.promotions).to.deep.equal([]);
+	});
+
+	it('does not promote without the duty (guards against two processes that promote)', async () => {
+		await start();
+		token = undefined;
+		harness.service.server('a').isDark = true;
+		await systemClock.sleep(noPromotionMs);
+		expect(harness.service.promotions).to.deep.equal([]);
+	});
+
+	it('replaces a leaving primary that still answers, with its whole log (guards against planned loss)', async () => {
+		await start();
+		const {service} = harness;
+		await run(harness.proxy.openSession('strict', 'u'), 'WRITE a 1');
+		service.server('a').leaving = true;
+		harness.proxy.setServers(service.listings());
+		await until(() => service.promotions.length > 0);
+		expect(service.server('a').role).to.equal('replica');
+		expect(service.server(service.promotions[0]!.server).log.length).to.equal(1);
+	});
+
+	it('repeats an order whose answer was lost for the same server (guards against two primaries of one failure)', async () => {
+		await start(1);
+		harness.service.server('a').isDark = true;
+		await until(() => harness.service.promotions.length > 1);
+		expect(new Set(harness.service.promotions.map(({server}) => server)).size).to.equal(1);
+	});
+
+	it('lets replicas receive again after a promotion (guards against commits that nobody can acknowledge)', async () => {
+		await start();
+		harness.service.server('a').isDark = true;
+		await until(() => harness.view.currentLead !== undefined && harness.view.currentLead.backend.id !== 'a');
+		await until(() => harness.service.servers.every(({pausedTerm}) => pausedTerm === 0));
+		const answer = await run(harness.proxy.openSession('strict', 'u'), 'WRITE a 1');
+		expect(answer.error).to.equal(undefined);
+	});
+});
--- /dev/null
+++ b/packages/proxy/src/__tests__/proxyHarness.ts
@@ -0,0 +1,127 @@
+import {noMetrics, systemClock} from '@crocusloom/model';
+import {type FreshnessRule, type ProxyConfiguration, type Route} from '../ports.js';
+import {type ServiceView} from '../serviceView.js';
+import {type Session} from '../session.js';
+import {SessionProxy} from '../sessionProxy.js';
+import {type Answer, type ErrorKind, type Statement} from '../statement.js';
+import {MemoryService, RecordingLog} from '../testing/index.js';
+
+const rules: Readonly<Record<string, FreshnessRule>> = {
+	strict: {kind: 'primary'},
+	bounded: {kind: 'bounded', maxAgeMs: 1500},
+	own: {kind: 'readYourWrites', maxAgeMs: 2500},
+};
+
+export type Harness = {
+	readonly service: MemoryService;
+	readonly proxy: SessionProxy;
+	readonly log: RecordingLog;
+	readonly view: ServiceView;
+	readonly configure: (version: number, databases: readonly string[]) => void;
+	readonly stop: () => void;
+};
+
+/** Starts a proxy in front of a service in memory and waits until its primary is known. */
+export async function startProxy(service = new MemoryService('ledger', ['a', 'b', 'c'])): Promise<Harness> {
+	const log = new RecordingLog();
+	const lifetime = new AbortController();
+	const proxy = new SessionProxy({
+		clock: systemClock, random: {next: () => 0.5}, log, metrics: noMetrics, dialer: service, failureDomain: 'a',
+	});
+	const configure = (version: number, databases: readonly string[]) => {
+		const routes = databases.map((database): [string, Route] => [database, {
+			database, service: service.name, freshness: rules[database]!, timeoutMs: 600, targetMs: 400, priority: 0,
+		}]);
+		const configuration: ProxyConfiguration = {
+			version,
+			routes: new Map(routes),
+			services: new Map([[service.name, {name: service.name, maxConnections: service.maxConnections, syncReplicas: service.syncReplicas}]]),
+			transactionIdleMs: 3000,
+		};
+		proxy.routes.apply(configuration);
+	};
+
+	configure(1, Object.keys(rules));
+	proxy.setServers(service.listings());
+	proxy.run(lifetime.signal).catch(() => undefined);
+	const view = proxy.services[0]!;
+	await until(() => view.currentLead !== undefined);
+	return {
+		service,
+		proxy,
+		log,
+		view,
+		configure,
+		stop() {
+			lifetime.abort(new Error('the test ends'));
+			proxy.close();
+		},
+	};
+}
+
+/** Waits for a condition. */
+export async function until(isDone: () => boolean, limitMs = 5000): Promise<void> {
+	const endMs = systemClock.nowMs() + limitMs;
+	while (!isDone()) {
+		if (systemClock.nowMs() > endMs) {
+			throw new Error(`not reached within ${limitMs} ms: ${isDone.toString()}`);
+		}
+
+		await systemClock.sleep(5);
+	}
+}
+
+let requests = 0;
+
+/** Runs statements of the platform's texts on a session, for short tests. */
+export async function run(session: Session, text: string): Promise<Answer> {
+	requests++;
+	return session.run(parse(`q${requests}`, text));
+}
+
+/** Runs a statement and gives the kind of its error, or undefined for a success. */
+export async function errorOf(session: Session, text: string): Promise<ErrorKind | undefined> {
+	const {error} = await run(session, text);
+	return error?.kind;
+}
+
+/** A clock for tests that need only its time; it moves when the test says so. */
+export function manualClock() {
+	return {
+		timeMs: 0,
+		nowMs() {
+			return this.timeMs;
+		},
+		wallMs() {
+			return this.timeMs;
+		},
+		async sleep() {
+			await Promise.resolve();
+		},
+	};
+}
+
+function parse(id: string, text: string): Statement {
+	const [verb, ...words] = text.split(' ');
+	const statements: Readonly<Record<string, () => Statement>> = {
+		BEGIN: () => ({kind: 'begin', id, readOnly: words[0] === 'READ'}),
+		COMMIT: () => ({kind: 'commit', id}),
+		ROLLBACK: () => ({kind: 'rollback', id}),
+		READ: () => ({
+			kind: 'data', id, mode: 'read', text,
+		}),
+		WRITE: () => ({
+			kind: 'data', id, mode: 'write', text,
+		}),
+		SET: () => ({
+			kind: 'set', id, name: words[0]!, value: words[1]!,
+		}),
+		PREPARE: () => ({
+			kind: 'prepare', id, name: words[0]!, mode: words[1] === 'READ' ? 'read' : 'write', shape: words[2]!,
+		}),
+		EXECUTE: () => ({
+			kind: 'execute', id, name: words[0]!, argumentsText: words.slice(1).join(' '),
+		}),
+	};
+	return statements[verb!]!();
+}
--- a/packages/proxy/src/sessionProxy.ts
+++ b/packages/proxy/src/sessionProxy.ts
@@ -11,6 +11,8 @@
 
 /** Interval of the upkeep of connections and of the search for unknown primaries. */
 const maintenanceIntervalMs = 100;
+/** Time that a start waits for the primaries; longer, one of them has probably failed. */
+const primarySearchMs = 1000;
 
 export type SessionProxyPorts = {
 	readonly clock: Clock;
@@ -30,6 +32,8 @@
 	private readonly decisions: DecisionLog;
 	private servers: readonly BackendServer[] = [];
 	private hasServers = false;
+	/** Time at which the configuration and the servers were first seen to be known. */
+	private configuredMs: number | undefined;
 	private sessionCount = 0;
 	private readonly hosts: HostCount;
 	private sharedAmong = 1;
@@ -48,9 +52,14 @@
 		});
 	}
 
-	/** True once a configuration and the list of servers are known. */
+	/** True once a configuration, the servers and their primaries are known, or no primary was found for a while. */
 	get isReady(): boolean {
-		return this.routes.current !== undefined && this.hasServers;
+		if (this.routes.current === undefined || !this.hasServers) {
+			return false;
+		}
+
+		this.configuredMs ??= this.ports.clock.nowMs();
+		return this.ports.clock.nowMs() - this.configuredMs >= primarySearchMs || this.services.every(view => view.currentLead !== undefined);
 	}
 
 	get services(): readonly ServiceView[] {
--- a/packages/proxy/src/statementRunner.ts
+++ b/packages/proxy/src/statementRunner.ts
@@ -184,7 +184,7 @@
 	private refusalFor(attempt: Attempt, error: unknown, isWrite: boolean): Answer | undefined {
 		const message = error instanceof Error ? error.message : String(error);
 		if (isWrite && attempt.isWriteSent) {
-			return errorAnswer(this.leftMs(attempt) <= 0 ? 'timeout' : 'inDoubt', `the write was sent and not answered: ${message}`, 'idle');
+			return errorAnswer('inDoubt', `the write was sent and not answered: ${message}`, 'idle');
 		}
 
 		if (error instanceof Refusal && error.isFinal) {
--- /dev/null
+++ b/packages/proxy/src/testing/index.ts
@@ -0,0 +1,2 @@
+export * from './memoryService.js';
+export * from './recordingLog.js';
