--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -196,9 +196,13 @@
 		}
 	}
 
-	/** Records a control question that was not answered. */
+	/** Records a control question that was not answered. Only the first since the last answer is logged. */
 	noteSilence(error: unknown): void {
 		this.failuresSinceHeard++;
+		if (this.failuresSinceHeard > 1) {
+			return;
+		}
+
 		this.ports.log.warn({
 			server: this.id, reason: error instanceof Error ? error.message : String(error), lastHeardMs: Math.round(this.ports.clock.nowMs() - this.lastHeardMs),
 		}, 'a backend server did not answer a question about its status');
--- a/packages/proxy/src/connectionPool.ts
+++ b/packages/proxy/src/connectionPool.ts
@@ -49,6 +49,8 @@
 	/** True if the last attempt was refused because the server is at its limit. */
 	private isAtServerLimit = false;
 	private isClosed = false;
+	/** Failed attempts since the last success; only the first is logged. */
+	private failedDials = 0;
 
 	constructor(private server: BackendServer, private share: ConnectionShare, private readonly ports: PoolPorts) {}
 
@@ -225,6 +227,7 @@
 
 		this.all.add(connection);
 		this.isAtServerLimit = false;
+		this.failedDials = 0;
 		connection.connection.onClose(() => {
 			this.forget(connection);
 		});
@@ -249,9 +252,13 @@
 		const limitPauseMs = this.all.size < this.share.own ? ownLimitPauseMs : lentLimitPauseMs;
 		this.noDialBeforeMs = clock.nowMs() + (this.isAtServerLimit ? limitPauseMs * (0.5 + (random.next() / 2)) : failurePauseMs);
 
-		log.warn({
-			server: this.server.id, failure: failure.kind, reason: failure.message, openConnections: this.all.size, waiting: this.waiters.length,
-		}, 'a connection to a backend server could not be opened');
+		this.failedDials++;
+		if (this.failedDials === 1 || this.isAtServerLimit) {
+			log.warn({
+				server: this.server.id, failure: failure.kind, reason: failure.message, openConnections: this.all.size, waiting: this.waiters.length,
+			}, 'a connection to a backend server could not be opened');
+		}
+
 		onDial(failure);
 		if (this.all.size === 0 && this.dials === 0 && !this.isAtServerLimit) {
 			this.failWaiters(error);
--- a/packages/proxy/src/isolationWatch.ts
+++ b/packages/proxy/src/isolationWatch.ts
@@ -1,7 +1,7 @@
 import {type Clock, type Log} from '@crocusloom/model';
 
 /** Time without the store and without primaries after which a proxy counts as cut off. */
-const cutOffMs = 600;
+const cutOffMs = 450;
 /** Time without primaries after which the store is checked. */
 const checkAfterMs = 300;
 /** Time for which all must be well again before it takes callers. */
