--- a/packages/proxy/src/__tests__/leadProof.test.ts
+++ b/packages/proxy/src/__tests__/leadProof.test.ts
@@ -9,7 +9,7 @@
 		harness.stop();
 	});
 
-	type Case = {readonly name: string; readonly change: (service: MemoryService) => void; readonly outcome: string; readonly ids?: readonly string[]};
+	type Case = {readonly name: string; readonly change: (service: MemoryService) => void; readonly outcome: string; readonly ids?: readonly string[]; readonly before?: (service: MemoryService) => void};
 	const cases: readonly Case[] = [
 		{name: 'an undisturbed primary', change: () => undefined, outcome: 'leads'},
 		{
@@ -27,6 +27,17 @@
 			},
 			outcome: 'replaced',
 		},
+		{
+			name: 'a new primary whose predecessor still claims to lead its own term',
+			ids: ['a', 'b'],
+			change(service) {
+				service.server('b').role = 'primary';
+			},
+			before(service) {
+				service.server('a').term = 2;
+			},
+			outcome: 'leads',
+		},
 		{
 			name: 'a primary whose replicas are all dark',
 			change(service) {
@@ -45,10 +56,12 @@
 			outcome: 'unproven',
 		},
 	];
-	async function check({change, outcome, ids = ['a', 'b', 'c']}: Case): Promise<void> {
-		harness = await startProxy(new MemoryService('ledger', ids));
+	async function check({change, outcome, before, ids = ['a', 'b', 'c']}: Case): Promise<void> {
+		const service = new MemoryService('ledger', ids);
+		before?.(service);
+		harness = await startProxy(service);
 		const lead = harness.view.currentLead!;
-		change(harness.service);
+		change(service);
 		const proof = await harness.view.prove(lead);
 		expect(proof.kind).to.equal(outcome);
 	}
--- a/packages/proxy/src/leadProof.ts
+++ b/packages/proxy/src/leadProof.ts
@@ -123,7 +123,7 @@
 }
 
 function showsNewerTerm(status: ServerStatus, term: number): boolean {
-	return Math.max(status.term, status.receivedPosition.term) > term || status.role === 'primary';
+	return Math.max(status.term, status.receivedPosition.term) > term;
 }
 
 /**
