--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -44,10 +44,6 @@
 	readonly queue: AdmissionQueue;
 	/** Time of the last answer of any kind. */
 	lastHeardMs: number;
-	/** Newest status that the server gave of itself. */
-	status: ServerStatus | undefined;
-	/** Highest term that any answer of this server has shown. */
-	seenTerm = 0;
 	private entry: BackendServer;
 	private readonly slots: SlotLimit;
 	private ranks: readonly RankPolicy[];
@@ -95,11 +91,6 @@
 		return this.leavingSinceMs === undefined ? 0 : this.ports.clock.nowMs() - this.leavingSinceMs;
 	}
 
-	/** Statements of this proxy in flight there. */
-	get load(): number {
-		return this.inFlight;
-	}
-
 	/** True while connections to it fail, or it is silent and being checked. */
 	get isAvoided(): boolean {
 		return this.isChecking || this.isDown;
@@ -114,7 +105,6 @@
 	configure(entry: BackendServer, limits: BackendLimits): void {
 		if (entry.startedAtMs !== this.entry.startedAtMs) {
 			this.appliedPosition = undefined;
-			this.status = undefined;
 		}
 
 		this.entry = entry;
@@ -184,13 +174,7 @@
 				connection.close();
 			});
 			this.noteHeard();
-			const status = connection.connection.readStatus(answer);
-			if (status) {
-				this.status = status;
-				this.seenTerm = Math.max(this.seenTerm, status.term);
-			}
-
-			return status;
+			return connection.connection.readStatus(answer);
 		} finally {
 			this.pool.giveBack(connection);
 		}
@@ -297,7 +281,6 @@
 		this.noteHeard();
 		if (answer.position) {
 			this.appliedPosition = answer.position;
-			this.seenTerm = Math.max(this.seenTerm, answer.position.term);
 		}
 
 		if (answer.error?.kind === 'overloaded') {
--- a/packages/proxy/src/commitSamples.ts
+++ b/packages/proxy/src/commitSamples.ts
@@ -24,10 +24,6 @@
 		return this.samples.at(-1)?.takenMs ?? Number.NEGATIVE_INFINITY;
 	}
 
-	get newest(): CommitSample | undefined {
-		return this.samples.at(-1);
-	}
-
 	/**
 	 * Adds a sample.
 	 * @param takenMs - moment before which every acknowledged commit is at or below the position
--- a/packages/proxy/src/connectionPool.ts
+++ b/packages/proxy/src/connectionPool.ts
@@ -77,12 +77,6 @@
 		this.reserved++;
 	}
 
-	/** Gives up a reservation that is not used. */
-	cancelReservation(): void {
-		this.reserved--;
-		this.ports.onAvailable();
-	}
-
 	isDoubtful(): boolean {
 		return false;
 	}
