--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,3 +1,4 @@
+export * from './logging.js';
 export * from './settings.js';
 export * from './tracing.js';
 export * from './metrics.js';
--- a/packages/daemon/src/logging.ts
+++ b/packages/daemon/src/logging.ts
@@ -2,7 +2,7 @@
 import {type Log} from '@crocusloom/model';
 import {type Settings} from './settings.js';
 
-/** Adapter of the log port to bunyan, which writes JSON lines to standard output. */
+/** Creates the log of the daemon: JSON lines on standard output. */
 export function createLog(settings: Settings): Log {
 	const logger = bunyan.createLogger({
 		name: 'crocusloomd',
@@ -11,6 +11,11 @@
 		deployment: settings.host.deployment,
 		failureDomain: settings.host.failureDomain,
 	});
+	return logTo(logger);
+}
+
+/** Adapter of the log port to a bunyan logger. */
+export function logTo(logger: bunyan): Log {
 	return {
 		info(fields, message) {
 			logger.info(fields, message);
