--- a/packages/group/src/__tests__/fakeDeployment.ts
+++ b/packages/group/src/__tests__/fakeDeployment.ts
@@ -1,11 +1,10 @@
 import {expect} from 'chai';
 import {type DatabaseGroupSpec, type GroupView, type LogPosition} from '@crocusloom/model';
+import {FakeClock, seededRandom} from '@crocusloom/model/testing';
 import {GroupMonitor} from '../groupMonitor.js';
 import {type SafetyMechanisms} from '../safetyMechanisms.js';
 import {Promoter} from '../promoter.js';
-import {
-	FakeClock, Gate, pausableClock, seededRandom,
-} from './fakeClock.js';
+import {Gate, pausableClock} from './gate.js';
 import {FakeGroup, type LogRecord} from './fakeGroup.js';
 
 type AcknowledgedWrite = {readonly value: string; readonly term: number; readonly database: string; readonly startedAtMs: number; readonly acknowledgedAtMs: number};
--- a/packages/group/src/__tests__/fakeGroup.ts
+++ b/packages/group/src/__tests__/fakeGroup.ts
@@ -1,7 +1,7 @@
 import {
 	type Clock, comparePositions, type DatabaseControl, type DatabaseStatus, type ControlResult, type LogPosition, type RandomSource, type WaitResult,
 } from '@crocusloom/model';
-import {Gate} from './fakeClock.js';
+import {Gate} from './gate.js';
 
 export type LogRecord = {readonly term: number; readonly value: string};
 export type ControlCall = 'status' | 'fence' | 'promote' | 'follow' | 'wait';
--- a/packages/group/src/__tests__/groupStateDirectory.test.ts
+++ b/packages/group/src/__tests__/groupStateDirectory.test.ts
@@ -2,12 +2,13 @@
 import {
 	type Configuration, emptyConfiguration, type KeyValueEntry, type KeyValueStore, type Member, type Membership, type PeerRpc,
 } from '@crocusloom/model';
+import {FakeClock, seededRandom} from '@crocusloom/model/testing';
 import {GroupStateDirectory} from '../groupStateDirectory.js';
 import {GroupMonitors} from '../groupMonitors.js';
 import {monitorStopDelayMs} from '../timing.js';
 import {decodeStates} from '../stateMessage.js';
 import {type PublishedStatus} from '../statusPublisher.js';
-import {FakeClock, Gate, seededRandom} from './fakeClock.js';
+import {Gate} from './gate.js';
 import {FakeGroup} from './fakeGroup.js';
 
 const defaultHosts = ['h0', 'h1', 'h2'] as const;
--- a/packages/proxy/src/__tests__/decisions.test.ts
+++ b/packages/proxy/src/__tests__/decisions.test.ts
@@ -169,7 +169,7 @@
 
 describe('decision log', () => {
 	const decision: RequestDecision = {
-		requestId: 'r', session: 's', database: 'd', operation: 'read', outcome: 'overloaded', configurationVersion: 1, attempts: 1, waitedMs: 0, tookMs: 1,
+		requestId: 'r', session: 's', database: 'd', operation: 'read', outcome: 'overloaded', configurationVersion: 1, configurationAgeMs: 0, attempts: 1, waitedMs: 0, tookMs: 1,
 	};
 
 	it('limits its lines and logs how many it suppressed (guards against a log volume that grows with the load)', () => {
--- a/packages/proxy/src/__tests__/proxyHarness.ts
+++ b/packages/proxy/src/__tests__/proxyHarness.ts
@@ -26,7 +26,7 @@
 	const log = new RecordingLogger();
 	const lifetime = new AbortController();
 	const proxy = new SessionProxy({
-		clock: systemClock, random: {next: () => 0.5}, log, metrics: noopMetrics, dialer: service, failureDomain: 'a',
+		clock: systemClock, random: {next: () => 0.5}, log, metrics: noopMetrics, dialer: service, failureDomain: 'a', configurationBoundMs: 3000,
 	});
 	const configure = (version: number, databases: readonly string[]) => {
 		const routes = databases.map((database): [string, Route] => [database, {
--- a/packages/proxy/src/decisionLog.ts
+++ b/packages/proxy/src/decisionLog.ts
@@ -18,6 +18,8 @@
 	readonly leadTerm?: number;
 	readonly minimumPosition?: string;
 	readonly configurationVersion: number;
+	/** Time since the configuration was last known to be the newest one. */
+	readonly configurationAgeMs: number;
 	readonly attempts: number;
 	readonly waitedMs: number;
 	readonly tookMs: number;
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -1,6 +1,7 @@
 import {
 	type Clock, comparePositions, formatPosition, type LogPosition,
 } from '@crocusloom/model';
+import {type ConfigurationAge} from './configurationAge.js';
 import {type DecisionLog} from './decisionLog.js';
 import {type Route} from './ports.js';
 import {type RouteTable} from './routeTable.js';
@@ -21,6 +22,7 @@
 export type SessionPorts = {
 	readonly clock: Clock;
 	readonly routes: RouteTable;
+	readonly configurationAge: ConfigurationAge;
 	readonly runner: StatementRunner;
 	readonly decisionLog: DecisionLog;
 };
@@ -337,6 +339,7 @@
 			leadTerm,
 			minimumPosition: minimumPosition && formatPosition(minimumPosition),
 			configurationVersion: this.ports.routes.version,
+			configurationAgeMs: Math.round(this.ports.configurationAge.ageMs),
 			attempts,
 			waitedMs: Math.round(waitedMs),
 			tookMs: Math.round(this.ports.clock.nowMs() - startedMs),
--- a/packages/proxy/src/sessionProxy.ts
+++ b/packages/proxy/src/sessionProxy.ts
@@ -1,6 +1,7 @@
 import {
 	type Clock, type Logger, type Metrics, type RandomSource,
 } from '@crocusloom/model';
+import {ConfigurationAge} from './configurationAge.js';
 import {DecisionLog} from './decisionLog.js';
 import {HostCount} from './connectionShare.js';
 import {type BackendDialer, type BackendServer, type ProxyConfiguration} from './ports.js';
@@ -22,11 +23,14 @@
 	readonly dialer: BackendDialer;
 	/** Failure domain of this process. */
 	readonly failureDomain: string;
+	/** Time after the confirmation of a change within which it must be in force. */
+	readonly configurationBoundMs: number;
 };
 
 /** Manages the sessions, routes and services of one proxy process. */
 export class SessionProxy {
 	readonly routes: RouteTable;
+	readonly configurationAge: ConfigurationAge;
 	private readonly views = new Map<string, ServiceView>();
 	private readonly runner: StatementRunner;
 	private readonly decisionLog: DecisionLog;
@@ -40,6 +44,7 @@
 
 	constructor(private readonly ports: SessionProxyPorts) {
 		this.routes = new RouteTable(ports.log);
+		this.configurationAge = new ConfigurationAge(ports.configurationBoundMs, ports);
 		this.hostCount = new HostCount(ports.clock);
 		this.decisionLog = new DecisionLog(ports.log, ports.metrics, ports.clock);
 		this.runner = new StatementRunner({
@@ -85,13 +90,14 @@
 		this.sessionCount++;
 		const identity: SessionIdentity = {name: `${user}#${this.sessionCount}`, database, user};
 		return new Session(identity, {
-			clock: this.ports.clock, routes: this.routes, runner: this.runner, decisionLog: this.decisionLog,
+			clock: this.ports.clock, routes: this.routes, configurationAge: this.configurationAge, runner: this.runner, decisionLog: this.decisionLog,
 		});
 	}
 
 	/** Maintains connections and searches for unknown primaries until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
+			this.configurationAge.check();
 			this.applyHostCount();
 			for (const view of this.views.values()) {
 				view.maintain();
