--- a/packages/control/src/changeAcceptor.ts
+++ b/packages/control/src/changeAcceptor.ts
@@ -1,5 +1,5 @@
 import {
-	FailureError, resourceNameSchema, type Clock, type FieldProblem, type KeyValueEntry, type KeyValueStore, type RandomSource, type Resource, type ResourceKind, errorMessageOf,
+	FailureError, resourceNameSchema, type Clock, type FieldProblem, type KeyValueEntry, type KeyValueStore, type RandomSource, type Resource, type ResourceKind, errorMessageOf, withTimeout,
 } from '@crocusloom/model';
 import {backoffMs, type BackoffLimits} from './backoff.js';
 import {
@@ -7,7 +7,6 @@
 } from './configurationState.js';
 import {type ConfigurationReplica} from './configurationReplica.js';
 import {checkDelete, checkPut} from './crossReferences.js';
-import {withTimeout} from './timeout.js';
 
 /** A change requested by an operator. The change id must be unique; a change with a repeated id is applied once. */
 export type ConfigurationChange
--- a/packages/control/src/configurationStore.ts
+++ b/packages/control/src/configurationStore.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, type Configuration, type ConfigurationSource, type KeyValueStore, type Logger, type Membership, type PeerRpc, type RandomSource,
+	type Clock, type Configuration, type ConfigurationSource, type KeyValueStore, type Logger, type Membership, type PeerRpc, type RandomSource, withTimeout,
 } from '@crocusloom/model';
 import {backoffMs} from './backoff.js';
 import {ChangeAcceptor, type ChangeOutcome, type ConfigurationChange} from './changeAcceptor.js';
@@ -7,7 +7,6 @@
 import {changesSince, type ChangeSet, type InvalidEntry} from './configurationState.js';
 import {PeerPropagation, peerMethods, type RendezvousOrder} from './peerPropagation.js';
 import {PlatformFollower, reconnectBackoff, type PlatformHealth} from './platformFollower.js';
-import {withTimeout} from './timeout.js';
 
 export type ConfigurationStoreOptions = {
 	/** Name of the deployment, part of the keys in the platform's store. */
--- a/packages/control/src/etcdKeyValueStore.ts
+++ b/packages/control/src/etcdKeyValueStore.ts
@@ -1,13 +1,12 @@
 import {type z} from 'zod';
 import {
-	FailureError, type Clock, type KeyValueEntry, type KeyValueEvent, type KeyValueStore, type RandomSource, childSignal,
+	FailureError, type Clock, type KeyValueEntry, type KeyValueEvent, type KeyValueStore, type RandomSource, childSignal, withTimeout,
 } from '@crocusloom/model';
 import {backoffMs, type BackoffLimits} from './backoff.js';
 import {
 	encodeBase64, prefixRangeEnd, rangeResponseSchema, toKeyValueEntry, toKeyValueEvents, txnResponseSchema, watchResponseSchema, type WatchResult,
 } from './etcdMessages.js';
 import {readLines} from './jsonLines.js';
-import {withTimeout} from './timeout.js';
 
 export type EtcdKeyValueStoreOptions = {
 	/** Base URL of the gateway, without a path. */
--- a/packages/control/src/httpHostList.ts
+++ b/packages/control/src/httpHostList.ts
@@ -1,8 +1,7 @@
 import {z} from 'zod';
 import {
-	FailureError, type Clock, type HostList, type ListedHost,
+	FailureError, type Clock, type HostList, type ListedHost, withTimeout,
 } from '@crocusloom/model';
-import {withTimeout} from './timeout.js';
 
 const listedHostSchema = z.object({
 	host: z.string().min(1),
--- a/packages/control/src/peerPropagation.ts
+++ b/packages/control/src/peerPropagation.ts
@@ -1,10 +1,9 @@
 import {
-	type Clock, type Member, type Membership, type PeerRpc, type RandomSource,
+	type Clock, type Member, type Membership, type PeerRpc, type RandomSource, withTimeout,
 } from '@crocusloom/model';
 import {z} from 'zod';
 import {changesSince, type ChangeSet, type EntryKey} from './configurationState.js';
 import {type ConfigurationReplica} from './configurationReplica.js';
-import {withTimeout} from './timeout.js';
 
 /** Orders hosts by rendezvous hashing with a key, best first. */
 export type RendezvousOrder = (key: string, hosts: readonly string[]) => readonly string[];
--- a/packages/control/src/platformFollower.ts
+++ b/packages/control/src/platformFollower.ts
@@ -1,12 +1,11 @@
 import {
-	type Clock, type KeyValueEvent, type KeyValueStore, type Logger, type RandomSource, childSignal, type ChildSignal,
+	type Clock, type KeyValueEvent, type KeyValueStore, type Logger, type RandomSource, childSignal, type ChildSignal, withTimeout,
 } from '@crocusloom/model';
 import {backoffMs, type BackoffLimits} from './backoff.js';
 import {
 	createChangeSet, toEntryKey, changeSetOfSnapshot, toConfigurationEntries, type ConfigurationEntry,
 } from './configurationState.js';
 import {type ConfigurationReplica} from './configurationReplica.js';
-import {withTimeout} from './timeout.js';
 
 /** Reachability of the platform's store. */
 export type PlatformHealth = {
--- a/packages/control/src/statusReporter.ts
+++ b/packages/control/src/statusReporter.ts
@@ -1,11 +1,10 @@
 import {
-	type Clock, type Configuration, type Dispatcher, type GroupDirectory, type GroupState, type HolderStats, type Member, type Membership, type PeerRpc,
+	type Clock, type Configuration, type Dispatcher, type GroupDirectory, type GroupState, type HolderStats, type Member, type Membership, type PeerRpc, withTimeout,
 } from '@crocusloom/model';
 import {compareConditions, type Condition} from './conditions.js';
 import {ConditionTracker} from './conditionTracker.js';
 import {type InvalidEntry} from './configurationState.js';
 import {type PlatformHealth} from './platformFollower.js';
-import {withTimeout} from './timeout.js';
 
 /** Members of the configuration store that the report uses. */
 export type StatusSource = {
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -5,4 +5,5 @@
 export * from './position.js';
 export * from './resources.js';
 export * from './system.js';
+export * from './timeout.js';
 export * from './types.js';
--- a/packages/control/src/timeout.ts
+++ b/packages/model/src/timeout.ts
@@ -1,6 +1,6 @@
-import {
-	type Clock, childSignal, type ChildSignal, deferred,
-} from '@crocusloom/model';
+import {childSignal, type ChildSignal} from './childSignal.js';
+import {deferred} from './deferred.js';
+import {type Clock} from './ports.js';
 
 /** Abort reason of a call's signal after the timeout of the call. */
 export class TimeLimitError extends Error {
