--- a/packages/proxy/src/placement.ts
+++ b/packages/proxy/src/placement.ts
@@ -10,7 +10,7 @@
 const primaryPenaltyFactor = 2;
 
 /** Time for which a leaving server still receives reads if no other server can take them. */
-const leavingReadGraceMs = 2000;
+export const leavingReadGraceMs = 2000;
 
 /** Requirements of a read for the server that runs it. */
 export type ReadRequirements = {
--- a/packages/proxy/src/targetSearch.ts
+++ b/packages/proxy/src/targetSearch.ts
@@ -12,7 +12,7 @@
 /** Retry delay that is suggested to callers if no server can serve the statement, for example while no primary is known. */
 const failoverRetryAfterMs = 1000;
 /** Time for which a leaving primary still receives work; longer than a planned promotion takes. */
-const leavingPrimaryGraceMs = 4000;
+export const leavingPrimaryGraceMs = 2500;
 
 /** Thrown to refuse a statement; `error` is the error for the caller. Unless the refusal is final, the statement may be retried. */
 export class Refusal extends Error {
