--- a/packages/control/src/__tests__/fakes.ts
+++ b/packages/control/src/__tests__/fakes.ts
@@ -118,6 +118,8 @@
 	/** Called after a write has taken effect and before its response is sent. */
 	afterWrite: (() => void) | undefined;
 	private readonly delayedWrites: Array<() => void> = [];
+	/** Number of times at which all watches have gone silent. */
+	private silenceCount = 0;
 	private readonly listeners = new Set<() => void>();
 
 	constructor(private readonly clock: Clock) {}
@@ -190,6 +192,7 @@
 
 		await this.beginCall();
 		let nextRevision = fromRevision;
+		const {silenceCount} = this;
 		yield {revision: fromRevision - 1, events: []};
 		while (!signal.aborted) {
 			if (this.isDown) {
@@ -201,9 +204,17 @@
 			nextRevision = this.revision + 1;
 			yield {revision: this.revision, events: events.filter(event => keyOf(event).startsWith(prefix))};
 			await this.waitForChange(signal);
+			while (this.silenceCount !== silenceCount && !signal.aborted) {
+				await this.waitForChange(signal);
+			}
 		}
 	}
 
+	/** Lets all open watches go silent without an error; new watches work. */
+	silenceWatches(): void {
+		this.silenceCount++;
+	}
+
 	/** Begins or ends an outage and wakes the watches, which fail during an outage. */
 	setDown(isDown: boolean): void {
 		this.isDown = isDown;
@@ -332,11 +343,12 @@
 	readonly clock = new ManualClock();
 	readonly platform = new FakeKeyValueStore(this.clock);
 	readonly network = new FakeNetwork();
-	readonly random = seededRandom(7);
 	/** Members as known to all hosts. A running host reports its current revision. */
 	readonly members = new Map<string, Member>();
 	readonly hosts = new Map<string, FakeHost>();
 
+	constructor(private readonly random: RandomSource = seededRandom(7)) {}
+
 	startHost(host: string, failureDomain = 'bryan'): FakeHost {
 		if (!this.members.has(host)) {
 			this.members.set(host, fakeMember(host, {failureDomain}));
--- /dev/null
+++ b/packages/control/src/changeTiming.ts
@@ -0,0 +1,37 @@
+import {type BackoffLimits} from './backoff.js';
+
+/** Time within which a change must be in force on every host. */
+export const changeBoundMs = 7000;
+
+/** Time for the first response of a watch and for a snapshot. */
+export const storeResponseTimeoutMs = 2000;
+/** A watch is renewed after this time, because it may lose events without an error. */
+export const watchSessionDurationMs = 2000;
+/** Interval between attempts of a watcher that fail at once. 820 watchers on one store make 1,171 calls a second, of the 2,000 that it takes. */
+export const watcherBackoff: BackoffLimits = {baseMs: 700, maximumMs: 1400};
+/** Longest random delay before a retry after a timeout, which spreads the retries of hosts. */
+export const maximumJitterMs = 150;
+/** Time for the snapshot that follows a failed attempt. */
+const snapshotAllowanceMs = 200;
+
+/** Interval at which the revisions of peers are checked. Equals the interval of the heartbeats that carry them. */
+export const revisionCheckIntervalMs = 500;
+/** Timeout of a request for the changes that a peer has. */
+export const pullTimeoutMs = 1000;
+
+/**
+ * Returns the longest time until a watcher notices a change, counted from the change or from the return of the store. In the worst
+ * case a watch went silent at its start, and its successor is sent over a connection that has died as well.
+ */
+export function longestNoticeMs(): number {
+	return Math.max(watchSessionDurationMs + storeResponseTimeoutMs + maximumJitterMs, watcherBackoff.maximumMs) + snapshotAllowanceMs;
+}
+
+/**
+ * Returns the longest time until a heartbeat partner of a watcher has a change that the watcher has. In the worst case the first peer
+ * that is asked for it does not answer.
+ */
+export function longestPropagationMs(): number {
+	const heartbeatIntervalMs = revisionCheckIntervalMs;
+	return heartbeatIntervalMs + revisionCheckIntervalMs + pullTimeoutMs + revisionCheckIntervalMs;
+}
--- a/packages/control/src/conditions.ts
+++ b/packages/control/src/conditions.ts
@@ -4,6 +4,7 @@
 import {
 	type Configuration, type DatabaseView, type GroupState, type HolderStats, type Member,
 } from '@crocusloom/model';
+import {changeBoundMs} from './changeTiming.js';
 import {type InvalidEntry} from './configurationState.js';
 import {checkPut} from './crossReferences.js';
 import {type PlatformHealth} from './platformFollower.js';
@@ -55,10 +56,8 @@
 const connectionWarningRatio = 0.8;
 /** Age of the last majority confirmation above which reads begin to be refused. Equals `unreachableAfterMs` of the group monitors, after which they suspect a primary to have failed. */
 const confirmationWarningMs = 600;
-/** Propagation takes about a second; a host that lags for longer may exceed `configurationBehindCriticalMs`. */
+/** Propagation takes about a second; a host that lags for longer may exceed `changeBoundMs`. */
 const configurationBehindWarningMs = 2000;
-/** Time within which a change must be in force on every host. */
-const configurationBehindCriticalMs = 7000;
 /** Statements do not depend on the platform, but a long outage prevents operators from changing the configuration. */
 const platformOutageCriticalMs = 10 * 60 * 1000;
 
@@ -263,7 +262,7 @@
 
 /** During a change, hosts lag for a short time; this is reported with severity `info`. */
 function laggingHostSeverity(heldForMs: number): Severity {
-	if (heldForMs >= configurationBehindCriticalMs) {
+	if (heldForMs >= changeBoundMs) {
 		return 'critical';
 	}
 
--- a/packages/control/src/configurationStore.ts
+++ b/packages/control/src/configurationStore.ts
@@ -6,7 +6,7 @@
 import {ConfigurationReplica} from './configurationReplica.js';
 import {changesSince, type ChangeSet, type InvalidEntry} from './configurationState.js';
 import {PeerPropagation, peerMethods, type RendezvousOrder} from './peerPropagation.js';
-import {PlatformFollower, reconnectBackoff, type PlatformHealth} from './platformFollower.js';
+import {PlatformFollower, initialLoadBackoff, type PlatformHealth} from './platformFollower.js';
 
 export type ConfigurationStoreOptions = {
 	/** Name of the deployment, part of the keys in the platform's store. */
@@ -159,7 +159,7 @@
 				return;
 			}
 
-			await clock.sleep(backoffMs(attempt, reconnectBackoff, random), signal);
+			await clock.sleep(backoffMs(attempt, initialLoadBackoff, random), signal);
 		}
 	}
 
--- a/packages/control/src/peerPropagation.ts
+++ b/packages/control/src/peerPropagation.ts
@@ -2,6 +2,7 @@
 	type Clock, type Member, type Membership, type PeerRpc, type RandomSource, withTimeout,
 } from '@crocusloom/model';
 import {z} from 'zod';
+import {pullTimeoutMs, revisionCheckIntervalMs} from './changeTiming.js';
 import {changesSince, type ChangeSet, type EntryKey} from './configurationState.js';
 import {type ConfigurationReplica} from './configurationReplica.js';
 
@@ -39,9 +40,6 @@
 /** Maximum number of neighbours to which an accepted change is sent; one copy is awaited before the operator receives the response. */
 const maximumCopyNeighbours = 2;
 const peerCopyTimeoutMs = 500;
-const pullTimeoutMs = 2000;
-/** Interval at which the revisions of peers are checked. Equals the interval of the heartbeats that carry them. */
-const revisionCheckIntervalMs = 500;
 /** Maximum number of entries in a notification. Of a larger change, only the revision is sent, and the peers that lack it pull it. */
 const maximumPushedEntries = 32;
 
--- a/packages/control/src/platformFollower.ts
+++ b/packages/control/src/platformFollower.ts
@@ -2,6 +2,9 @@
 	type Clock, type KeyValueEvent, type KeyValueStore, type Logger, type RandomSource, childSignal, type ChildSignal, withTimeout,
 } from '@crocusloom/model';
 import {backoffMs, type BackoffLimits} from './backoff.js';
+import {
+	maximumJitterMs, storeResponseTimeoutMs, watcherBackoff, watchSessionDurationMs,
+} from './changeTiming.js';
 import {
 	createChangeSet, toEntryKey, changeSetOfSnapshot, toConfigurationEntries, type ConfigurationEntry,
 } from './configurationState.js';
@@ -29,13 +32,10 @@
 	readonly isWatcher: () => boolean;
 };
 
-/** A watch is renewed after this time, so that a watch that loses events without an error delays a change only by seconds. */
-const watchSessionDurationMs = 4000;
 /** Interval at which a host that does not watch the platform checks whether it has become a watcher. */
 const watcherCheckIntervalMs = 500;
-const snapshotTimeoutMs = 5000;
-/** 820 hosts that start together during an outage make 1,294 calls in the first second. With a base of 250 ms they make 2,372, above the store's limit of 2,000. */
-export const reconnectBackoff: BackoffLimits = {baseMs: 1000, maximumMs: 5000};
+/** Delay after a failed load at the start. 820 hosts that start together during an outage make 1,294 calls in the first second. With a base of 250 ms they make 2,372, above the store's limit of 2,000. */
+export const initialLoadBackoff: BackoffLimits = {baseMs: 1000, maximumMs: 5000};
 
 /** Loads the configuration from the platform and, on watcher hosts, keeps it up to date with a watch. */
 export class PlatformFollower {
@@ -59,7 +59,7 @@
 	async loadSnapshot(signal: AbortSignal): Promise<number> {
 		const {clock, prefix, replica, keyValueStore} = this.options;
 		try {
-			const {revision, entries} = await withTimeout(clock, snapshotTimeoutMs, signal, async callSignal => keyValueStore.list(prefix, callSignal));
+			const {revision, entries} = await withTimeout(clock, storeResponseTimeoutMs, signal, async callSignal => keyValueStore.list(prefix, callSignal));
 			this.recordReachability(true);
 			replica.merge(changeSetOfSnapshot(replica.state, revision, toConfigurationEntries(entries, prefix)));
 			return revision;
@@ -80,6 +80,7 @@
 				continue;
 			}
 
+			const startedMs = this.options.clock.nowMs();
 			try {
 				nextRevision ??= await this.loadSnapshot(signal) + 1;
 				nextRevision = await this.runWatchSession(nextRevision, signal);
@@ -88,25 +89,38 @@
 				this.recordUnreachable(error, signal);
 				consecutiveFailures++;
 				nextRevision = undefined;
-				await this.options.clock.sleep(backoffMs(consecutiveFailures, reconnectBackoff, this.options.random), signal);
+				await this.options.clock.sleep(this.retryDelayMs(consecutiveFailures, startedMs), signal);
 			}
 		}
 	}
 
 	/**
-	 * Watches the store until the session duration has passed.
+	 * Computes the delay before the next attempt. An attempt that has timed out has already waited, so only the jitter follows it.
+	 */
+	private retryDelayMs(consecutiveFailures: number, startedMs: number): number {
+		const {clock, random} = this.options;
+		const intervalMs = backoffMs(consecutiveFailures, watcherBackoff, random);
+		return Math.max(random.next() * maximumJitterMs, intervalMs - (clock.nowMs() - startedMs));
+	}
+
+	/**
+	 * Watches the store until the session duration has passed after the first response.
 	 * @returns revision from which the next session starts
 	 * @throws the error of the watch; Error if the watch ends early or does not respond
 	 */
 	private async runWatchSession(fromRevision: number, signal: AbortSignal): Promise<number> {
-		const {clock, prefix, keyValueStore} = this.options;
+		const {prefix, keyValueStore} = this.options;
 		const sessionController = childSignal(signal);
-		void this.abortAfterSessionDuration(clock, sessionController);
 		let nextRevision = fromRevision;
 		let hasResponded = false;
+		void this.abortAfter(storeResponseTimeoutMs, sessionController, () => !hasResponded);
 		try {
 			for await (const {revision, events} of keyValueStore.watch(prefix, fromRevision, sessionController.signal)) {
-				hasResponded = true;
+				if (!hasResponded) {
+					hasResponded = true;
+					void this.abortAfter(watchSessionDurationMs, sessionController);
+				}
+
 				this.recordReachability(true);
 				nextRevision = Math.max(nextRevision, revision + 1);
 				this.applyEvents(events);
@@ -126,18 +140,20 @@
 
 		// A platform whose process is frozen neither responds nor closes the connection.
 		if (!hasResponded) {
-			throw new Error(`the watch was not answered within ${watchSessionDurationMs} ms`);
+			throw new Error(`the watch was not answered within ${storeResponseTimeoutMs} ms`);
 		}
 
 		return nextRevision;
 	}
 
-	private async abortAfterSessionDuration(clock: Clock, sessionController: ChildSignal): Promise<void> {
+	private async abortAfter(durationMs: number, sessionController: ChildSignal, isDue = () => true): Promise<void> {
 		try {
-			await clock.sleep(watchSessionDurationMs, sessionController.signal);
-			sessionController.abort();
+			await this.options.clock.sleep(durationMs, sessionController.signal);
+			if (isDue()) {
+				sessionController.abort();
+			}
 		} catch {
-			// The session ended before its duration had passed.
+			// The session ended before.
 		}
 	}
 
