--- /dev/null
+++ b/packages/membership/src/__tests__/hostListReader.test.ts
@@ -0,0 +1,142 @@
+import {
+	FailureError, type ListedHost, type Member, noopLogger, noopMetrics, type PeerRpc,
+} from '@crocusloom/model';
+import {FakeClock} from '@crocusloom/model/testing';
+import {expect} from 'chai';
+import {HostListReader} from '../hostListReader.js';
+
+/** Bound after which a leaving backend server may receive no new work. */
+const leavingBoundMs = 3000;
+/** Timeout of the client of the host list. */
+const callTimeoutMs = 2000;
+const hostNames = ['h1', 'h2', 'h3'];
+
+function listedBackend(state: ListedHost['state']): ListedHost {
+	return {
+		host: 'b1', kind: 'backend', failureDomain: 'bryan', address: '10.1.1.1', port: 5432, state,
+	};
+}
+
+function createMember(host: string): Member {
+	return {
+		host, incarnation: 1, failureDomain: 'bryan', address: '127.0.0.1', peerPort: 1, workPort: 2, operatorPort: 3, state: 'alive', leaving: false, configurationRevision: 0, silentMs: 0,
+	};
+}
+
+type Handler = Parameters<PeerRpc['handle']>[1];
+
+/** Readers of one failure domain with a host list whose reads and notifications a test can lose. */
+class FakeDomain {
+	readonly clock = new FakeClock();
+	hosts: readonly ListedHost[] = [listedBackend('live')];
+	/** Reads that begin until this time are never answered. */
+	readsLostUntilMs = Number.NEGATIVE_INFINITY;
+	areNotificationsLost = false;
+	readonly readers: readonly HostListReader[];
+	private readonly handlers = new Map<string, Map<string, Handler>>();
+	private readonly abortController = new AbortController();
+
+	constructor() {
+		this.readers = hostNames.map(host => new HostListReader({
+			hostList: {list: async () => this.list()},
+			membership: {
+				self: createMember(host), members: () => hostNames.map(name => createMember(name)), holderOf: createMember, reportUnreachable: () => undefined, onChange: () => undefined,
+			},
+			peers: this.peersOf(host),
+			clock: this.clock,
+			random: {next: () => 0.999},
+			log: noopLogger,
+			metrics: noopMetrics,
+		}));
+	}
+
+	start(): void {
+		for (const reader of this.readers) {
+			reader.run(this.abortController.signal).catch(() => undefined);
+		}
+	}
+
+	stop(): void {
+		this.abortController.abort(new Error('the test ends'));
+	}
+
+	/** Returns true if all hosts know that the backend server leaves. */
+	get isKnown(): boolean {
+		return this.readers.every(reader => reader.currentHosts().some(({state}) => state === 'leaving'));
+	}
+
+	private async list(): Promise<readonly ListedHost[]> {
+		if (this.clock.nowMs() <= this.readsLostUntilMs) {
+			await this.clock.sleep(callTimeoutMs);
+			throw new Error('no answer');
+		}
+
+		return this.hosts;
+	}
+
+	private peersOf(self: string): PeerRpc {
+		const ownHandlers = new Map<string, Handler>();
+		this.handlers.set(self, ownHandlers);
+		const deliver = async (host: string, method: string, parameters: unknown, signal: AbortSignal): Promise<unknown> => {
+			const handler = this.handlers.get(host)?.get(method);
+			if (!handler) {
+				throw new FailureError({
+					kind: 'peer', step: 'peer', peer: host, message: 'unreachable',
+				});
+			}
+
+			return handler(parameters, self, signal);
+		};
+
+		return {
+			call: async <R>(host: string, method: string, parameters: unknown, signal: AbortSignal) => deliver(host, method, parameters, signal) as Promise<R>,
+			notify: (host, method, parameters) => {
+				if (!this.areNotificationsLost) {
+					deliver(host, method, parameters, this.abortController.signal).catch(() => undefined);
+				}
+			},
+			handle(method, handler) {
+				ownHandlers.set(method, handler);
+			},
+		};
+	}
+}
+
+type Case = {readonly title: string; readonly change: (domain: FakeDomain) => void};
+
+const cases: readonly Case[] = [
+	{title: 'with nothing wrong', change: () => undefined},
+	{
+		title: 'if the next read is never answered',
+		change(domain) {
+			domain.readsLostUntilMs = domain.clock.nowMs() + 1250;
+		},
+	},
+	{
+		title: 'if the notification of the change is lost',
+		change(domain) {
+			domain.areNotificationsLost = true;
+			void domain.clock.sleep(1300).then(() => {
+				domain.areNotificationsLost = false;
+			});
+		},
+	},
+];
+
+describe('host list reader', () => {
+	for (const {title, change} of cases) {
+		it(`tells all hosts within the bound that a backend server leaves, ${title} (guards against new work at leaving servers)`, async () => {
+			for (let phaseMs = 0; phaseMs < 3000; phaseMs += 100) {
+				const domain = new FakeDomain();
+				domain.start();
+				await domain.clock.runUntil(5000 + phaseMs);
+				domain.hosts = [listedBackend('leaving')];
+				change(domain);
+				const changedMs = domain.clock.nowMs();
+				await domain.clock.runUntil(changedMs + 60_000, () => domain.isKnown);
+				domain.stop();
+				expect(domain.clock.nowMs() - changedMs, `phase ${phaseMs} ms`).to.be.at.most(leavingBoundMs);
+			}
+		});
+	}
+});
--- a/packages/membership/src/hostListReader.ts
+++ b/packages/membership/src/hostListReader.ts
@@ -1,16 +1,22 @@
+import {createHash} from 'node:crypto';
 import {
-	childSignal, type Clock, type HostList, type ListedHost, type Logger, type Member, type Membership, type Metrics, type PeerRpc, type RandomSource,
+	type Clock, errorMessageOf, type HostList, type ListedHost, type Logger, type Member, type Membership, type Metrics, type PeerRpc, type RandomSource, withTimeout,
 } from '@crocusloom/model';
 import {rendezvousFirst} from './rendezvous.js';
 
-/** Interval at which the reader of a failure domain reads the host list. */
+/** Interval between the starts of reads of the host list by the reader of a failure domain. */
 const readIntervalMs = 1000;
-/** Interval at which the other hosts read the list, in case the notifications of the reader do not reach them. */
+/** Interval at which the other hosts read the list, in case no message of the reader reaches them. */
 const fallbackReadIntervalMs = 15_000;
-/** Timeout of one read. */
-const readTimeoutMs = 2000;
+/** Timeout of one read, and of one pull from the reader. */
+const readTimeoutMs = 1000;
 
 const hostListChangedMethod = 'hostList.changed';
+/** Tells which list the reader has, so that a host whose notification was lost can ask for it. */
+const hostListDigestMethod = 'hostList.digest';
+const hostListCurrentMethod = 'hostList.current';
+
+type HostsMessage = {readonly hosts: readonly ListedHost[]};
 
 export type HostListReaderOptions = {
 	readonly hostList: HostList;
@@ -24,15 +30,24 @@
 
 /**
  * Keeps a copy of the platform's host list. One host of each failure domain, the reader, reads the list every second and
- * notifies the other hosts of changes, so that the number of reads does not grow with the number of hosts.
+ * notifies the other hosts of changes, so that the number of reads does not grow with the number of hosts. After a read without a
+ * change it sends a digest, because a notification may be lost.
  */
 export class HostListReader {
 	private listedHosts: readonly ListedHost[] = [];
 	private readonly listeners = new Set<() => void>();
+	/** Signal of `run`; undefined before it is called. */
+	private runSignal: AbortSignal | undefined;
 
 	constructor(private readonly options: HostListReaderOptions) {
 		options.peers.handle(hostListChangedMethod, parameters => {
-			this.applyHosts((parameters as {readonly hosts: readonly ListedHost[]}).hosts);
+			this.applyHosts((parameters as HostsMessage).hosts);
+		});
+		options.peers.handle(hostListCurrentMethod, () => ({hosts: this.listedHosts}));
+		options.peers.handle(hostListDigestMethod, (parameters, callerHost) => {
+			if ((parameters as {readonly digest: string}).digest !== this.digest() && this.runSignal) {
+				void this.pullFrom(callerHost, this.runSignal);
+			}
 		});
 	}
 
@@ -50,16 +65,18 @@
 
 	/** Reads the list periodically until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		let sinceReadMs = Number.POSITIVE_INFINITY;
+		const {clock, random} = this.options;
+		this.runSignal = signal;
+		let lastReadMs = Number.NEGATIVE_INFINITY;
 		while (!signal.aborted) {
-			if (this.isReader() || sinceReadMs >= fallbackReadIntervalMs) {
+			const startedMs = clock.nowMs();
+			if (this.isReader() || startedMs - lastReadMs >= fallbackReadIntervalMs) {
 				await this.readAndNotify(signal);
-				sinceReadMs = 0;
+				lastReadMs = startedMs;
 			}
 
-			const pauseMs = readIntervalMs * (0.75 + (this.options.random.next() / 2));
-			await this.options.clock.sleep(pauseMs, signal);
-			sinceReadMs += pauseMs;
+			const intervalMs = readIntervalMs * (0.75 + (random.next() / 2));
+			await clock.sleep(Math.max(0, intervalMs - (clock.nowMs() - startedMs)), signal);
 		}
 	}
 
@@ -75,21 +92,38 @@
 	}
 
 	private async readAndNotify(signal: AbortSignal): Promise<void> {
-		const readController = childSignal(signal, AbortSignal.timeout(readTimeoutMs));
+		const {clock, hostList, metrics, peers} = this.options;
 		try {
-			const hosts = await this.options.hostList.list(readController.signal);
-			if (this.applyHosts(hosts)) {
-				for (const {host} of this.localPeers()) {
-					this.options.peers.notify(host, hostListChangedMethod, {hosts});
+			const hosts = await withTimeout(clock, readTimeoutMs, signal, async callSignal => hostList.list(callSignal));
+			const hasChanged = this.applyHosts(hosts);
+			for (const {host} of this.localPeers()) {
+				if (hasChanged) {
+					peers.notify(host, hostListChangedMethod, {hosts});
+				} else {
+					peers.notify(host, hostListDigestMethod, {digest: this.digest()});
 				}
 			}
 		} catch {
-			this.options.metrics.count('host_list_failures_total');
-		} finally {
-			readController.release();
+			metrics.count('host_list_failures_total');
+		}
+	}
+
+	private async pullFrom(host: string, signal: AbortSignal): Promise<void> {
+		const {clock, log, peers} = this.options;
+		try {
+			const {hosts} = await withTimeout(clock, readTimeoutMs, signal, async callSignal => peers.call<HostsMessage>(host, hostListCurrentMethod, {}, callSignal));
+			this.applyHosts(hosts);
+		} catch (error) {
+			if (!signal.aborted) {
+				log.warn({reader: host, reason: errorMessageOf(error)}, 'the host list could not be pulled; the next digest causes another attempt');
+			}
 		}
 	}
 
+	private digest(): string {
+		return createHash('sha1').update(JSON.stringify(this.listedHosts)).digest('base64');
+	}
+
 	private applyHosts(hosts: readonly ListedHost[]): boolean {
 		if (JSON.stringify(hosts) === JSON.stringify(this.listedHosts)) {
 			return false;
