--- a/packages/proxy/src/__tests__/congestion.test.ts
+++ b/packages/proxy/src/__tests__/congestion.test.ts
@@ -3,7 +3,7 @@
 import {Backend} from '../backend.js';
 import {connectionShareFor} from '../connectionShare.js';
 import {MemoryService, RecordingLogger} from '../testing/index.js';
-import {manualClock} from './proxyHarness.js';
+import {mockedClock, tick} from './mockedTime.js';
 
 const hosts = 12;
 const connectionLimit = 200;
@@ -29,25 +29,6 @@
 /** Statements per second of all hosts together: 1.4 times the capacity of the server. */
 const statementsPerSecond: Readonly<Record<string, number>> = {urgent: 60, middle: 180, least: 180};
 
-/** Creates a clock that advances only with the mocked timers, so that the load of the machine does not affect the test. */
-const mockedClock = () => ({
-	...manualClock(),
-	async sleep(durationMs: number) {
-		return new Promise<void>(resolve => {
-			setTimeout(resolve, durationMs);
-		});
-	},
-});
-
-/** Runs all pending callbacks that do not depend on a timer. */
-async function runPendingCallbacks(): Promise<void> {
-	for (let turn = 0; turn < 4; turn++) {
-		await new Promise(resolve => {
-			setImmediate(resolve);
-		});
-	}
-}
-
 type Outcome = {readonly rank: string; readonly tookMs: number; readonly isServed: boolean};
 
 /** Simulates the load on one server from several hosts that do not communicate with each other. */
@@ -100,9 +81,7 @@
 			sentByRank.set(rank, dueCount);
 		}
 
-		clock.timeMs++;
-		mock.timers.tick(1);
-		await runPendingCallbacks();
+		await tick(clock);
 	}
 
 	await Promise.all(runningRequests);
--- a/packages/proxy/src/connectionPool.ts
+++ b/packages/proxy/src/connectionPool.ts
@@ -7,7 +7,7 @@
 import {type SessionParameters} from './sessionParameters.js';
 
 /** Time in which a backend server must accept a connection. A new connection also waits for a slot of the server. */
-export const dialTimeoutMs = 700;
+const dialTimeoutMs = 700;
 /** Maximum number of connections that are opened concurrently, because each takes a slot of the backend server. */
 const maximumConcurrentDials = 2;
 /** Backoff after the server refused a connection because of its limit, while this host holds less than its guaranteed share. */
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,7 +1,6 @@
 export * from './backend.js';
 export * from './commitSamples.js';
 export * from './configurationAge.js';
-export {dialTimeoutMs} from './connectionPool.js';
 export * from './connectionShare.js';
 export * from './decisionLog.js';
 export * from './connectivity.js';
--- a/packages/proxy/src/statementRunner.ts
+++ b/packages/proxy/src/statementRunner.ts
@@ -9,7 +9,7 @@
 	type AccessMode, type Answer, type AnswerError, type BackendCommand, errorAnswer, isNotRun,
 } from './statement.js';
 import {
-	type StatementExecution, Refusal, retryDelayMs, type SearchPorts, TargetSearch,
+	leavingPrimaryGraceMs, type StatementExecution, Refusal, retryDelayMs, type SearchPorts, TargetSearch,
 } from './targetSearch.js';
 import {withTimeout} from './withTimeout.js';
 import {
@@ -200,6 +200,7 @@
 			const connection = await this.acquireConnection(execution, backend);
 			try {
 				await connection.syncSession(execution.context.parameters, work.prepared);
+				requireNewWorkAccepted(backend);
 				execution.isWriteSent = work.mode === 'write';
 				const pendingAnswer = this.runWithDeadline(execution, connection, work.command, work.mode);
 				const isPrimaryProven = primary && work.mode === 'read' ? this.provePrimary(execution, primary, connection) : Promise.resolve(true);
@@ -225,6 +226,7 @@
 			const connection = await this.acquireConnection(execution, target.backend);
 			try {
 				await connection.syncSession(execution.context.parameters, undefined);
+				requireNewWorkAccepted(target.backend);
 				// The status command of the proof is sent before BEGIN, so that its failure does not fail the transaction.
 				const isPrimaryProven = target.primary ? this.provePrimary(execution, target.primary, connection) : Promise.resolve(true);
 				const answer = await this.runWithDeadline(execution, connection, {kind: 'begin', readOnly}, 'read');
@@ -335,6 +337,16 @@
 	}
 }
 
+/**
+ * Checks that a server still takes new work. The waits for a slot and a connection may have lasted until its grace time was over.
+ * @throws Refusal if the server has been leaving for longer than the grace time
+ */
+function requireNewWorkAccepted(backend: Backend): void {
+	if (backend.leavingForMs > leavingPrimaryGraceMs) {
+		throw new Refusal({kind: 'overloaded', message: `${backend.id} is leaving and takes no new work`});
+	}
+}
+
 function resultOf(execution: StatementExecution, answer: Answer): WorkResult {
 	return {
 		answer,
