--- a/packages/proxy/src/configurationAge.ts
+++ b/packages/proxy/src/configurationAge.ts
@@ -17,7 +17,7 @@
 	/**
 	 * @param maximumAgeMs - age in milliseconds above which a confirmed change may be missing
 	 */
-	constructor(private readonly maximumAgeMs: number, private readonly ports: ConfigurationAgePorts) {
+	constructor(private maximumAgeMs: number, private readonly ports: ConfigurationAgePorts) {
 		this.confirmedMs = ports.clock.nowMs();
 	}
 
@@ -26,6 +26,11 @@
 		return this.ports.clock.nowMs() - this.confirmedMs;
 	}
 
+	/** Changes the age in milliseconds above which a confirmed change may be missing. */
+	setMaximumAge(maximumAgeMs: number): void {
+		this.maximumAgeMs = maximumAgeMs;
+	}
+
 	/** Records that the configuration in force is the newest one. */
 	confirm(): void {
 		if (this.isOverdue) {
