--- a/packages/capacity/src/target.ts
+++ b/packages/capacity/src/target.ts
@@ -1,3 +1,5 @@
+import {maximumWatcherRetryMs, watchSessionDurationMs} from '@crocusloom/control';
+import {meanReaderSilenceMs, readIntervalMs} from '@crocusloom/membership';
 import {type MeasurementResult, type FittedSeries} from './types.js';
 
 /** The size expected in about two years, from section 1 of the design page. */
@@ -53,12 +55,14 @@
 const statementsPerNode = targetSize.statementsPerSecond / nodes;
 const deploymentCount = nodes / hostsPerDeployment;
 const stateMessagesPerSecond = 2;
-const watchSessionSeconds = 4;
-const maxRetryDelaySeconds = 5;
-const hostListFallbackSeconds = 15;
+const msPerSecond = 1000;
 const localStatementShare = 1 / hostsPerDeployment;
-const watchesPerSecond = nodes / watchSessionSeconds;
-const hostListReadsPerSecond = deploymentCount * (domainsPerDeployment + ((hostsPerDeployment - domainsPerDeployment) / hostListFallbackSeconds));
+const watchesPerSecond = nodes * msPerSecond / watchSessionDurationMs;
+/** Delays after refused calls are random, with the maximum as their upper limit. */
+const refusedWatchesPerSecond = nodes * msPerSecond / (maximumWatcherRetryMs / 2);
+const hostListReadsPerSecond = deploymentCount * domainsPerDeployment * msPerSecond / readIntervalMs;
+/** While reads fail, no host hears a reader, and the other hosts read as well. */
+const failedHostListReadsPerSecond = hostListReadsPerSecond + (deploymentCount * (hostsPerDeployment - domainsPerDeployment) * msPerSecond / meanReaderSilenceMs);
 
 type Formula = Omit<TargetFigure, 'value'> & {readonly valueOf: (series: SeriesLookup) => number};
 
@@ -165,16 +169,16 @@
 	{
 		figure: 'platform shared: reads and new watches, idle',
 		unit: 'calls/s',
-		derivation: '820 / 4 s + 164 × (4 + 1/15)',
+		derivation: '820 / 2 s + 164 × 4 / s',
 		limit: 2000,
 		valueOf: () => watchesPerSecond + hostListReadsPerSecond,
 	},
 	{
-		figure: 'platform shared: after an outage, pauses spread over 5 s',
+		figure: 'platform shared: calls refused, pauses of 0.7 s on average',
 		unit: 'calls/s',
-		derivation: '820 × 2 / 5 s + host list',
+		derivation: '820 / 0.7 s + 164 × (4 / s + 1 / 1.62 s)',
 		limit: 2000,
-		valueOf: () => (nodes * 2 / maxRetryDelaySeconds) + hostListReadsPerSecond,
+		valueOf: () => refusedWatchesPerSecond + failedHostListReadsPerSecond,
 	},
 	{
 		figure: 'platform shared: after an outage, all in one second',
--- a/packages/control/src/__tests__/changeBounds.test.ts
+++ b/packages/control/src/__tests__/changeBounds.test.ts
@@ -50,8 +50,8 @@
 	},
 ];
 
-/** Calls a second that each of 820 watchers may make: 2,000 of the store less 664 for host lists. */
-const callsPerSecondOfWatcher = (2000 - 664) / 820;
+/** Calls a second that each of 820 watchers may make: 2,000 of the store less 757 for host lists. */
+const callsPerSecondOfWatcher = (2000 - 757) / 820;
 
 /** Returns the time from the end of the fault, and a change that is made then, until the change is in force on all hosts. */
 async function playFault({begin, end}: FaultCase, durationMs: number): Promise<number> {
--- a/packages/control/src/changeTiming.ts
+++ b/packages/control/src/changeTiming.ts
@@ -7,8 +7,9 @@
 export const storeResponseTimeoutMs = 2000;
 /** A watch is renewed after this time, because it may lose events without an error. */
 export const watchSessionDurationMs = 2000;
-/** Interval between attempts of a watcher that fail at once. 820 watchers on one store make 1,171 calls a second, of the 2,000 that it takes. */
-export const watcherBackoff: BackoffLimits = {baseMs: 700, maximumMs: 1400};
+/** Longest interval between attempts of a watcher that fail at once. 820 watchers on one store make 1,171 calls a second, of the 2,000 that it takes. */
+export const maximumWatcherRetryMs = 1400;
+export const watcherBackoff: BackoffLimits = {baseMs: 700, maximumMs: maximumWatcherRetryMs};
 /** Longest random delay before a retry after a timeout, which spreads the retries of hosts. */
 export const maximumJitterMs = 150;
 /** Time for the snapshot that follows a failed attempt. */
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,6 +1,7 @@
 export {EtcdKeyValueStore, type EtcdKeyValueStoreOptions as EtcdOptions} from './etcdKeyValueStore.js';
 export {HttpHostList, type HttpHostListOptions} from './httpHostList.js';
 export {ConfigurationStore, type ConfigurationStoreOptions} from './configurationStore.js';
+export {maximumWatcherRetryMs, watchSessionDurationMs} from './changeTiming.js';
 export {type ChangeOutcome, type ConfigurationChange} from './changeAcceptor.js';
 export {
 	type ChangeSet, type ConfigurationEntry, type EntryKey, type InvalidEntry,
--- a/packages/membership/src/__tests__/hostListReader.test.ts
+++ b/packages/membership/src/__tests__/hostListReader.test.ts
@@ -3,7 +3,7 @@
 } from '@crocusloom/model';
 import {FakeClock} from '@crocusloom/model/testing';
 import {expect} from 'chai';
-import {HostListReader} from '../hostListReader.js';
+import {HostListReader, longestHostListNoticeMs} from '../hostListReader.js';
 
 /** Bound after which a leaving backend server may receive no new work. */
 const leavingBoundMs = 3000;
@@ -36,7 +36,8 @@
 	private readonly handlers = new Map<string, Map<string, Handler>>();
 	private readonly abortController = new AbortController();
 
-	constructor() {
+	/** @param draw - every random number, from 0 to 1 */
+	constructor(draw: number) {
 		this.readers = hostNames.map(host => new HostListReader({
 			hostList: {list: async () => this.list()},
 			membership: {
@@ -44,7 +45,7 @@
 			},
 			peers: this.peersOf(host),
 			clock: this.clock,
-			random: {next: () => 0.999},
+			random: {next: () => draw},
 			log: noopLogger,
 			metrics: noopMetrics,
 		}));
@@ -121,21 +122,33 @@
 			});
 		},
 	},
+	{
+		title: 'if no message of the reader arrives any more',
+		change(domain) {
+			domain.areNotificationsLost = true;
+		},
+	},
 ];
 
 describe('host list reader', () => {
+	it('tells all hosts within the bound that a backend server leaves, by the sum of all waits (guards against constants that do not add up to the bound)', () => {
+		expect(longestHostListNoticeMs()).to.be.below(leavingBoundMs);
+	});
+
 	for (const {title, change} of cases) {
 		it(`tells all hosts within the bound that a backend server leaves, ${title} (guards against new work at leaving servers)`, async () => {
-			for (let phaseMs = 0; phaseMs < 3000; phaseMs += 100) {
-				const domain = new FakeDomain();
-				domain.start();
-				await domain.clock.runUntil(5000 + phaseMs);
-				domain.hosts = [listedBackend('leaving')];
-				change(domain);
-				const changedMs = domain.clock.nowMs();
-				await domain.clock.runUntil(changedMs + 60_000, () => domain.isKnown);
-				domain.stop();
-				expect(domain.clock.nowMs() - changedMs, `phase ${phaseMs} ms`).to.be.at.most(leavingBoundMs);
+			for (const draw of [0, 0.5, 0.999]) {
+				for (let phaseMs = 0; phaseMs < 3000; phaseMs += 100) {
+					const domain = new FakeDomain(draw);
+					domain.start();
+					await domain.clock.runUntil(5000 + phaseMs);
+					domain.hosts = [listedBackend('leaving')];
+					change(domain);
+					const changedMs = domain.clock.nowMs();
+					await domain.clock.runUntil(changedMs + 60_000, () => domain.isKnown);
+					domain.stop();
+					expect(domain.clock.nowMs() - changedMs, `draw ${draw}, phase ${phaseMs} ms`).to.be.at.most(leavingBoundMs);
+				}
 			}
 		});
 	}
--- a/packages/membership/src/hostListReader.ts
+++ b/packages/membership/src/hostListReader.ts
@@ -4,13 +4,27 @@
 } from '@crocusloom/model';
 import {rendezvousFirst} from './rendezvous.js';
 
-/** Interval between the starts of reads of the host list by the reader of a failure domain. */
-const readIntervalMs = 1000;
-/** Interval at which the other hosts read the list, in case no message of the reader reaches them. */
-const fallbackReadIntervalMs = 15_000;
+/** Mean interval between the starts of reads of the host list by the reader of a failure domain. */
+export const readIntervalMs = 1000;
+/** Share by which an interval between reads is randomly longer or shorter. */
+const readIntervalVariation = 0.25;
+/** Longest time without a message of the reader after which another host reads the list itself. */
+const maximumReaderSilenceMs = 1800;
+/** Share of that time by which it is randomly shorter, so that the hosts of a domain do not all read at once. */
+const readerSilenceVariation = 0.2;
+export const meanReaderSilenceMs = maximumReaderSilenceMs * (1 - (readerSilenceVariation / 2));
 /** Timeout of one read, and of one pull from the reader. */
 const readTimeoutMs = 1000;
 
+/**
+ * Returns the longest time until all hosts know a change of the list, without the time that an answer takes. In the worst case one read
+ * is never answered and the next one reports the change, or the reader is no longer heard and the own read takes its whole timeout.
+ */
+export function longestHostListNoticeMs(): number {
+	const longestReadIntervalMs = readIntervalMs * (1 + readIntervalVariation);
+	return Math.max(2 * longestReadIntervalMs, maximumReaderSilenceMs + readTimeoutMs);
+}
+
 const hostListChangedMethod = 'hostList.changed';
 /** Tells which list the reader has, so that a host whose notification was lost can ask for it. */
 const hostListDigestMethod = 'hostList.digest';
@@ -31,21 +45,25 @@
 /**
  * Keeps a copy of the platform's host list. One host of each failure domain, the reader, reads the list every second and
  * notifies the other hosts of changes, so that the number of reads does not grow with the number of hosts. After a read without a
- * change it sends a digest, because a notification may be lost.
+ * change it sends a digest, because a notification may be lost. A host that no longer hears the reader reads the list itself.
  */
 export class HostListReader {
 	private listedHosts: readonly ListedHost[] = [];
 	private readonly listeners = new Set<() => void>();
 	/** Signal of `run`; undefined before it is called. */
 	private runSignal: AbortSignal | undefined;
+	private nextReadMs = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly options: HostListReaderOptions) {
 		options.peers.handle(hostListChangedMethod, parameters => {
 			this.applyHosts((parameters as HostsMessage).hosts);
+			this.postponeRead();
 		});
 		options.peers.handle(hostListCurrentMethod, () => ({hosts: this.listedHosts}));
 		options.peers.handle(hostListDigestMethod, (parameters, callerHost) => {
-			if ((parameters as {readonly digest: string}).digest !== this.digest() && this.runSignal) {
+			if ((parameters as {readonly digest: string}).digest === this.digest()) {
+				this.postponeRead();
+			} else if (this.runSignal) {
 				void this.pullFrom(callerHost, this.runSignal);
 			}
 		});
@@ -63,20 +81,34 @@
 		}, {once: true});
 	}
 
-	/** Reads the list periodically until the signal aborts. */
+	/** Reads the list, on the reader periodically and on other hosts when the reader is silent, until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, random} = this.options;
+		const {clock} = this.options;
 		this.runSignal = signal;
-		let lastReadMs = Number.NEGATIVE_INFINITY;
 		while (!signal.aborted) {
-			const startedMs = clock.nowMs();
-			if (this.isReader() || startedMs - lastReadMs >= fallbackReadIntervalMs) {
-				await this.readAndNotify(signal);
-				lastReadMs = startedMs;
+			const nowMs = clock.nowMs();
+			if (nowMs < this.nextReadMs) {
+				await clock.sleep(this.nextReadMs - nowMs, signal);
+				continue;
 			}
 
-			const intervalMs = readIntervalMs * (0.75 + (random.next() / 2));
-			await clock.sleep(Math.max(0, intervalMs - (clock.nowMs() - startedMs)), signal);
+			this.nextReadMs = nowMs + this.readDelayMs();
+			await this.readAndNotify(signal);
+		}
+	}
+
+	/** Computes the delay until the next read: the interval of the reader, and on other hosts the time for which they wait for the reader. */
+	private readDelayMs(): number {
+		const {random} = this.options;
+		return this.isReader()
+			? readIntervalMs * (1 + (readIntervalVariation * ((2 * random.next()) - 1)))
+			: maximumReaderSilenceMs * (1 - (readerSilenceVariation * random.next()));
+	}
+
+	/** Postpones the read of this host after the reader has been heard. */
+	private postponeRead(): void {
+		if (!this.isReader()) {
+			this.nextReadMs = this.options.clock.nowMs() + this.readDelayMs();
 		}
 	}
 
@@ -113,6 +145,7 @@
 		try {
 			const {hosts} = await withTimeout(clock, readTimeoutMs, signal, async callSignal => peers.call<HostsMessage>(host, hostListCurrentMethod, {}, callSignal));
 			this.applyHosts(hosts);
+			this.postponeRead();
 		} catch (error) {
 			if (!signal.aborted) {
 				log.warn({reader: host, reason: errorMessageOf(error)}, 'the host list could not be pulled; the next digest causes another attempt');
