--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -203,11 +203,36 @@
 		expect([...pausedTerms]).to.not.include(0);
 	}).timeout(15_000);
 
+	it('keeps a replica paused that has not heard of the new term until the former primary has stepped down (guards against commits that the new primary lacks)', async () => {
+		await start();
+		const {service} = harness;
+		const [formerPrimary, newPrimary, otherReplica] = service.servers as [typeof service.servers[0], typeof service.servers[0], typeof service.servers[0]];
+		newPrimary.receive({position: {term: 1, offsetBytes: 1}, writeId: 'first'});
+		newPrimary.partitionedFrom.add(otherReplica);
+		formerPrimary.isUnresponsive = true;
+		await waitUntil(() => harness.log.withMessage('a promotion took effect').length > 0);
+		await systemClock.sleep(300);
+		formerPrimary.isUnresponsive = false;
+		const connection = await service.dial(formerPrimary.listing());
+		const answer = connection.run({command: {kind: 'data', id: 'late', text: 'WRITE a 1'}});
+		void answer.catch(() => undefined);
+		await waitUntil(() => formerPrimary.role === 'replica');
+		expect(service.acknowledged).to.not.include('late');
+		await waitUntil(() => otherReplica.pausedTerm === 0);
+		connection.close();
+	});
+
 	it('resumes replication after a promotion (guards against commits that are never acknowledged because replicas stay paused)', async () => {
 		await start();
-		harness.service.server('a').isUnresponsive = true;
-		await waitUntil(() => harness.view.currentPrimary !== undefined && harness.view.currentPrimary.backend.id !== 'a');
-		await waitUntil(() => harness.service.servers.every(({pausedTerm}) => pausedTerm === 0));
+		const {service} = harness;
+		const [formerPrimary, newPrimary, otherReplica] = service.servers as [typeof service.servers[0], typeof service.servers[0], typeof service.servers[0]];
+		newPrimary.receive({position: {term: 1, offsetBytes: 1}, writeId: 'first'});
+		// The other replica does not hear of the promotion, so that its pause does not end by itself.
+		newPrimary.partitionedFrom.add(otherReplica);
+		formerPrimary.isUnresponsive = true;
+		await waitUntil(() => harness.view.currentPrimary?.backend.id === newPrimary.id);
+		newPrimary.partitionedFrom.clear();
+		await waitUntil(() => service.servers.every(({pausedTerm}) => pausedTerm === 0));
 		const answer = await run(harness.proxy.openSession('strict', 'u'), 'WRITE a 1');
 		expect(answer.error).to.equal(undefined);
 	});
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -46,6 +46,13 @@
 
 type PromotionPlan = {readonly target: PromotionTarget; readonly others: readonly Backend[]; readonly signal: AbortSignal};
 
+/** The primary that a promotion replaces. */
+type FormerPrimary = {
+	/** Undefined if no primary was known. */
+	readonly backend: Backend | undefined;
+	hasSteppedDown: boolean;
+};
+
 type RequestOutcome = 'accepted' | 'refused' | 'unanswered' | 'not sent, because the duty is no longer held';
 
 /** Thrown to abandon a promotion, with the reason as message. */
@@ -141,11 +148,10 @@
 			: await this.pauseAndChooseCandidate(others, term);
 		const target: PromotionTarget = {backend: candidate.backend, highestPriorTerm};
 		await this.requestOrResume(view, candidate, {target, others, signal});
-		await this.completePromotion(view, target, term, startedMs);
-		await this.resumeReplication(others.filter(backend => backend !== candidate.backend));
-		if (primary) {
-			void this.stepDownWhenReachable(primary, term, signal);
-		}
+		const newTerm = await this.completePromotion(view, target, term, startedMs);
+		const formerPrimary: FormerPrimary = {backend: primary, hasSteppedDown: need.kind === 'leaving'};
+		void this.stepDownWhenReachable(formerPrimary, term, signal);
+		await this.endPauses(others.filter(backend => backend !== candidate.backend), formerPrimary, newTerm);
 	}
 
 	/** Makes a leaving primary step down and waits until another server has its complete log. */
@@ -254,9 +260,10 @@
 
 	/**
 	 * Waits until the promotion takes effect, and records and logs the new primary.
+	 * @returns the new term
 	 * @throws PromotionHalt if the server does not become the primary in time
 	 */
-	private async completePromotion(view: ServiceView, target: PromotionTarget, plannedTerm: number, startedMs: number): Promise<void> {
+	private async completePromotion(view: ServiceView, target: PromotionTarget, plannedTerm: number, startedMs: number): Promise<number> {
 		const {backend} = target;
 		const status = await this.waitForNewTerm(target, promotionTimeoutMs);
 		if (!status) {
@@ -267,6 +274,40 @@
 		this.ports.log.info({
 			service: view.name, server: backend.id, term: status.term, plannedTerm, tookMs: Math.round(this.ports.clock.nowMs() - startedMs),
 		}, 'a promotion took effect');
+		return status.term;
+	}
+
+	/** Ends the pauses that the promotion itself has not ended. */
+	private async endPauses(backends: readonly Backend[], formerPrimary: FormerPrimary, newTerm: number): Promise<void> {
+		await Promise.all(backends.map(async backend => this.endPause(backend, formerPrimary, newTerm)));
+	}
+
+	/**
+	 * Resumes replication to a server that is still paused after a promotion. A server that has not heard of the new term could receive
+	 * from the former primary, which would then acknowledge commits that the new primary lacks. The pause therefore lasts until the server
+	 * knows the term or the former primary has stepped down. If neither happens in time, replication is resumed all the same, because the
+	 * new primary may need the server for its commits.
+	 */
+	private async endPause(backend: Backend, formerPrimary: FormerPrimary, newTerm: number): Promise<void> {
+		const startedMs = this.ports.clock.nowMs();
+		for (;;) {
+			const status = await probeStatus(backend);
+			if (status?.pausedTerm === 0) {
+				return;
+			}
+
+			const waitedMs = this.ports.clock.nowMs() - startedMs;
+			const isOverdue = waitedMs >= promotionSettleMs;
+			if (isOverdue || formerPrimary.hasSteppedDown || (status !== undefined && status.term >= newTerm)) {
+				this.ports.log.info({
+					server: backend.id, term: status?.term, newTerm, formerPrimaryHasSteppedDown: formerPrimary.hasSteppedDown, waitedMs: Math.round(waitedMs),
+				}, 'replication is resumed after a promotion');
+				await this.resumeReplication([backend]);
+				return;
+			}
+
+			await this.ports.clock.sleep(pollIntervalMs);
+		}
 	}
 
 	private async resumeReplication(backends: readonly Backend[]): Promise<void> {
@@ -274,11 +315,17 @@
 	}
 
 	/** Tells a replaced primary to step down, and repeats the command until the server is a replica or the time has passed. */
-	private async stepDownWhenReachable(primary: Backend, term: number, signal: AbortSignal): Promise<void> {
+	private async stepDownWhenReachable(formerPrimary: FormerPrimary, term: number, signal: AbortSignal): Promise<void> {
+		const {backend} = formerPrimary;
+		if (!backend) {
+			return;
+		}
+
 		const deadlineMs = this.ports.clock.nowMs() + stepDownTimeoutMs;
 		while (!signal.aborted && this.ports.clock.nowMs() < deadlineMs) {
-			const status = await this.sendCommand(primary, {kind: 'stepDown', term});
+			const status = await this.sendCommand(backend, {kind: 'stepDown', term});
 			if (status?.role === 'replica') {
+				formerPrimary.hasSteppedDown = true;
 				return;
 			}
 
--- a/packages/proxy/src/testing/memoryService.ts
+++ b/packages/proxy/src/testing/memoryService.ts
@@ -149,7 +149,10 @@
 		return this.servers.map(server => server.listing());
 	}
 
-	/** Makes a server the primary of a new term, with the log that it has received. */
+	/**
+	 * Makes a server the primary of a new term, with the log that it has received. The pauses of the replicas that it reaches end, and they
+	 * follow it.
+	 */
 	promote(id: string, token: number): void {
 		const promoted = this.server(id);
 		this.promotions.push({server: id, token});
@@ -161,6 +164,12 @@
 		promoted.term = Math.max(...this.servers.map(({term, pausedTerm}) => Math.max(term, pausedTerm)), promoted.term + 1);
 		promoted.pausedTerm = 0;
 		promoted.catchUp();
+		for (const follower of this.servers) {
+			if (follower.role === 'replica' && canExchange(promoted, follower)) {
+				follower.pausedTerm = 0;
+				this.replicate(promoted, follower);
+			}
+		}
 	}
 
 	/**
@@ -168,8 +177,7 @@
 	 * @returns false if the follower does not receive the log
 	 */
 	replicate(primary: MemoryServer, follower: MemoryServer): boolean {
-		const isReached = !follower.isUnresponsive && !follower.partitionedFrom.has(primary) && !primary.partitionedFrom.has(follower);
-		if (!isReached || follower.pausedTerm > 0 || follower.term > primary.term || follower.role === 'primary') {
+		if (!canExchange(primary, follower) || follower.pausedTerm > 0 || follower.term > primary.term || follower.role === 'primary') {
 			return false;
 		}
 
@@ -210,6 +218,11 @@
 	}
 }
 
+/** Checks whether a primary can send its log to a follower. */
+function canExchange(primary: MemoryServer, follower: MemoryServer): boolean {
+	return !follower.isUnresponsive && !follower.partitionedFrom.has(primary) && !primary.partitionedFrom.has(follower);
+}
+
 type Transaction = {readonly readOnly: boolean; readonly writes: string[]};
 
 class MemoryConnection implements BackendConnection {
