--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -83,6 +83,7 @@
 		listen: {address: peers.address, port: peers.port},
 		resolveAddress: name => dependencies.resolve(MembershipService).resolveAddress(name),
 		clock: dependencies.resolve(tokens.clock),
+		log: dependencies.resolve(tokens.log),
 		metrics: dependencies.resolve(tokens.metrics),
 	}));
 	registerSingleton(childContainer, MembershipService, dependencies => new MembershipService({
--- a/packages/membership/src/membershipService.ts
+++ b/packages/membership/src/membershipService.ts
@@ -7,6 +7,11 @@
 
 /** Interval between heartbeats to each partner. */
 export const heartbeatIntervalMs = 500;
+/**
+ * Time without a message from a partner after which a heartbeat also verifies the connection. Shorter than the interval, so that a
+ * connection that dies is replaced before the partner takes this host for dead.
+ */
+export const heartbeatVerificationMs = 400;
 /** Maximum number of heartbeat partners of a host, which are its neighbours on the ring of host names. */
 export const maximumHeartbeatPartners = 6;
 /** Number of records of other members that a heartbeat forwards; needed only if not all members are partners. */
@@ -195,7 +200,7 @@
 			// Hosts that are not partners are known from forwarded records alone, so these are full. With compact ones, a deployment of 20 hosts lost members.
 			const areForwardedFull = isFull || otherRecords.length > maximumHeartbeatPartners;
 			const message: Heartbeat = {r: [encodeRecord(ownRecord, isFull), ...forwardedRecords.map(record => encodeRecord(record, areForwardedFull))]};
-			this.options.peers.notify(partner, heartbeatMethod, message);
+			this.options.peers.notify(partner, heartbeatMethod, message, {verifyAfterMs: heartbeatVerificationMs});
 		}
 	}
 
--- a/packages/membership/src/peerTransport.ts
+++ b/packages/membership/src/peerTransport.ts
@@ -4,7 +4,7 @@
 	JSONRPCClient, JSONRPCServer, type JSONRPCRequest, type JSONRPCResponse,
 } from 'json-rpc-2.0';
 import {
-	childSignal, fail, FailureError, type Clock, type Metrics, type PeerRpc,
+	childSignal, errorMessageOf, fail, FailureError, withTimeout, type Clock, type Logger, type Metrics, type NotifyOptions, type PeerRpc,
 } from '@crocusloom/model';
 import {decodeMessages, encodeMessage} from './jsonFrames.js';
 
@@ -14,16 +14,37 @@
 /** Timeout of a call unless the caller's signal aborts earlier. */
 export const callTimeoutMs = 2000;
 
+/** Default time without a message from a peer after which a notification causes a ping. */
+export const defaultVerificationMs = 2000;
+/** Time without a message from a peer after which a failed call causes a ping. */
+const callVerificationMs = 400;
+/** Time in which a peer must answer a ping. */
+const pingTimeoutMs = 1000;
+
+/**
+ * Returns the longest time for which notifications to a live peer are lost after a connection has died without a reset.
+ * @param verifyAfterMs - option of the notifications, in milliseconds
+ * @param intervalMs - interval of the notifications in milliseconds
+ */
+export function longestMessageLossMs(verifyAfterMs: number, intervalMs: number): number {
+	return verifyAfterMs + intervalMs + pingTimeoutMs + intervalMs;
+}
+
 /** Maximum number of bytes queued on a connection to a slow peer; above it, notifications are dropped. */
 const maximumQueuedBytes = 4 * 1024 * 1024;
 
 /** Notification with which the dialing host sends its name. */
 const helloMethod = 'peer.hello';
+/** Request without effect, whose response shows that messages still reach the peer. */
+const pingMethod = 'peer.ping';
 
 type OutgoingConnection = {
 	readonly socket: net.Socket;
 	readonly client: JSONRPCClient;
 	readonly connected: Promise<unknown>;
+	/** Time at which the latest message of the peer was received, at first the time of the dial. */
+	heardMs: number;
+	isPinging: boolean;
 };
 
 type PeerTransportOptions = {
@@ -32,17 +53,23 @@
 	/** Returns the address of a host, as known to the membership. */
 	readonly resolveAddress: (host: string) => PeerAddress | undefined;
 	readonly clock: Clock;
+	readonly log: Logger;
 	readonly metrics: Metrics;
 };
 
 type PeerMessage = JSONRPCRequest | JSONRPCResponse;
 
+/** Signal of pings, which end with their timeout or their connection. */
+const neverAborts = new AbortController().signal;
+
 /** JSON-RPC 2.0 between proxies. Each host dials a connection per peer, on which it sends requests and receives responses. */
 export class PeerTransport implements PeerRpc {
 	private readonly outgoingConnections = new Map<string, OutgoingConnection>();
 	private readonly rpcServer = new JSONRPCServer<{readonly callerHost: string; readonly signal: AbortSignal}>();
 
-	constructor(private readonly options: PeerTransportOptions) {}
+	constructor(private readonly options: PeerTransportOptions) {
+		this.handle(pingMethod, () => undefined);
+	}
 
 	/**
 	 * Accepts connections from peers until the signal aborts.
@@ -81,6 +108,7 @@
 				signal,
 			);
 		} catch (error) {
+			void this.verify(host, connection, callVerificationMs);
 			throw error instanceof FailureError || signal.aborted
 				? error
 				: new FailureError({
@@ -89,7 +117,7 @@
 		}
 	}
 
-	notify(host: string, method: string, parameters: unknown): void {
+	notify(host: string, method: string, parameters: unknown, {verifyAfterMs = defaultVerificationMs}: NotifyOptions = {}): void {
 		const connection = this.tryConnectionTo(host);
 		if (!connection || connection.socket.writableLength > maximumQueuedBytes) {
 			this.options.metrics.count('peer_notifications_dropped_total', {method});
@@ -98,6 +126,32 @@
 
 		this.options.metrics.count('peer_notifications_total', {method});
 		connection.client.notify(method, parameters);
+		void this.verify(host, connection, verifyAfterMs);
+	}
+
+	/**
+	 * Pings a peer that has been silent for some time, and closes the connection if there is no response. A connection that has died
+	 * without a reset accepts messages and never delivers them, and the kernel reports that only after minutes.
+	 */
+	private async verify(host: string, connection: OutgoingConnection, maximumSilenceMs: number): Promise<void> {
+		const {clock, log, metrics} = this.options;
+		const silentMs = clock.nowMs() - connection.heardMs;
+		if (connection.isPinging || connection.socket.destroyed || silentMs < maximumSilenceMs) {
+			return;
+		}
+
+		connection.isPinging = true;
+		try {
+			await withTimeout(clock, pingTimeoutMs, neverAborts, async () => connection.client.request(pingMethod, {}) as Promise<unknown>);
+		} catch (error) {
+			if (!connection.socket.destroyed) {
+				log.warn({peer: host, silentMs: Math.round(silentMs), reason: errorMessageOf(error)}, 'a connection to a peer is closed, because a ping was not answered');
+				metrics.count('peer_connections_silent_total');
+				connection.socket.destroy();
+			}
+		} finally {
+			connection.isPinging = false;
+		}
 	}
 
 	private tryConnectionTo(host: string): OutgoingConnection | undefined {
@@ -129,9 +183,12 @@
 		});
 		const connected = once(socket, 'connect');
 		connected.catch(() => undefined);
-		void this.receiveResponses(host, socket, client);
+		const connection: OutgoingConnection = {
+			socket, client, connected, heardMs: this.options.clock.nowMs(), isPinging: false,
+		};
+		void this.receiveResponses(host, connection);
 		this.writeMessage(socket, {jsonrpc: '2.0', method: helloMethod, params: {host: this.options.self}});
-		return {socket, client, connected};
+		return connection;
 	}
 
 	private writeMessage(socket: net.Socket, message: unknown): void {
@@ -140,10 +197,12 @@
 		socket.write(frame);
 	}
 
-	private async receiveResponses(host: string, socket: net.Socket, client: JSONRPCClient): Promise<void> {
+	private async receiveResponses(host: string, connection: OutgoingConnection): Promise<void> {
+		const {socket, client} = connection;
 		let closeReason = 'connection closed';
 		try {
 			for await (const message of decodeMessages(socket as AsyncIterable<Buffer>)) {
+				connection.heardMs = this.options.clock.nowMs();
 				client.receive(message as JSONRPCResponse);
 			}
 		} catch (error) {
--- a/packages/model/src/ports.ts
+++ b/packages/model/src/ports.ts
@@ -191,10 +191,15 @@
 	get(group: string): GroupView | undefined;
 };
 
+export type NotifyOptions = {
+	/** Time without a message from the peer after which the connection is verified, because a notification has no response. */
+	readonly verifyAfterMs?: number;
+};
+
 /** JSON-RPC between peers. Failed calls throw FailureError of kind `peer`. */
 export type PeerRpc = {
 	call<R>(host: string, method: string, parameters: unknown, signal: AbortSignal): Promise<R>;
-	notify(host: string, method: string, parameters: unknown): void;
+	notify(host: string, method: string, parameters: unknown, options?: NotifyOptions): void;
 	/** Registers a method that peers may call. */
 	handle(method: string, handler: (parameters: unknown, callerHost: string, signal: AbortSignal) => Promise<unknown> | unknown): void;
 };
