--- a/packages/control/src/__tests__/etcdKeyValueStore.test.ts
+++ b/packages/control/src/__tests__/etcdKeyValueStore.test.ts
@@ -1,7 +1,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type AddressInfo, type Socket} from 'node:net';
 import {json} from 'node:stream/consumers';
 import {expect} from 'chai';
 import {
@@ -42,15 +42,25 @@
 	let server: Server;
 	const responders: Responder[] = [];
 	const requests: Request[] = [];
+	/** Connections on which the server answers nothing any more. */
+	const deadSockets = new Set<Socket>();
+	const openSockets = new Set<Socket>();
 	let abortController: AbortController;
 	let url: string;
 
 	beforeEach(async () => {
 		responders.length = 0;
 		requests.length = 0;
+		deadSockets.clear();
+		openSockets.clear();
 		abortController = new AbortController();
 		const handle = async (message: IncomingMessage, response: ServerResponse) => {
 			const request = {path: message.url!, body: message.method === 'POST' ? await json(message) as Request['body'] : {}};
+			openSockets.add(message.socket);
+			if (deadSockets.has(message.socket)) {
+				return;
+			}
+
 			requests.push(request);
 			(responders.shift() ?? sendStatus(500))(response, request);
 		};
@@ -183,6 +193,33 @@
 		});
 	}
 
+	const deadConnectionCases: ReadonlyArray<{readonly name: string; readonly responder: Responder; readonly call: () => Promise<unknown>}> = [
+		{name: 'a snapshot', responder: sendJson({header: header(9)}), call: async () => createStore().list('p/', signal())},
+		{
+			name: 'a watch',
+			responder(response) {
+				response.write(`${JSON.stringify({result: {header: header(9), created: true}})}\n`);
+			},
+			call: async () => new EtcdKeyValueStore({
+				url, clock: systemClock, random: seededRandom(1), maximumConsecutiveWatchFailures: 1,
+			}).watch('p/', 5, signal()).next(),
+		},
+		{name: 'the host list', responder: sendJson([]), call: async () => new HttpHostList({url, clock: systemClock}).list(signal())},
+	];
+	for (const {name, responder, call} of deadConnectionCases) {
+		it(`guards against ${name} that is sent over a connection that died while it was idle`, async () => {
+			const idleConnections = 3;
+			responders.push(...Array.from({length: idleConnections}, () => sendJson({header: header(9)})), responder);
+			await Promise.all(Array.from({length: idleConnections}, async () => createStore().list('p/', signal())));
+			for (const socket of openSockets) {
+				deadSockets.add(socket);
+			}
+
+			await call();
+			expect(requests).to.have.length(idleConnections + 1);
+		});
+	}
+
 	it('reads the host list and rejects one that does not match the schema', async () => {
 		const host = {
 			host: 'a', kind: 'entry', failureDomain: 'bryan', address: '127.0.0.1', port: 1, state: 'live',
--- a/packages/control/src/changeTiming.ts
+++ b/packages/control/src/changeTiming.ts
@@ -22,7 +22,8 @@
 
 /**
  * Returns the longest time until a watcher notices a change, counted from the change or from the return of the store. In the worst
- * case a watch went silent at its start, and its successor is sent over a connection that has died as well.
+ * case a watch went silent at its start, and the response of its successor is lost. No further call can be lost with the same connections,
+ * because each call opens its own.
  */
 export function longestNoticeMs(): number {
 	return Math.max(watchSessionDurationMs + storeResponseTimeoutMs + maximumJitterMs, watcherBackoff.maximumMs) + snapshotAllowanceMs;
--- a/packages/control/src/etcdKeyValueStore.ts
+++ b/packages/control/src/etcdKeyValueStore.ts
@@ -6,6 +6,7 @@
 import {
 	encodeBase64, prefixRangeEnd, rangeResponseSchema, toKeyValueEntry, toKeyValueEvents, txnResponseSchema, watchResponseSchema, type WatchResult,
 } from './etcdMessages.js';
+import {freshConnectionHeaders} from './freshConnection.js';
 import {readLines} from './jsonLines.js';
 
 export type EtcdKeyValueStoreOptions = {
@@ -173,7 +174,7 @@
 
 	private async post(path: string, body: unknown, signal: AbortSignal): Promise<Response> {
 		const response = await fetch(new URL(path, this.options.url), {
-			method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify(body), signal,
+			method: 'POST', headers: {...freshConnectionHeaders, 'content-type': 'application/json'}, body: JSON.stringify(body), signal,
 		});
 		if (response.ok) {
 			return response;
--- a/packages/control/src/httpHostList.ts
+++ b/packages/control/src/httpHostList.ts
@@ -2,6 +2,7 @@
 import {
 	FailureError, type Clock, type HostList, type ListedHost, withTimeout,
 } from '@crocusloom/model';
+import {freshConnectionHeaders} from './freshConnection.js';
 
 const listedHostSchema = z.object({
 	host: z.string().min(1),
@@ -31,7 +32,7 @@
 		const {clock, url, callTimeoutMs = defaultCallTimeoutMs} = this.options;
 		try {
 			return await withTimeout(clock, callTimeoutMs, signal, async callSignal => {
-				const response = await fetch(new URL('/hosts', url), {signal: callSignal});
+				const response = await fetch(new URL('/hosts', url), {headers: freshConnectionHeaders, signal: callSignal});
 				if (!response.ok) {
 					await response.body?.cancel();
 					throw new Error(`status ${response.status}`);
