--- a/packages/control/src/changeTiming.ts
+++ b/packages/control/src/changeTiming.ts
@@ -30,8 +30,9 @@
 }
 
 /**
- * Returns the longest time until a heartbeat partner of a watcher has a change that the watcher has. In the worst case the first peer
- * that is asked for it does not answer.
+ * Returns the longest time until all hosts have a change that a watcher has. Most hosts are notified at once, by the watcher or by a host
+ * that was notified before. The others are heartbeat partners of a notified host; in the worst case the first peer that they ask for the
+ * change does not answer.
  */
 export function longestPropagationMs(): number {
 	const heartbeatIntervalMs = revisionCheckIntervalMs;
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -6,7 +6,7 @@
 export {
 	type ChangeSet, type ConfigurationEntry, type EntryKey, type InvalidEntry,
 } from './configurationState.js';
-export {type RendezvousOrder} from './peerPropagation.js';
+export {maximumNotifiedNeighbours, type RendezvousOrder} from './peerPropagation.js';
 export {type PlatformHealth} from './platformFollower.js';
 export {
 	startResourceApi, type ExplainRequest, type ResourceApi, type ResourceApiOptions,
--- a/packages/control/src/peerPropagation.ts
+++ b/packages/control/src/peerPropagation.ts
@@ -36,7 +36,7 @@
 };
 
 /** Maximum number of neighbours notified of a change. Hosts that are nobody's neighbour learn of it from heartbeats. */
-const maximumNotifiedNeighbours = 4;
+export const maximumNotifiedNeighbours = 4;
 /** Maximum number of neighbours to which an accepted change is sent; one copy is awaited before the operator receives the response. */
 const maximumCopyNeighbours = 2;
 const peerCopyTimeoutMs = 500;
