--- a/packages/callers/src/__tests__/connections.test.ts
+++ b/packages/callers/src/__tests__/connections.test.ts
@@ -91,6 +91,17 @@
 	});
 }
 
+/** Returns the CancelRequest message for the connection of a client. */
+function cancelPacket(client: pg.Client): Buffer {
+	const {processID: processId, secretKey} = client as unknown as {readonly processID: number; readonly secretKey: number};
+	const packet = Buffer.alloc(16);
+	packet.writeInt32BE(16, 0);
+	packet.writeInt32BE(80_877_102, 4);
+	packet.writeInt32BE(processId, 8);
+	packet.writeInt32BE(secretKey, 12);
+	return packet;
+}
+
 describe('caller connections', () => {
 	const scope = new HarnessScope();
 	afterEach(() => {
@@ -245,18 +256,13 @@
 		await scope.start(peerOptions('one'));
 		const otherHarness = await Harness.start(peerOptions('two'));
 		const client = await scope.harness.connect();
-		const {processID: processId, secretKey} = client as unknown as {readonly processID: number; readonly secretKey: number};
 		let openGate: () => void = () => undefined;
 		scope.harness.fakeBackend.gate = new Promise(resolve => {
 			openGate = resolve;
 		});
 		const running = queryFirstColumn(client, 'SELECT 1');
 		await waitUntil(() => scope.harness.fakeBackend.intents.length === 1);
-		const packet = Buffer.alloc(16);
-		packet.writeInt32BE(16, 0);
-		packet.writeInt32BE(80_877_102, 4);
-		packet.writeInt32BE(processId, 8);
-		packet.writeInt32BE(secretKey, 12);
+		const packet = cancelPacket(client);
 		const request = await openSocket(otherHarness.port, packet);
 		await request.closed;
 		expect(scope.harness.fakeBackend.cancelledExchanges).to.deep.equal(['first']);
@@ -267,4 +273,25 @@
 		expect(scope.harness.fakeBackend.cancelledExchanges).to.deep.equal(['first']);
 		otherHarness.close();
 	});
+
+	it('reports 57014 for a statement that was canceled before it ran; guards against a canceled statement that is reported as refused', async () => {
+		await scope.start();
+		const client = await scope.harness.connect();
+		scope.harness.fakeBackend.findFault = () => ({
+			failure: {
+				kind: 'notRun', reason: 'limit', step: 'admission', peer: 'db-a', message: 'the exchange was aborted before it was sent',
+			}, isAfterExchange: false,
+		});
+		let openGate: () => void = () => undefined;
+		scope.harness.fakeBackend.gate = new Promise(resolve => {
+			openGate = resolve;
+		});
+		const error = rejectionOf(client.query('SELECT 1'));
+		await waitUntil(() => scope.harness.fakeBackend.intents.length === 1);
+		const request = await openSocket(scope.harness.port, cancelPacket(client));
+		await request.closed;
+		openGate();
+		expect(await error).to.include({code: '57014'});
+		expect(await rejectionOf(client.query('SELECT 2'))).to.include({code: '53000'});
+	});
 });
--- a/packages/callers/src/errors.ts
+++ b/packages/callers/src/errors.ts
@@ -13,6 +13,7 @@
 	duplicatePreparedStatement: '42P05',
 	programLimitExceeded: '54000',
 	tooManyConnections: '53300',
+	queryCanceled: '57014',
 } as const;
 
 /** Creates an error of kind `protocol`, which is reported to the caller with the given SQLSTATE. */
@@ -29,6 +30,13 @@
 	};
 }
 
+/** Returns the failure reported to a caller that has canceled a statement before it was sent to a backend server. */
+export function canceledFailure(peer: string): Failure {
+	return {
+		kind: 'protocol', step: 'forward', peer, sqlState: callerSqlStates.queryCanceled, message: 'the statement was canceled before it ran',
+	};
+}
+
 /** Converts any error to a failure. An error other than a `FailureError` is a bug in the proxy and is reported as an internal error. */
 export function toCallerFailure(error: unknown, peer: string): Failure {
 	return toFailure(error, message => ({
--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -6,7 +6,7 @@
 import {ExchangeCollector, type CollectedExchange} from './collector.js';
 import {CommandRunner} from './commandRunner.js';
 import {
-	buildFailureResponse, callerSqlStates, protocolError, shutdownFailure, toCallerFailure,
+	buildFailureResponse, callerSqlStates, canceledFailure, protocolError, shutdownFailure, toCallerFailure,
 } from './errors.js';
 import {
 	hasBegin, isTransactionEnd, responseEndTypes, type PlannedExchange,
@@ -191,7 +191,8 @@
 			this.unitOfWork.endWithStatus('E');
 		}
 
-		const failure = toCallerFailure(error, channel.peer);
+		const {kind} = toCallerFailure(error, channel.peer);
+		const failure = kind === 'notRun' && this.unitOfWork.wasCancelRequested ? canceledFailure(channel.peer) : toCallerFailure(error, channel.peer);
 		if (!(error instanceof FailureError)) {
 			options.log.error({peer: channel.peer, error: String(error)}, 'exchange failed because of an internal error');
 		}
--- a/packages/callers/src/sessionUnitOfWork.ts
+++ b/packages/callers/src/sessionUnitOfWork.ts
@@ -10,6 +10,9 @@
 	/** Whether an exchange runs, and whether it is the first one of its unit of work. */
 	private runningExchange: 'none' | 'first' | 'later' = 'none';
 	private firstExchangeCancel = new AbortController();
+	/** Unit of work in which the first exchange is attempted; undefined before it is open. */
+	private attemptedUnit: UnitOfWork | undefined;
+	private isCancelRequested = false;
 
 	constructor(private readonly dispatcher: Dispatcher) {}
 
@@ -18,6 +21,11 @@
 		return this.openUnit !== undefined;
 	}
 
+	/** True if the caller has requested to cancel the running exchange or the last one. */
+	get wasCancelRequested(): boolean {
+		return this.isCancelRequested;
+	}
+
 	/** True if a system failure ended the transaction and the caller has not sent ROLLBACK since. */
 	get hasLostTransaction(): boolean {
 		return this.status === 'E' && this.openUnit === undefined;
@@ -28,6 +36,7 @@
 	 * @throws FailureError `notRun` or `unknown`, after which no unit of work is open. Every error other than `notRun` counts as `unknown`
 	 */
 	async run(frames: Buffer, sink: FrameSink, options: Pick<ExchangeOptions, 'preparedStatements' | 'mayCommit' | 'signal'>, createIntent: () => WorkIntent): Promise<ExchangeResult> {
+		this.isCancelRequested = false;
 		try {
 			const result = this.openUnit ? await this.runOnOpenUnit(this.openUnit, frames, sink, options) : await this.dispatchFirst(frames, sink, options, createIntent());
 			this.status = result.transactionStatus;
@@ -41,16 +50,26 @@
 			throw toOutcomeError(error);
 		} finally {
 			this.runningExchange = 'none';
+			this.attemptedUnit = undefined;
 		}
 	}
 
-	/** Requests that the backend server cancel the running exchange. Does nothing between exchanges. */
+	/**
+	 * Requests that the backend server cancel the running exchange. Does nothing between exchanges. The server ignores a request that
+	 * arrives before the statement does, so each further request of the caller is passed on as well.
+	 */
 	cancel(): void {
+		if (this.runningExchange === 'none') {
+			return;
+		}
+
+		this.isCancelRequested = true;
 		if (this.runningExchange === 'later') {
 			this.openUnit?.cancel();
-		} else if (this.runningExchange === 'first') {
+		} else if (this.firstExchangeCancel.signal.aborted) {
+			this.attemptedUnit?.cancel();
+		} else {
 			this.firstExchangeCancel.abort();
-			this.firstExchangeCancel = new AbortController();
 		}
 	}
 
@@ -82,7 +101,14 @@
 
 	private async dispatchFirst(frames: Buffer, sink: FrameSink, options: ExchangeOptions, intent: WorkIntent): Promise<ExchangeResult> {
 		this.runningExchange = 'first';
-		const {work, result} = await this.dispatcher.dispatch(intent, frames, sink, {...options, cancelSignal: this.firstExchangeCancel.signal});
+		this.firstExchangeCancel = new AbortController();
+		const {work, result} = await this.dispatcher.dispatch(intent, frames, sink, {
+			...options,
+			cancelSignal: this.firstExchangeCancel.signal,
+			onOpen: unit => {
+				this.attemptedUnit = unit;
+			},
+		});
 		this.openUnit = work;
 		return result;
 	}
--- a/packages/model/src/ports.ts
+++ b/packages/model/src/ports.ts
@@ -96,6 +96,8 @@
 	readonly signal: AbortSignal;
 	/** Aborts when the caller cancels the first exchange, before `UnitOfWork.cancel` is available. The response is still delivered. */
 	readonly cancelSignal?: AbortSignal;
+	/** Called with the unit of work in which the first exchange is attempted, so that it can be cancelled more than once. */
+	readonly onOpen?: (work: UnitOfWork) => void;
 };
 
 /** A unit of work at a database: one statement outside a transaction, or one whole transaction. */
--- a/packages/work/src/__tests__/workDispatcher.test.ts
+++ b/packages/work/src/__tests__/workDispatcher.test.ts
@@ -275,6 +275,18 @@
 		});
 	}
 
+	it('tells the caller which unit of work each attempt runs in (guards against cancel requests that reach no unit of work)', async () => {
+		const {dispatcher, databases} = setUpDispatcher((_request, attempt) => attempt === 1 ? 'unreachable' : 'ok');
+		const opened: UnitOfWork[] = [];
+		const {work} = await dispatcher.dispatch(intent({mode: 'read'}), query('X'), new RecordingSink().sink, exchangeOptions({
+			onOpen(unit) {
+				opened.push(unit);
+			},
+		}));
+		expect(databases()).to.have.length(2);
+		expect(opened.at(-1)).to.equal(work);
+	});
+
 	it('waits for a new primary during a failover (guards against writes that fail although a promotion is in progress)', async () => {
 		const {run, clock, conditions, databases} = setUpDispatcher(() => 'ok');
 		conditions.state = groupState({primary: undefined});
--- a/packages/work/src/workDispatcher.ts
+++ b/packages/work/src/workDispatcher.ts
@@ -128,6 +128,7 @@
 		context.hasChosenDatabase = true;
 		try {
 			const work = await this.openTracked(spec, this.buildRequest(context, database, requirements), options.signal);
+			options.onOpen?.(work);
 			if (intent.mode === 'write') {
 				return await this.runWrite(context, work);
 			}
