--- a/packages/control/src/configurationStore.ts
+++ b/packages/control/src/configurationStore.ts
@@ -38,7 +38,7 @@
 		const prefix = `crocusloom/${options.deployment}/`;
 		const {replica} = this;
 		this.propagation = new PeerPropagation({
-			replica, peers, membership, clock, random, rendezvousOrder,
+			replica, peers, membership, clock, random, log, rendezvousOrder,
 		});
 		this.follower = new PlatformFollower({
 			prefix, host: membership.self.host, keyValueStore, replica, clock, random, log, isWatcher: () => this.watcherHosts().includes(membership.self.host),
--- a/packages/control/src/peerPropagation.ts
+++ b/packages/control/src/peerPropagation.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, type Member, type Membership, type PeerRpc, type RandomSource, withTimeout,
+	type Clock, errorMessageOf, type Logger, type Member, type Membership, type PeerRpc, type RandomSource, withTimeout,
 } from '@crocusloom/model';
 import {z} from 'zod';
 import {pullTimeoutMs, revisionCheckIntervalMs} from './changeTiming.js';
@@ -32,6 +32,7 @@
 	readonly membership: Membership;
 	readonly clock: Clock;
 	readonly random: RandomSource;
+	readonly log: Logger;
 	readonly rendezvousOrder: RendezvousOrder;
 };
 
@@ -147,7 +148,7 @@
 	}
 
 	private async requestChanges(host: string, signal: AbortSignal): Promise<boolean> {
-		const {clock, peers, replica} = this.options;
+		const {clock, log, peers, replica} = this.options;
 		const {revision} = replica.state;
 		try {
 			const response = await withTimeout(clock, pullTimeoutMs, signal, async callSignal => peers.call(host, peerMethods.changesSince, {revision}, callSignal));
@@ -155,7 +156,13 @@
 			replica.recordReportedRevision(highestKnownRevision);
 			replica.merge(changes);
 			return ready;
-		} catch {
+		} catch (error) {
+			if (!signal.aborted) {
+				log.warn({
+					peer: host, revision, highestKnownRevision: replica.highestKnownRevision, reason: errorMessageOf(error),
+				}, 'changes could not be pulled from a peer');
+			}
+
 			return false;
 		}
 	}
