--- a/packages/control/src/__tests__/fakes.ts
+++ b/packages/control/src/__tests__/fakes.ts
@@ -2,94 +2,13 @@
  * In-memory fakes of the clock, the platform's store, peers and the membership.
  */
 import {createHash} from 'node:crypto';
-import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
 	FailureError, noopLogger, type Clock, type KeyValueEntry, type KeyValueEvent, type KeyValueStore, type Member, type Membership, type PeerRpc, type RandomSource,
 } from '@crocusloom/model';
+import {FakeClock} from '@crocusloom/model/testing';
 import {ConfigurationStore} from '../configurationStore.js';
 import {type RendezvousOrder} from '../peerPropagation.js';
 
-type Sleeper = {readonly atMs: number; readonly wake: () => void};
-
-/** A clock whose time changes only when a test advances it. */
-export class ManualClock implements Clock {
-	private currentMs = 0;
-	private readonly sleepers = new Set<Sleeper>();
-
-	nowMs(): number {
-		return this.currentMs;
-	}
-
-	wallMs(): number {
-		return this.currentMs;
-	}
-
-	async sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
-		signal?.throwIfAborted();
-		return new Promise((resolve, reject) => {
-			const onAbort = () => {
-				this.sleepers.delete(sleeper);
-				reject(signal!.reason as Error);
-			};
-
-			const sleeper = {
-				atMs: this.currentMs + durationMs,
-				wake() {
-					signal?.removeEventListener('abort', onAbort);
-					resolve();
-				},
-			};
-			this.sleepers.add(sleeper);
-			signal?.addEventListener('abort', onAbort, {once: true});
-		});
-	}
-
-	/** Advances the time, wakes sleepers in the order of their wake-up times and lets pending callbacks run in between. */
-	async advance(durationMs: number): Promise<void> {
-		const endMs = this.currentMs + durationMs;
-		for (;;) {
-			await runPendingTasks();
-			const nextMs = Math.min(...[...this.sleepers].map(({atMs}) => atMs));
-			if (nextMs > endMs) {
-				this.currentMs = endMs;
-				return;
-			}
-
-			this.currentMs = Math.max(this.currentMs, nextMs);
-			for (const sleeper of [...this.sleepers].filter(({atMs}) => atMs <= nextMs)) {
-				this.sleepers.delete(sleeper);
-				sleeper.wake();
-			}
-		}
-	}
-
-	/** Advances the time until a promise is settled. */
-	async until<T>(promise: Promise<T>, limitMs = 120_000): Promise<T> {
-		const state = {isSettled: false};
-		const markSettled = () => {
-			state.isSettled = true;
-		};
-
-		promise.then(markSettled, markSettled);
-		await runPendingTasks();
-		for (let passedMs = 0; !state.isSettled; passedMs += 50) {
-			if (passedMs >= limitMs) {
-				throw new Error(`not settled after ${limitMs} ms of the fake clock`);
-			}
-
-			await this.advance(50);
-		}
-
-		return promise;
-	}
-}
-
-async function runPendingTasks(): Promise<void> {
-	for (let turn = 0; turn < 4; turn++) {
-		await nextTurn();
-	}
-}
-
 /** A linear congruential generator, so that every run uses the same random numbers. */
 export function seededRandom(seed: number): RandomSource {
 	let state = seed;
@@ -340,7 +259,7 @@
 
 /** A deployment of configuration stores that share a platform, a network and a member list. */
 export class FakeDeployment {
-	readonly clock = new ManualClock();
+	readonly clock = new FakeClock();
 	readonly platform = new FakeKeyValueStore(this.clock);
 	readonly network = new FakeNetwork();
 	/** Members as known to all hosts. A running host reports its current revision. */
--- a/packages/membership/src/__tests__/membership.test.ts
+++ b/packages/membership/src/__tests__/membership.test.ts
@@ -1,44 +1,10 @@
-import {setImmediate as nextTurn} from 'node:timers/promises';
 import {assert} from 'chai';
 import {
-	noopLogger, noopMetrics, type Clock, type PeerRpc, type RandomSource,
+	noopLogger, noopMetrics, type PeerRpc, type RandomSource,
 } from '@crocusloom/model';
+import {FakeClock} from '@crocusloom/model/testing';
 import {MembershipService} from '../membershipService.js';
 
-/** Clock whose time changes only when a test advances it. */
-class ManualClock implements Clock {
-	private currentMs = 0;
-	private sleepers: Array<{readonly atMs: number; readonly wake: () => void}> = [];
-
-	nowMs(): number {
-		return this.currentMs;
-	}
-
-	wallMs(): number {
-		return this.currentMs;
-	}
-
-	async sleep(durationMs: number): Promise<void> {
-		return new Promise(resolve => {
-			this.sleepers.push({atMs: this.currentMs + durationMs, wake: resolve});
-		});
-	}
-
-	async advance(durationMs: number): Promise<void> {
-		const endMs = this.currentMs + durationMs;
-		while (this.currentMs < endMs) {
-			this.currentMs += 50;
-			const dueSleepers = this.sleepers.filter(sleeper => sleeper.atMs <= this.currentMs);
-			this.sleepers = this.sleepers.filter(sleeper => sleeper.atMs > this.currentMs);
-			for (const sleeper of dueSleepers) {
-				sleeper.wake();
-			}
-
-			await nextTurn();
-		}
-	}
-}
-
 /** Linear congruential generator with the constants of Numerical Recipes. */
 function seededRandom(seed: number): RandomSource {
 	let state = seed;
@@ -54,7 +20,7 @@
 
 /** Hosts that exchange heartbeats in memory; `partition` drops the messages between separated hosts. */
 class FakeDeployment {
-	readonly clock = new ManualClock();
+	readonly clock = new FakeClock();
 	readonly hosts: FakeHost[] = [];
 	readonly random = seededRandom(20_261_204);
 	/** Total size of the heartbeats as framed by the transport. */
--- a/packages/model/src/testing/fakeClock.ts
+++ b/packages/model/src/testing/fakeClock.ts
@@ -51,6 +51,31 @@
 		}
 	}
 
+	/** Advances the time by a duration, and lets the work run that the last timers have resumed. */
+	async advance(durationMs: number): Promise<void> {
+		await this.runUntil(this.currentMs + durationMs);
+		await nextTurn();
+	}
+
+	/**
+	 * Advances the time until a promise is settled.
+	 * @throws Error if it is not settled within the limit
+	 */
+	async until<T>(promise: Promise<T>, limitMs = 120_000): Promise<T> {
+		const state = {isSettled: false};
+		const markSettled = () => {
+			state.isSettled = true;
+		};
+
+		promise.then(markSettled, markSettled);
+		await this.runUntil(this.currentMs + limitMs, () => state.isSettled);
+		if (!state.isSettled) {
+			throw new Error(`not settled after ${limitMs} ms of the fake clock`);
+		}
+
+		return promise;
+	}
+
 	private takeDueTimer(atMs: number): Timer | undefined {
 		let timer = this.timers.pop();
 		while (timer && !timer.fire) {
--- a/packages/work/src/__tests__/admissionQueue.test.ts
+++ b/packages/work/src/__tests__/admissionQueue.test.ts
@@ -1,9 +1,10 @@
 import {expect} from 'chai';
 import {FailureError, type Failure} from '@crocusloom/model';
+import {FakeClock} from '@crocusloom/model/testing';
 import {AdmissionQueue} from '../admissionQueue.js';
 import {type RankPolicy, type SlotGrant, type SlotRequest} from '../rankState.js';
 import {
-	neverAbortingSignal, ManualClock, failureIfRejected, seededRandom, runPendingTasks, rankSpecs,
+	neverAbortingSignal, failureIfRejected, seededRandom, runPendingTasks, rankSpecs,
 } from './fakes.js';
 
 const ranks: readonly RankPolicy[] = Object.entries(rankSpecs).map(([rank, spec]) => ({rank, ...spec}));
@@ -44,8 +45,8 @@
 const warmUpMs = 1000;
 
 /** Runs workloads of statements that take 2 to 6 ms, and counts the results of each caller. */
-async function simulate(createQueue: (clock: ManualClock) => Admission, workloads: readonly Workload[]): Promise<ReadonlyMap<string, ServiceCounts>> {
-	const clock = new ManualClock();
+async function simulate(createQueue: (clock: FakeClock) => Admission, workloads: readonly Workload[]): Promise<ReadonlyMap<string, ServiceCounts>> {
+	const clock = new FakeClock();
 	const queue = createQueue(clock);
 	const countsByCaller = new Map<string, ServiceCounts>();
 	const random = seededRandom(7);
@@ -83,7 +84,7 @@
 	return countsByCaller;
 }
 
-const createAdmissionQueue = (clock: ManualClock) => new AdmissionQueue('a', {slotLimit, ranks}, clock);
+const createAdmissionQueue = (clock: FakeClock) => new AdmissionQueue('a', {slotLimit, ranks}, clock);
 const createFifoQueue = () => new FifoQueue();
 
 describe('AdmissionQueue', () => {
@@ -121,7 +122,7 @@
 	});
 
 	/** Fills all slots, queues the requests, and returns the order in which they are served. */
-	async function serviceOrder(clock: ManualClock, queue: AdmissionQueue, requests: ReadonlyArray<Partial<SlotRequest> & {readonly callerKey: string}>, beforeRelease?: () => void) {
+	async function serviceOrder(clock: FakeClock, queue: AdmissionQueue, requests: ReadonlyArray<Partial<SlotRequest> & {readonly callerKey: string}>, beforeRelease?: () => void) {
 		const base = {rank: 'third', isInTransaction: false, waitLimitMs: 10_000};
 		const fillers = await Promise.all([0, 1, 2].map(async () => queue.acquire({...base, callerKey: 'filler'}, neverAbortingSignal())));
 		const order: string[] = [];
@@ -159,7 +160,7 @@
 	];
 	for (const {name, requests, expected} of orderCases) {
 		it(`serves ${name}`, async () => {
-			const clock = new ManualClock();
+			const clock = new FakeClock();
 			const policies = [...ranks.map(policy => ({...policy, floorShare: 0})), {
 				rank: 'low', order: 4, targetMs: 5000, floorShare: 0.1,
 			}];
@@ -168,7 +169,7 @@
 	}
 
 	it('applies changed ranks to waiting statements (guards against an order that is kept from an old configuration)', async () => {
-		const clock = new ManualClock();
+		const clock = new FakeClock();
 		const queue = new AdmissionQueue('a', {slotLimit, ranks: ranks.map(policy => ({...policy, floorShare: 0}))}, clock);
 		const requests = [{callerKey: 'was first', rank: 'first'}, {callerKey: 'is first', rank: 'second'}];
 		const order = await serviceOrder(clock, queue, requests, () => {
@@ -178,7 +179,7 @@
 	});
 
 	it('sheds statements on arrival with a retry hint, and rejects them when their wait limit passes (guards against queues that only grow)', async () => {
-		const clock = new ManualClock();
+		const clock = new FakeClock();
 		const queue = createAdmissionQueue(clock);
 		const refusals: Array<Extract<Failure, {kind: 'notRun'}>> = [];
 		const acquire = async (callerKey: string) => {
--- a/packages/work/src/__tests__/connectionPool.test.ts
+++ b/packages/work/src/__tests__/connectionPool.test.ts
@@ -1,12 +1,13 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
+import {FakeClock} from '@crocusloom/model/testing';
 import {connectionBudget, ConnectionPool, type PooledConnection} from '../connectionPool.js';
 import {
-	neverAbortingSignal, FakeServer, ManualClock, failureIfRejected, runPendingTasks,
+	neverAbortingSignal, FakeServer, failureIfRejected, runPendingTasks,
 } from './fakes.js';
 
 function setUpPool(budget: number) {
-	const clock = new ManualClock();
+	const clock = new FakeClock();
 	const server = new FakeServer();
 	const pool = new ConnectionPool({
 		database: 'a', address: '127.0.0.1', port: 1, budget,
--- a/packages/work/src/__tests__/fakes.ts
+++ b/packages/work/src/__tests__/fakes.ts
@@ -6,66 +6,13 @@
 	emptyConfiguration, FailureError, noopMetrics, noopTracer, type BackendConnection, type BackendDialer, type Clock, type Configuration, type ConfigurationSource,
 	type DatabaseView, type ExchangeOptions, type Failure, type GroupState, type GroupView, type LogPosition, type Member, type RankSpec, type WaitResult, type WorkRequest,
 } from '@crocusloom/model';
+import {FakeClock} from '@crocusloom/model/testing';
 import {
 	backendTypes, buildFrame, commandComplete, dataRow, errorResponse, FrameReader, frontendTypes, readCString, readyForQuery, rowDescription, type Frame,
 } from '@crocusloom/wire';
 import {type HolderPorts} from '../heldDatabase.js';
 import {Holder} from '../holder.js';
 
-/** A clock that advances only when a test calls `advance`. */
-export class ManualClock implements Clock {
-	private currentMs = 0;
-	private sleepers: Array<{readonly atMs: number; readonly wake: () => void}> = [];
-
-	nowMs(): number {
-		return this.currentMs;
-	}
-
-	wallMs(): number {
-		return this.currentMs;
-	}
-
-	async sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
-		signal?.throwIfAborted();
-		await new Promise<void>((resolve, reject) => {
-			const abort = () => {
-				this.sleepers = this.sleepers.filter(other => other !== sleeper);
-				reject(signal!.reason as Error);
-			};
-
-			const sleeper = {
-				atMs: this.currentMs + durationMs,
-				wake() {
-					signal?.removeEventListener('abort', abort);
-					resolve();
-				},
-			};
-			this.sleepers.push(sleeper);
-			signal?.addEventListener('abort', abort, {once: true});
-		});
-	}
-
-	/** Advances the time, waking sleepers in order and running the tasks that they resume. */
-	async advance(durationMs: number): Promise<void> {
-		const endMs = this.currentMs + durationMs;
-		await runPendingTasks();
-		for (;;) {
-			const dueSleeper = this.sleepers.filter(({atMs}) => atMs <= endMs).toSorted((a, b) => a.atMs - b.atMs).at(0);
-			if (!dueSleeper) {
-				break;
-			}
-
-			this.sleepers = this.sleepers.filter(other => other !== dueSleeper);
-			this.currentMs = Math.max(this.currentMs, dueSleeper.atMs);
-			dueSleeper.wake();
-			await runPendingTasks();
-		}
-
-		this.currentMs = endMs;
-		await runPendingTasks();
-	}
-}
-
 /** Runs the pending tasks of the event loop. */
 export async function runPendingTasks(): Promise<void> {
 	await new Promise(resolve => {
@@ -509,7 +456,7 @@
 
 /** Creates a holder with a fake server and a manual clock. */
 export function setUp(acknowledgement: 'majority' | 'primary' = 'majority') {
-	const clock = new ManualClock();
+	const clock = new FakeClock();
 	const server = new FakeServer();
 	const view = new FakeView(groupState());
 	const configuration = new FakeConfiguration(1, acknowledgement);
--- a/packages/work/src/__tests__/holderCache.test.ts
+++ b/packages/work/src/__tests__/holderCache.test.ts
@@ -1,11 +1,11 @@
 import {expect} from 'chai';
 import {MembershipService} from '@crocusloom/membership';
 import {noopLogger, noopMetrics, type PeerRpc} from '@crocusloom/model';
-import {ManualClock} from './fakes.js';
+import {FakeClock} from '@crocusloom/model/testing';
 
 /** Creates a membership service with peers in one failure domain, to which a test delivers their heartbeats. */
 function setUp(peers: readonly string[]) {
-	const clock = new ManualClock();
+	const clock = new FakeClock();
 	let deliver: ((parameters: unknown) => void) | undefined;
 	const peerRpc = {
 		handle(_method: string, handler: (parameters: unknown) => void) {
--- a/packages/work/src/__tests__/shedHints.test.ts
+++ b/packages/work/src/__tests__/shedHints.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {FailureError, type Failure} from '@crocusloom/model';
+import {FakeClock} from '@crocusloom/model/testing';
 import {ShedHints} from '../shedHints.js';
-import {ManualClock} from './fakes.js';
 
 type Refusal = Extract<Failure, {kind: 'notRun'}>;
 
@@ -48,7 +48,7 @@
 describe('ShedHints', () => {
 	for (const {guardsAgainst, refusal, checkedKey, afterMs, isRejected} of cases) {
 		it(`guards against ${guardsAgainst}`, async () => {
-			const clock = new ManualClock();
+			const clock = new FakeClock();
 			const hints = new ShedHints(clock);
 			hints.record(key, refusal);
 			await clock.advance(afterMs);
--- a/packages/work/src/__tests__/workChannel.test.ts
+++ b/packages/work/src/__tests__/workChannel.test.ts
@@ -7,12 +7,13 @@
 import {
 	noopTracer, systemClock, type Span, type Tracer,
 } from '@crocusloom/model';
+import {FakeClock} from '@crocusloom/model/testing';
 import {dataRow} from '@crocusloom/wire';
 import {Holder} from '../holder.js';
 import {WorkChannelPool} from '../workChannelPool.js';
 import {WorkServer} from '../workServer.js';
 import {
-	neverAbortingSignal, exchangeOptions, failureOf, FakeConfiguration, FakeServer, FakeView, groupState, holderPorts, ManualClock, member, neverSettling,
+	neverAbortingSignal, exchangeOptions, failureOf, FakeConfiguration, FakeServer, FakeView, groupState, holderPorts, member, neverSettling,
 	failureIfRejected, query, RecordingSink, runPendingTasks, waitUntil, workRequest,
 } from './fakes.js';
 
@@ -136,7 +137,7 @@
 
 	it('ends work at a peer that is still dead at the second check (guards against work that waits for a frozen holder)', async () => {
 		const peer = await startPeer();
-		const clock = new ManualClock();
+		const clock = new FakeClock();
 		const channels = new WorkChannelPool({clock, tracer: noopTracer}, neverAbortingSignal());
 		const membershipState = {state: 'alive' as 'alive' | 'dead', change: () => undefined as void};
 		const target = member(peer.port);
--- a/packages/work/src/__tests__/workDispatcher.test.ts
+++ b/packages/work/src/__tests__/workDispatcher.test.ts
@@ -4,12 +4,13 @@
 	FailureError, noopMetrics, type ExchangeResult, type Failure, type GroupDirectory, type GroupState, type Member, type Membership, type NotRunReason,
 	type UnitOfWork, type WorkIntent, type WorkRequest,
 } from '@crocusloom/model';
+import {FakeClock} from '@crocusloom/model/testing';
 import {commandComplete, errorResponse, readyForQuery} from '@crocusloom/wire';
 import {failoverWaitLimitMs, maximumConcurrentAttempts, maximumFailoverWaiters} from '../failoverQueue.js';
 import {RetryBudget} from '../retryBudget.js';
 import {WorkDispatcher} from '../workDispatcher.js';
 import {
-	exchangeOptions, FakeConfiguration, groupState, ManualClock, member, neverSettling, failureIfRejected, query, RecordingSink, seededRandom, waitUntil,
+	exchangeOptions, FakeConfiguration, groupState, member, neverSettling, failureIfRejected, query, RecordingSink, seededRandom, waitUntil,
 } from './fakes.js';
 
 type HolderResponse = 'ok' | 'readOnly' | NotRunReason | 'slowPeer' | 'unknown' | 'lostMidway';
@@ -32,7 +33,7 @@
 
 /** Creates a dispatcher whose holders respond as a test determines. The primary `a` is held by this host, its replicas by a peer. */
 function setUpDispatcher(responseOf: (request: WorkRequest, attempt: number) => HolderResponse) {
-	const clock = new ManualClock();
+	const clock = new FakeClock();
 	const requests: WorkRequest[] = [];
 	const reported: string[] = [];
 	const released: string[] = [];
