--- a/packages/membership/src/__tests__/peerTransport.test.ts
+++ b/packages/membership/src/__tests__/peerTransport.test.ts
@@ -4,7 +4,8 @@
 import {expect} from 'chai';
 import {memberDeadTimeoutMs} from '../memberTable.js';
 import {heartbeatIntervalMs, heartbeatVerificationMs} from '../membershipService.js';
-import {defaultVerificationMs, longestMessageLossMs, PeerTransport} from '../peerTransport.js';
+import {longestMessageLossMs} from '../peerConnection.js';
+import {defaultVerificationMs, PeerTransport} from '../peerTransport.js';
 import {SilencingForwarder} from './silencingForwarder.js';
 
 const loopback = '127.0.0.1';
--- a/packages/membership/src/membershipService.ts
+++ b/packages/membership/src/membershipService.ts
@@ -2,7 +2,7 @@
 	type Clock, type Logger, type Member, type Membership, type Metrics, type PeerRpc, type RandomSource,
 } from '@crocusloom/model';
 import {MemberTable, type MemberRecord} from './memberTable.js';
-import {type PeerAddress} from './peerTransport.js';
+import {type PeerAddress} from './peerConnection.js';
 import {rendezvousFirst} from './rendezvous.js';
 
 /** Interval between heartbeats to each partner. */
