--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -2,11 +2,45 @@
 import {expect} from 'chai';
 import {PromotionTask} from '../promotion.js';
 import {type PromotionLease, type PromotionService} from '../ports.js';
-import {type MemoryService} from '../testing/index.js';
+import {type MemoryServer, type MemoryService} from '../testing/index.js';
 import {
 	errorOf, type Harness, run, startProxy, waitUntil,
 } from './proxyHarness.js';
 
+/** Interval at which the pauses of replicas are read while a promotion is under way. */
+const pausePollIntervalMs = 5;
+
+type LatePromotion = {
+	/** Time between the request and its effect. */
+	readonly delayMs: number;
+	readonly response: 'accepted' | 'retry';
+	/** Replicas that have to stay paused until the promotion takes effect. */
+	readonly replicas: readonly MemoryServer[];
+};
+
+/** Promotes servers some time after the request, and records the terms with which replicas were paused until then. */
+class LatePromotionService implements PromotionService {
+	readonly pausedTerms = new Set<number>();
+	isPromoted = false;
+
+	constructor(private readonly service: MemoryService, private readonly promotion: LatePromotion) {}
+
+	async requestPromotion(_service: string, serverId: string): Promise<'accepted' | 'retry'> {
+		const {delayMs, replicas, response} = this.promotion;
+		const pauseTimer = setInterval(() => {
+			for (const {pausedTerm} of this.isPromoted ? [] : replicas) {
+				this.pausedTerms.add(pausedTerm);
+			}
+		}, pausePollIntervalMs);
+		setTimeout(() => {
+			clearInterval(pauseTimer);
+			this.isPromoted = true;
+			this.service.promote(serverId, 1);
+		}, delayMs);
+		return response;
+	}
+}
+
 /** Time in which a wrong promotion would happen; tests that expect none wait for it. */
 const noPromotionMs = 2500;
 
@@ -30,17 +64,25 @@
 		};
 	}
 
-	async function start(responsesToLose = 0): Promise<void> {
+	async function startHarness(): Promise<void> {
 		harness = await startProxy();
 		lifetime = new AbortController();
 		token = 7;
+	}
+
+	function startPromotions(promotionService: PromotionService): void {
 		const lease: PromotionLease = {holder: 'h', fencingToken: () => token, confirm: async () => token !== undefined};
 		const task = new PromotionTask(() => harness.proxy.services, {
-			clock: systemClock, log: harness.log, lease, promotionService: createPromotionService(harness.service, responsesToLose),
+			clock: systemClock, log: harness.log, lease, promotionService,
 		});
 		task.run(lifetime.signal).catch(() => undefined);
 	}
 
+	async function start(responsesToLose = 0): Promise<void> {
+		await startHarness();
+		startPromotions(createPromotionService(harness.service, responsesToLose));
+	}
+
 	afterEach(() => {
 		lifetime.abort(new Error('the test ends'));
 		harness.stop();
@@ -138,75 +180,36 @@
 	}).timeout(15_000);
 
 	it('keeps replicas paused until an unanswered promotion request can no longer take effect (guards against commits that the promoted server lacks)', async () => {
-		harness = await startProxy();
-		lifetime = new AbortController();
+		await startHarness();
 		const {service} = harness;
-		const pausedTerms = new Set<number>();
-		let isPromoted = false;
-		const promotionService: PromotionService = {
-			async requestPromotion(_service, serverId) {
-				const pauseTimer = setInterval(() => {
-					for (const {id, pausedTerm} of isPromoted ? [] : service.servers) {
-						if (id !== 'a') {
-							pausedTerms.add(pausedTerm);
-						}
-					}
-				}, 5);
-				setTimeout(() => {
-					clearInterval(pauseTimer);
-					isPromoted = true;
-					service.promote(serverId, 1);
-				}, 1500);
-				return 'retry';
-			},
-		};
-		const lease: PromotionLease = {holder: 'h', fencingToken: () => 7, confirm: async () => true};
-		new PromotionTask(() => harness.proxy.services, {
-			clock: systemClock, log: harness.log, lease, promotionService,
-		}).run(lifetime.signal).catch(() => undefined);
-		service.server('a').isUnresponsive = true;
-		await waitUntil(() => isPromoted, 8000);
-		expect([...pausedTerms]).to.not.include(0);
+		const [primary, ...replicas] = service.servers as [MemoryServer, ...MemoryServer[]];
+		const latePromotionService = new LatePromotionService(service, {delayMs: 1500, response: 'retry', replicas});
+		startPromotions(latePromotionService);
+		primary.isUnresponsive = true;
+		await waitUntil(() => latePromotionService.isPromoted, 8000);
+		expect([...latePromotionService.pausedTerms]).to.not.include(0);
 	}).timeout(15_000);
 
 	it('waits until a promoted former primary reports the new term while it still claims its old one (guards against pauses that end too early)', async () => {
-		harness = await startProxy();
-		lifetime = new AbortController();
+		await startHarness();
 		const {service} = harness;
-		const [formerPrimary, currentPrimary, otherReplica] = service.servers as [typeof service.servers[0], typeof service.servers[0], typeof service.servers[0]];
+		const [formerPrimary, currentPrimary, otherReplica] = service.servers as [MemoryServer, MemoryServer, MemoryServer];
 		service.promote(currentPrimary.id, 1);
 		service.replicate(currentPrimary, otherReplica);
 		harness.view.invalidatePrimary(harness.view.currentPrimary!, 'the test promoted another server');
 		await waitUntil(() => harness.view.currentPrimary?.backend.id === currentPrimary.id);
-		const pausedTerms = new Set<number>();
-		let isPromoted = false;
-		const promotionService: PromotionService = {
-			async requestPromotion(_service, serverId) {
-				const pauseTimer = setInterval(() => {
-					pausedTerms.add(otherReplica.pausedTerm);
-				}, 5);
-				setTimeout(() => {
-					clearInterval(pauseTimer);
-					isPromoted = true;
-					service.promote(serverId, 1);
-				}, 800);
-				return 'accepted';
-			},
-		};
-		const lease: PromotionLease = {holder: 'h', fencingToken: () => 7, confirm: async () => true};
+		const latePromotionService = new LatePromotionService(service, {delayMs: 800, response: 'accepted', replicas: [otherReplica]});
 		formerPrimary.log.push({position: {term: 2, offsetBytes: 99}, writeId: 'newest'});
-		new PromotionTask(() => harness.proxy.services, {
-			clock: systemClock, log: harness.log, lease, promotionService,
-		}).run(lifetime.signal).catch(() => undefined);
+		startPromotions(latePromotionService);
 		currentPrimary.isUnresponsive = true;
-		await waitUntil(() => isPromoted, 8000);
-		expect([...pausedTerms]).to.not.include(0);
+		await waitUntil(() => latePromotionService.isPromoted, 8000);
+		expect([...latePromotionService.pausedTerms]).to.not.include(0);
 	}).timeout(15_000);
 
 	it('keeps a replica paused that has not heard of the new term until the former primary has stepped down (guards against commits that the new primary lacks)', async () => {
 		await start();
 		const {service} = harness;
-		const [formerPrimary, newPrimary, otherReplica] = service.servers as [typeof service.servers[0], typeof service.servers[0], typeof service.servers[0]];
+		const [formerPrimary, newPrimary, otherReplica] = service.servers as [MemoryServer, MemoryServer, MemoryServer];
 		newPrimary.receive({position: {term: 1, offsetBytes: 1}, writeId: 'first'});
 		newPrimary.partitionedFrom.add(otherReplica);
 		formerPrimary.isUnresponsive = true;
@@ -225,7 +228,7 @@
 	it('resumes replication after a promotion (guards against commits that are never acknowledged because replicas stay paused)', async () => {
 		await start();
 		const {service} = harness;
-		const [formerPrimary, newPrimary, otherReplica] = service.servers as [typeof service.servers[0], typeof service.servers[0], typeof service.servers[0]];
+		const [formerPrimary, newPrimary, otherReplica] = service.servers as [MemoryServer, MemoryServer, MemoryServer];
 		newPrimary.receive({position: {term: 1, offsetBytes: 1}, writeId: 'first'});
 		// The other replica does not hear of the promotion, so that its pause does not end by itself.
 		newPrimary.partitionedFrom.add(otherReplica);
