--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -206,6 +206,24 @@
 		expect([...latePromotionService.pausedTerms]).to.not.include(0);
 	}).timeout(15_000);
 
+	it('pauses a former primary that still claims its old term before it can receive commits (guards against commits that the promoted server lacks)', async () => {
+		await startHarness();
+		const {service} = harness;
+		const [formerPrimary, currentPrimary, otherReplica] = service.servers as [MemoryServer, MemoryServer, MemoryServer];
+		service.promote(currentPrimary.id, 1);
+		service.replicate(currentPrimary, otherReplica);
+		currentPrimary.receive({position: {term: 2, offsetBytes: 1}, writeId: 'first'});
+		service.replicate(currentPrimary, otherReplica);
+		harness.view.invalidatePrimary(harness.view.currentPrimary!, 'the test promoted another server');
+		await waitUntil(() => harness.view.currentPrimary?.backend.id === currentPrimary.id);
+		const latePromotionService = new LatePromotionService(service, {delayMs: 800, response: 'accepted', replicas: [formerPrimary, otherReplica]});
+		startPromotions(latePromotionService);
+		currentPrimary.isUnresponsive = true;
+		await waitUntil(() => latePromotionService.isPromoted, 8000);
+		expect([...latePromotionService.pausedTerms]).to.not.include(0);
+		expect(formerPrimary.role).to.equal('replica');
+	}).timeout(15_000);
+
 	it('keeps a replica paused that has not heard of the new term until the former primary has stepped down (guards against commits that the new primary lacks)', async () => {
 		await start();
 		const {service} = harness;
--- a/packages/proxy/src/orphanedPauseCleaner.ts
+++ b/packages/proxy/src/orphanedPauseCleaner.ts
@@ -1,6 +1,7 @@
 import {type Clock, type Logger} from '@crocusloom/model';
 import {type Backend} from './backend.js';
 import {probeStatus} from './leadershipProver.js';
+import {sendControlCommand} from './replicationPauses.js';
 import {type ServiceView} from './serviceView.js';
 import {type ServerStatus} from './statement.js';
 
@@ -9,22 +10,23 @@
 /** Minimum time between two checks for orphaned pauses. */
 const checkIntervalMs = 1500;
 
+/** A pause, and the time at which it was first seen. */
+type SeenPause = {readonly term: number; readonly sinceMs: number};
+
 /**
  * Resumes replication to servers that an abandoned promotion left paused. A pause counts as orphaned if the primary answers
  * and the pause has lasted long enough that a request for that promotion can no longer take effect.
  */
 export class OrphanedPauseCleaner {
 	private lastCheckMs = Number.NEGATIVE_INFINITY;
-	/** Times at which paused servers were first seen to be paused. */
-	private readonly pausedSinceMsByBackend = new Map<Backend, number>();
+	private readonly seenPauses = new Map<Backend, SeenPause>();
 
 	/**
 	 * @param view - view of the service
 	 * @param clock - clock for check intervals and pause durations
 	 * @param log - logger for each pause that is ended
-	 * @param resume - resumes replication to a server
 	 */
-	constructor(private readonly view: ServiceView, private readonly clock: Clock, private readonly log: Logger, private readonly resume: (backend: Backend) => Promise<void>) {}
+	constructor(private readonly view: ServiceView, private readonly clock: Clock, private readonly log: Logger) {}
 
 	/** Checks for orphaned pauses if a check is due. Called while the service needs no promotion. */
 	async check(): Promise<void> {
@@ -46,16 +48,20 @@
 
 	private async endExpiredPause(backend: Backend, {role, pausedTerm}: ServerStatus): Promise<void> {
 		if (role !== 'replica' || pausedTerm === 0) {
-			this.pausedSinceMsByBackend.delete(backend);
+			this.seenPauses.delete(backend);
 			return;
 		}
 
 		const nowMs = this.clock.nowMs();
-		const sinceMs = this.pausedSinceMsByBackend.get(backend) ?? nowMs;
-		this.pausedSinceMsByBackend.set(backend, sinceMs);
-		if (nowMs - sinceMs >= promotionSettleMs) {
+		const seenPause = this.seenPauses.get(backend);
+		if (seenPause?.term !== pausedTerm) {
+			this.seenPauses.set(backend, {term: pausedTerm, sinceMs: nowMs});
+			return;
+		}
+
+		if (nowMs - seenPause.sinceMs >= promotionSettleMs) {
 			this.log.warn({service: this.view.name, server: backend.id, pausedTerm}, 'a pause that was left behind is ended');
-			await this.resume(backend);
+			await sendControlCommand(backend, {kind: 'resume'});
 		}
 	}
 }
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -6,13 +6,12 @@
 import {probeStatus} from './leadershipProver.js';
 import {type PromotionLease, type PromotionService} from './ports.js';
 import {PrimaryMonitor, type PromotionNeed} from './primaryMonitor.js';
+import {ReplicationPauses, sendControlCommand} from './replicationPauses.js';
 import {type ServiceView} from './serviceView.js';
-import {type BackendCommand, type ServerStatus} from './statement.js';
+import {type ServerStatus} from './statement.js';
 
 /** Interval between two checks of each primary. */
 const checkIntervalMs = 100;
-/** Time in which a server must answer a control command of a promotion. */
-const commandTimeoutMs = 500;
 /** Time in which a silent primary can still answer the final probe before it is replaced. */
 const finalProbeTimeoutMs = 60;
 /** Time in which a replica must receive the complete log of a primary that stepped down. */
@@ -44,7 +43,15 @@
 /** The server to be promoted, and the highest term before the promotion. */
 type PromotionTarget = {readonly backend: Backend; readonly highestPriorTerm: number};
 
-type PromotionPlan = {readonly target: PromotionTarget; readonly others: readonly Backend[]; readonly signal: AbortSignal};
+type PromotionPlan = {readonly target: PromotionTarget; readonly pauses: ReplicationPauses; readonly signal: AbortSignal};
+
+/** Terms with which a promotion pauses and steps down servers. */
+type PromotionTerms = {
+	/** Term of the promotion, above all terms that were found. */
+	readonly term: number;
+	/** Term of the primary that is replaced; 0 if no primary is known. */
+	readonly primaryTerm: number;
+};
 
 /** The primary that a promotion replaces. */
 type FormerPrimary = {
@@ -110,7 +117,7 @@
 		const {clock, log} = this.ports;
 		const monitors = this.monitors.get(view) ?? {
 			primaryMonitor: new PrimaryMonitor(view, clock, log),
-			pauseCleaner: new OrphanedPauseCleaner(view, clock, log, async backend => this.resumeReplication([backend])),
+			pauseCleaner: new OrphanedPauseCleaner(view, clock, log),
 		};
 		this.monitors.set(view, monitors);
 		return monitors;
@@ -143,26 +150,29 @@
 		this.ports.log.info({
 			service: view.name, need: need.kind, primary: primary?.id, term, others: others.map(({id}) => id),
 		}, 'a promotion begins');
+		const pauses = new ReplicationPauses(this.ports.log);
+		const terms: PromotionTerms = {term, primaryTerm: view.currentPrimary?.term ?? 0};
 		const candidate = need.kind === 'leaving'
-			? await this.switchOver(need.primary, others, term)
-			: await this.pauseAndChooseCandidate(others, term);
+			? await this.switchOver(need.primary, others, terms, pauses)
+			: await this.pauseAndChooseCandidate(others, terms, pauses);
 		const target: PromotionTarget = {backend: candidate.backend, highestPriorTerm};
-		await this.requestOrResume(view, candidate, {target, others, signal});
+		await this.requestOrResume(view, candidate, {target, pauses, signal});
 		const newTerm = await this.completePromotion(view, target, term, startedMs);
 		const formerPrimary: FormerPrimary = {backend: primary, hasSteppedDown: need.kind === 'leaving'};
 		void this.stepDownWhenReachable(formerPrimary, term, signal);
-		await this.endPauses(others.filter(backend => backend !== candidate.backend), formerPrimary, newTerm);
+		const pausedBackends = pauses.backends.filter(backend => backend !== candidate.backend);
+		await Promise.all(pausedBackends.map(async backend => this.endPause(backend, pauses, formerPrimary, newTerm)));
 	}
 
 	/** Makes a leaving primary step down and waits until another server has its complete log. */
-	private async switchOver(primary: Backend, others: readonly Backend[], term: number): Promise<Candidate> {
+	private async switchOver(primary: Backend, others: readonly Backend[], {term, primaryTerm}: PromotionTerms, pauses: ReplicationPauses): Promise<Candidate> {
 		const stayingBackends = others.filter(backend => !backend.server.isLeaving);
 		const statuses = await Promise.all((stayingBackends.length > 0 ? stayingBackends : others).map(async backend => ({backend, status: await probeStatus(backend)})));
 		if (!statuses.some(({status}) => status)) {
 			throw new PromotionHalt('no other server answers');
 		}
 
-		const finalStatus = await this.sendCommand(primary, {kind: 'stepDown', term});
+		const finalStatus = await sendControlCommand(primary, {kind: 'stepDown', term});
 		if (!finalStatus) {
 			throw new PromotionHalt('the leaving primary did not confirm the command to step down');
 		}
@@ -180,20 +190,20 @@
 			await this.ports.clock.sleep(pollIntervalMs);
 		}
 
-		return this.pauseAndChooseCandidate([...others, primary], term + 1);
+		return this.pauseAndChooseCandidate([...others, primary], {term: term + 1, primaryTerm}, pauses);
 	}
 
 	/**
 	 * Pauses replication to the servers and chooses the one with the most complete log.
-	 * @throws PromotionHalt if a server does not answer, because it might be the only one with an acknowledged commit
+	 * @throws PromotionHalt if one cannot be paused, because it might be the only one with an acknowledged commit
 	 */
-	private async pauseAndChooseCandidate(others: readonly Backend[], term: number): Promise<Candidate> {
-		const results = await Promise.all(others.map(async backend => ({backend, status: await this.sendCommand(backend, {kind: 'pause', term})})));
+	private async pauseAndChooseCandidate(others: readonly Backend[], {term, primaryTerm}: PromotionTerms, pauses: ReplicationPauses): Promise<Candidate> {
+		const results = await Promise.all(others.map(async backend => ({backend, status: await pauses.pause(backend, term, primaryTerm)})));
 		const candidates = results.filter((result): result is Candidate => result.status !== undefined);
 		if (candidates.length < others.length || candidates.length === 0) {
-			await this.resumeReplication(candidates.map(({backend}) => backend));
-			const unansweredIds = results.filter(({status}) => !status).map(({backend}) => backend.id);
-			throw new PromotionHalt(`no answer from ${unansweredIds.join(', ') || 'any server'}, which may hold an acknowledged commit alone`);
+			await pauses.endAll();
+			const receivingIds = results.filter(({status}) => !status).map(({backend}) => backend.id);
+			throw new PromotionHalt(`replication to ${receivingIds.join(', ') || 'any server'} could not be paused, which may hold an acknowledged commit alone`);
 		}
 
 		return candidates.toSorted(compareCandidates)[0]!;
@@ -203,7 +213,7 @@
 	 * Requests the promotion. If no request is accepted, resumes replication, but only when no request can take effect any more.
 	 * Otherwise the candidate could be promoted without a commit that was acknowledged after replication had resumed.
 	 */
-	private async requestOrResume(view: ServiceView, candidate: Candidate, {target, others, signal}: PromotionPlan): Promise<void> {
+	private async requestOrResume(view: ServiceView, candidate: Candidate, {target, pauses, signal}: PromotionPlan): Promise<void> {
 		const outcome = await this.requestPromotion(view, candidate, signal);
 		if (outcome === 'accepted') {
 			return;
@@ -213,7 +223,7 @@
 			return;
 		}
 
-		await this.resumeReplication(others);
+		await pauses.endAll();
 		throw new PromotionHalt(`the promotion request for ${candidate.backend.id} was ${outcome}`);
 	}
 
@@ -277,22 +287,17 @@
 		return status.term;
 	}
 
-	/** Ends the pauses that the promotion itself has not ended. */
-	private async endPauses(backends: readonly Backend[], formerPrimary: FormerPrimary, newTerm: number): Promise<void> {
-		await Promise.all(backends.map(async backend => this.endPause(backend, formerPrimary, newTerm)));
-	}
-
 	/**
 	 * Resumes replication to a server that is still paused after a promotion. A server that has not heard of the new term could receive
 	 * from the former primary, which would then acknowledge commits that the new primary lacks. The pause therefore lasts until the server
 	 * knows the term or the former primary has stepped down. If neither happens in time, replication is resumed all the same, because the
 	 * new primary may need the server for its commits.
 	 */
-	private async endPause(backend: Backend, formerPrimary: FormerPrimary, newTerm: number): Promise<void> {
+	private async endPause(backend: Backend, pauses: ReplicationPauses, formerPrimary: FormerPrimary, newTerm: number): Promise<void> {
 		const startedMs = this.ports.clock.nowMs();
 		for (;;) {
 			const status = await probeStatus(backend);
-			if (status?.pausedTerm === 0) {
+			if (status && !pauses.isPausedBy(backend, status)) {
 				return;
 			}
 
@@ -302,7 +307,7 @@
 				this.ports.log.info({
 					server: backend.id, term: status?.term, newTerm, formerPrimaryHasSteppedDown: formerPrimary.hasSteppedDown, waitedMs: Math.round(waitedMs),
 				}, 'replication is resumed after a promotion');
-				await this.resumeReplication([backend]);
+				await pauses.end(backend);
 				return;
 			}
 
@@ -310,10 +315,6 @@
 		}
 	}
 
-	private async resumeReplication(backends: readonly Backend[]): Promise<void> {
-		await Promise.all(backends.map(async backend => this.sendCommand(backend, {kind: 'resume'})));
-	}
-
 	/** Tells a replaced primary to step down, and repeats the command until the server is a replica or the time has passed. */
 	private async stepDownWhenReachable(formerPrimary: FormerPrimary, term: number, signal: AbortSignal): Promise<void> {
 		const {backend} = formerPrimary;
@@ -323,22 +324,13 @@
 
 		const deadlineMs = this.ports.clock.nowMs() + stepDownTimeoutMs;
 		while (!signal.aborted && this.ports.clock.nowMs() < deadlineMs) {
-			const status = await this.sendCommand(backend, {kind: 'stepDown', term});
+			const status = await sendControlCommand(backend, {kind: 'stepDown', term});
 			if (status?.role === 'replica') {
 				formerPrimary.hasSteppedDown = true;
 				return;
 			}
 
-			await this.ports.clock.sleep(stepDownRetryDelayMs, signal);
-		}
-	}
-
-	private async sendCommand(backend: Backend, command: BackendCommand): Promise<ServerStatus | undefined> {
-		try {
-			return await backend.runControlCommand(command, commandTimeoutMs);
-		} catch (error) {
-			backend.recordProbeFailure(error);
-			return undefined;
+			await this.ports.clock.sleep(stepDownRetryDelayMs, signal).catch(() => undefined);
 		}
 	}
 }
--- /dev/null
+++ b/packages/proxy/src/replicationPauses.ts
@@ -0,0 +1,78 @@
+import {type Logger} from '@crocusloom/model';
+import {type Backend} from './backend.js';
+import {probeStatus} from './leadershipProver.js';
+import {type BackendCommand, type ServerStatus} from './statement.js';
+
+/** Time in which a server must answer a control command of a promotion. */
+const commandTimeoutMs = 500;
+
+/** Sends a control command. Returns undefined if the server does not answer in time or answers with an error. */
+export async function sendControlCommand(backend: Backend, command: BackendCommand): Promise<ServerStatus | undefined> {
+	try {
+		return await backend.runControlCommand(command, commandTimeoutMs);
+	} catch (error) {
+		backend.recordProbeFailure(error);
+		return undefined;
+	}
+}
+
+/**
+ * Pauses of replication that one promotion has made. Only these are ended by it: a later holder of the promotion lease may have paused
+ * the same servers for a promotion of its own, which the end of its pauses would deprive of commits.
+ */
+export class ReplicationPauses {
+	private readonly termsByBackend = new Map<Backend, number>();
+
+	constructor(private readonly log: Logger) {}
+
+	/** Servers that answered the command to pause. */
+	get backends(): readonly Backend[] {
+		return [...this.termsByBackend.keys()];
+	}
+
+	/**
+	 * Pauses replication to a server. A former primary that still claims its old term cannot be paused and would receive commits as soon as
+	 * it steps down, so it is told to step down first.
+	 * @param term - term of the promotion, above all terms that were found
+	 * @param primaryTerm - term of the primary that is replaced; 0 if no primary is known
+	 * @returns the status of the server, or undefined if it did not answer or may still receive commits
+	 */
+	async pause(backend: Backend, term: number, primaryTerm: number): Promise<ServerStatus | undefined> {
+		const status = await this.sendPause(backend, term);
+		if (status?.role !== 'primary' || status.term >= primaryTerm) {
+			return status;
+		}
+
+		this.log.info({server: backend.id, term: status.term, primaryTerm}, 'a former primary steps down before replication to it is paused');
+		await sendControlCommand(backend, {kind: 'stepDown', term});
+		const laterStatus = await this.sendPause(backend, term + 1);
+		return laterStatus && this.isPausedBy(backend, laterStatus) ? laterStatus : undefined;
+	}
+
+	/** Checks whether a server is paused by this promotion, and not by another one or not at all. */
+	isPausedBy(backend: Backend, {role, pausedTerm}: ServerStatus): boolean {
+		return role === 'replica' && pausedTerm === this.termsByBackend.get(backend);
+	}
+
+	/** Resumes replication to a server if the pause is of this promotion. */
+	async end(backend: Backend): Promise<void> {
+		const status = await probeStatus(backend);
+		if (status && this.isPausedBy(backend, status)) {
+			await sendControlCommand(backend, {kind: 'resume'});
+		}
+	}
+
+	/** Ends all pauses of this promotion. */
+	async endAll(): Promise<void> {
+		await Promise.all(this.backends.map(async backend => this.end(backend)));
+	}
+
+	private async sendPause(backend: Backend, term: number): Promise<ServerStatus | undefined> {
+		const status = await sendControlCommand(backend, {kind: 'pause', term});
+		if (status) {
+			this.termsByBackend.set(backend, term);
+		}
+
+		return status;
+	}
+}
--- a/packages/proxy/src/testing/memoryService.ts
+++ b/packages/proxy/src/testing/memoryService.ts
@@ -376,7 +376,7 @@
 
 	private applyControlCommand(command: BackendCommand): void {
 		const {server} = this;
-		if (command.kind === 'pause' && server.role === 'replica' && command.term > server.term) {
+		if (command.kind === 'pause' && server.role === 'replica' && command.term > Math.max(server.term, server.pausedTerm)) {
 			server.pausedTerm = command.term;
 		} else if (command.kind === 'resume') {
 			server.pausedTerm = 0;
