--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -78,6 +78,18 @@
 		task.run(lifetime.signal).catch(() => undefined);
 	}
 
+	/** Starts a proxy that knows the second server as the primary, while the first one still claims its old term. */
+	async function startWithFormerPrimary(): Promise<readonly [MemoryServer, MemoryServer, MemoryServer]> {
+		await startHarness();
+		const {service, view} = harness;
+		const [formerPrimary, currentPrimary, otherReplica] = service.servers as [MemoryServer, MemoryServer, MemoryServer];
+		service.promote(currentPrimary.id, 1);
+		service.replicate(currentPrimary, otherReplica);
+		view.invalidatePrimary(view.currentPrimary!, 'the test promoted another server');
+		await waitUntil(() => view.currentPrimary?.backend.id === currentPrimary.id);
+		return [formerPrimary, currentPrimary, otherReplica];
+	}
+
 	async function start(responsesToLose = 0): Promise<void> {
 		await startHarness();
 		startPromotions(createPromotionService(harness.service, responsesToLose));
@@ -191,13 +203,8 @@
 	}).timeout(15_000);
 
 	it('waits until a promoted former primary reports the new term while it still claims its old one (guards against pauses that end too early)', async () => {
-		await startHarness();
+		const [formerPrimary, currentPrimary, otherReplica] = await startWithFormerPrimary();
 		const {service} = harness;
-		const [formerPrimary, currentPrimary, otherReplica] = service.servers as [MemoryServer, MemoryServer, MemoryServer];
-		service.promote(currentPrimary.id, 1);
-		service.replicate(currentPrimary, otherReplica);
-		harness.view.invalidatePrimary(harness.view.currentPrimary!, 'the test promoted another server');
-		await waitUntil(() => harness.view.currentPrimary?.backend.id === currentPrimary.id);
 		const latePromotionService = new LatePromotionService(service, {delayMs: 800, response: 'accepted', replicas: [otherReplica]});
 		formerPrimary.log.push({position: {term: 2, offsetBytes: 99}, writeId: 'newest'});
 		startPromotions(latePromotionService);
@@ -207,15 +214,10 @@
 	}).timeout(15_000);
 
 	it('pauses a former primary that still claims its old term before it can receive commits (guards against commits that the promoted server lacks)', async () => {
-		await startHarness();
+		const [formerPrimary, currentPrimary, otherReplica] = await startWithFormerPrimary();
 		const {service} = harness;
-		const [formerPrimary, currentPrimary, otherReplica] = service.servers as [MemoryServer, MemoryServer, MemoryServer];
-		service.promote(currentPrimary.id, 1);
-		service.replicate(currentPrimary, otherReplica);
 		currentPrimary.receive({position: {term: 2, offsetBytes: 1}, writeId: 'first'});
 		service.replicate(currentPrimary, otherReplica);
-		harness.view.invalidatePrimary(harness.view.currentPrimary!, 'the test promoted another server');
-		await waitUntil(() => harness.view.currentPrimary?.backend.id === currentPrimary.id);
 		const latePromotionService = new LatePromotionService(service, {delayMs: 800, response: 'accepted', replicas: [formerPrimary, otherReplica]});
 		startPromotions(latePromotionService);
 		currentPrimary.isUnresponsive = true;
