--- a/packages/control/src/__tests__/changeBounds.test.ts
+++ b/packages/control/src/__tests__/changeBounds.test.ts
@@ -48,6 +48,14 @@
 		end: () => undefined,
 		durationsMs: [0],
 	},
+	{
+		title: 'all watches are confirmed and report no events',
+		begin({platform}) {
+			platform.isWithholdingEvents = true;
+		},
+		end: () => undefined,
+		durationsMs,
+	},
 ];
 
 /** Calls a second that each of 820 watchers may make: 2,000 of the store less 757 for host lists. */
@@ -91,6 +99,20 @@
 		expect((platform.callTimesMs.length - callsBefore) / 20 / hosts.length).to.be.at.most(callsPerSecondOfWatcher);
 	});
 
+	it('cause one snapshot for each change of another deployment (guards against snapshots that are loaded again and again)', async () => {
+		const deployment = new FakeDeployment();
+		const {clock, platform} = deployment;
+		const {started} = deployment.startHost('a');
+		await clock.until(started);
+		await clock.advance(10_000);
+		const listsBefore = platform.listCount;
+		platform.isWithholdingEvents = true;
+		platform.put('crocusloom/other/ranks/first', changeValue);
+		await clock.advance(20_000);
+		deployment.stopAllHosts();
+		expect(platform.listCount - listsBefore).to.equal(1);
+	});
+
 	for (const faultCase of cases) {
 		it(`are in force on all hosts within the bound once ${faultCase.title} (guards against calls that wait longer than the bound)`, async () => {
 			for (const durationMs of faultCase.durationsMs) {
--- a/packages/control/src/__tests__/etcdKeyValueStore.test.ts
+++ b/packages/control/src/__tests__/etcdKeyValueStore.test.ts
@@ -172,6 +172,14 @@
 		expect(requests.map(({body}) => (body.create_request as {readonly start_revision: string}).start_revision)).to.deep.equal(['5', '6']);
 	});
 
+	it('confirms a watch with the revision of the store (guards against withheld events that nobody can notice)', async () => {
+		responders.push(response => {
+			response.write(`${JSON.stringify({result: {header: header(9), created: true}})}\n`);
+		});
+		const confirmation = await createStore().watch('p/', 5, signal()).next();
+		expect(confirmation.value).to.deep.equal({revision: 4, events: [], storeRevision: 9});
+	});
+
 	const watchEnds: ReadonlyArray<{readonly name: string; readonly responder: Responder; readonly attempts: number; readonly callTimeoutMs?: number}> = [
 		{name: 'a server that returns errors', responder: sendStatus(500), attempts: 3},
 		{
--- a/packages/control/src/__tests__/fakes.ts
+++ b/packages/control/src/__tests__/fakes.ts
@@ -28,11 +28,14 @@
 	isDown = false;
 	/** While true, calls neither return nor fail. */
 	isFrozen = false;
+	/** While true, watches are confirmed and report no events, although reads are answered. */
+	isWithholdingEvents = false;
 	revision = 0;
 	readonly entries = new Map<string, KeyValueEntry>();
 	readonly history: KeyValueEvent[] = [];
 	readonly faults: Array<Fault | undefined> = [];
 	readonly callTimesMs: number[] = [];
+	listCount = 0;
 	readonly watchingHosts = new Set<string>();
 	/** Called after a write has taken effect and before its response is sent. */
 	afterWrite: (() => void) | undefined;
@@ -67,6 +70,7 @@
 	}
 
 	async list(prefix: string): Promise<{readonly revision: number; readonly entries: readonly KeyValueEntry[]}> {
+		this.listCount++;
 		await this.beginCall();
 		return {revision: this.revision, entries: [...this.entries.values()].filter(({key}) => key.startsWith(prefix))};
 	}
@@ -112,12 +116,17 @@
 		await this.beginCall();
 		let nextRevision = fromRevision;
 		const {silenceCount} = this;
-		yield {revision: fromRevision - 1, events: []};
+		yield {revision: fromRevision - 1, events: [], storeRevision: this.revision};
 		while (!signal.aborted) {
 			if (this.isDown) {
 				throw platformFailure('none');
 			}
 
+			if (this.isWithholdingEvents) {
+				await this.waitForChange(signal);
+				continue;
+			}
+
 			const from = nextRevision;
 			const events = this.history.filter(event => revisionOf(event) >= from);
 			nextRevision = this.revision + 1;
--- a/packages/control/src/changeTiming.ts
+++ b/packages/control/src/changeTiming.ts
@@ -3,9 +3,9 @@
 /** Time within which a change must be in force on every host. */
 export const changeBoundMs = 7000;
 
-/** Time for the first response of a watch and for a snapshot. */
+/** Time for a snapshot. */
 export const storeResponseTimeoutMs = 2000;
-/** A watch is renewed after this time, because it may lose events without an error. */
+/** Time from the start of a watch until it is renewed, because it may lose events without an error; also the timeout of its first response. */
 export const watchSessionDurationMs = 2000;
 /** Longest interval between attempts of a watcher that fail at once. 820 watchers on one store make 1,171 calls a second, of the 2,000 that it takes. */
 export const maximumWatcherRetryMs = 1400;
@@ -22,11 +22,11 @@
 
 /**
  * Returns the longest time until a watcher notices a change, counted from the change or from the return of the store. In the worst
- * case a watch went silent at its start, and the response of its successor is lost. No further call can be lost with the same connections,
- * because each call opens its own.
+ * case a watch reports no events from its start, and the response of its successor, which tells that events are missing, is lost. No
+ * further call can be lost with the same connections, because each call opens its own.
  */
 export function longestNoticeMs(): number {
-	return Math.max(watchSessionDurationMs + storeResponseTimeoutMs + maximumJitterMs, watcherBackoff.maximumMs) + snapshotAllowanceMs;
+	return Math.max((2 * watchSessionDurationMs) + maximumJitterMs, storeResponseTimeoutMs + maximumJitterMs, watcherBackoff.maximumMs) + snapshotAllowanceMs;
 }
 
 /**
--- a/packages/control/src/etcdKeyValueStore.ts
+++ b/packages/control/src/etcdKeyValueStore.ts
@@ -1,6 +1,6 @@
 import {type z} from 'zod';
 import {
-	FailureError, type Clock, type KeyValueEntry, type KeyValueEvent, type KeyValueStore, type RandomSource, childSignal, withTimeout,
+	FailureError, type Clock, type KeyValueEntry, type KeyValueStore, type RandomSource, type WatchBatch, childSignal, withTimeout,
 } from '@crocusloom/model';
 import {backoffMs, type BackoffLimits} from './backoff.js';
 import {
@@ -20,7 +20,6 @@
 	readonly maximumConsecutiveWatchFailures?: number;
 };
 
-type WatchBatch = {readonly revision: number; readonly events: readonly KeyValueEvent[]};
 type WriteEffect = 'none' | 'unknown';
 type GatewayRequest = {
 	readonly path: string;
@@ -84,7 +83,7 @@
 
 	/**
 	 * Yields the events under a prefix. The first batch is empty and confirms that the platform has accepted the watch. After
-	 * a failure, the watch is resumed from the next revision.
+	 * a failure, the watch is resumed from the next revision and confirmed again.
 	 * @throws FailureError `platform` if the number of consecutive failures reaches the limit or the revision has been compacted
 	 */
 	async * watch(prefix: string, fromRevision: number, signal: AbortSignal): AsyncGenerator<WatchBatch> {
@@ -122,11 +121,11 @@
 				return;
 			}
 
-			const firstBatches = [...this.parseBatches(firstLine.value)];
-			yield {revision: fromRevision - 1, events: []};
-			yield * firstBatches;
+			const firstResult = this.parseResult(firstLine.value);
+			yield {revision: fromRevision - 1, events: [], storeRevision: firstResult.header.revision};
+			yield * toBatches(firstResult);
 			for await (const line of lines) {
-				yield * this.parseBatches(line);
+				yield * toBatches(this.parseResult(line));
 			}
 		} catch (error) {
 			throw error instanceof FailureError || signal.aborted ? error : this.platformFailure('/v3/watch', describeError(error), 'none', error);
@@ -136,18 +135,14 @@
 		}
 	}
 
-	private * parseBatches(line: string): Generator<WatchBatch> {
-		const response = watchResponseSchema.parse(JSON.parse(line));
-		const {result} = response;
+	/** @throws FailureError `platform` if the line reports that the watch has ended */
+	private parseResult(line: string): WatchResult {
+		const {error, result} = watchResponseSchema.parse(JSON.parse(line));
 		if (!result || result.canceled) {
-			throw this.toWatchError(result, response.error?.message);
+			throw this.toWatchError(result, error?.message);
 		}
 
-		// The header revision of a `created` or progress response may be above that of events not yet received.
-		const revision = Math.max(0, ...result.events.map(event => event.kv.mod_revision));
-		if (revision > 0) {
-			yield {revision, events: toKeyValueEvents(result)};
-		}
+		return result;
 	}
 
 	private toWatchError(result: WatchResult | undefined, message: string | undefined): Error {
@@ -196,6 +191,14 @@
 /** The revision from which a watch was requested has been compacted, so a new snapshot is needed. */
 class CompactedError extends FailureError {}
 
+function * toBatches(result: WatchResult): Generator<WatchBatch> {
+	// The header revision of a `created` or progress response may be above that of events not yet received.
+	const revision = Math.max(0, ...result.events.map(event => event.kv.mod_revision));
+	if (revision > 0) {
+		yield {revision, events: toKeyValueEvents(result)};
+	}
+}
+
 function isRequestUnsent(error: unknown): boolean {
 	const code = ((error as Error | undefined)?.cause as {readonly code?: string} | undefined)?.code;
 	return code !== undefined && unsentRequestCodes.has(code);
--- a/packages/control/src/platformFollower.ts
+++ b/packages/control/src/platformFollower.ts
@@ -104,23 +104,19 @@
 	}
 
 	/**
-	 * Watches the store until the session duration has passed after the first response.
-	 * @returns revision from which the next session starts
+	 * Watches the store until the session duration has passed.
+	 * @returns revision from which the next session starts; undefined if the watch may have missed changes, so that a snapshot is needed
 	 * @throws the error of the watch; Error if the watch ends early or does not respond
 	 */
-	private async runWatchSession(fromRevision: number, signal: AbortSignal): Promise<number> {
-		const {prefix, keyValueStore} = this.options;
+	private async runWatchSession(fromRevision: number, signal: AbortSignal): Promise<number | undefined> {
+		const {log, prefix, keyValueStore} = this.options;
 		const sessionController = childSignal(signal);
 		let nextRevision = fromRevision;
-		let hasResponded = false;
-		void this.abortAfter(storeResponseTimeoutMs, sessionController, () => !hasResponded);
+		let confirmedRevision: number | undefined;
+		void this.abortAfter(watchSessionDurationMs, sessionController);
 		try {
-			for await (const {revision, events} of keyValueStore.watch(prefix, fromRevision, sessionController.signal)) {
-				if (!hasResponded) {
-					hasResponded = true;
-					void this.abortAfter(watchSessionDurationMs, sessionController);
-				}
-
+			for await (const {revision, events, storeRevision = 0} of keyValueStore.watch(prefix, fromRevision, sessionController.signal)) {
+				confirmedRevision = Math.max(confirmedRevision ?? 0, storeRevision);
 				this.recordReachability(true);
 				nextRevision = Math.max(nextRevision, revision + 1);
 				this.applyEvents(events);
@@ -139,19 +135,23 @@
 		}
 
 		// A platform whose process is frozen neither responds nor closes the connection.
-		if (!hasResponded) {
-			throw new Error(`the watch was not answered within ${storeResponseTimeoutMs} ms`);
+		if (confirmedRevision === undefined) {
+			throw new Error(`the watch was not answered within ${watchSessionDurationMs} ms`);
+		}
+
+		// Changes before the start of the watch are reported at once, unless they are of keys with other prefixes or events are withheld.
+		if (confirmedRevision >= nextRevision) {
+			log.info({nextRevision, storeRevision: confirmedRevision}, 'the watch did not report all changes of the store; a snapshot is loaded');
+			return undefined;
 		}
 
 		return nextRevision;
 	}
 
-	private async abortAfter(durationMs: number, sessionController: ChildSignal, isDue = () => true): Promise<void> {
+	private async abortAfter(durationMs: number, sessionController: ChildSignal): Promise<void> {
 		try {
 			await this.options.clock.sleep(durationMs, sessionController.signal);
-			if (isDue()) {
-				sessionController.abort();
-			}
+			sessionController.abort();
 		} catch {
 			// The session ended before.
 		}
--- a/packages/model/src/ports.ts
+++ b/packages/model/src/ports.ts
@@ -40,6 +40,15 @@
 	= | {readonly type: 'put'; readonly entry: KeyValueEntry}
 		| {readonly type: 'delete'; readonly key: string; readonly modRevision: number};
 
+/** Events of a watch. */
+export type WatchBatch = {
+	/** Revision up to which the events are complete. */
+	readonly revision: number;
+	readonly events: readonly KeyValueEvent[];
+	/** Revision of the store when it confirmed the watch; only in the batch that reports the confirmation. */
+	readonly storeRevision?: number;
+};
+
 /** The platform's key-value service. Methods throw FailureError of kind `platform`, with `effect: 'unknown'` if the call may have taken effect. */
 export type KeyValueStore = {
 	/** Returns all entries under a prefix, as of one revision. */
@@ -53,8 +62,8 @@
 		| {readonly succeeded: true; readonly revision: number}
 		| {readonly succeeded: false; readonly revision: number; readonly current?: KeyValueEntry}
 	>;
-	/** Yields the events under a prefix, starting at a revision. A batch carries the revision up to which the events are complete. */
-	watch(prefix: string, fromRevision: number, signal: AbortSignal): AsyncIterable<{readonly revision: number; readonly events: readonly KeyValueEvent[]}>;
+	/** Yields the events under a prefix, starting at a revision. */
+	watch(prefix: string, fromRevision: number, signal: AbortSignal): AsyncIterable<WatchBatch>;
 };
 
 /** The platform's list of hosts, which lags behind the actual hosts. */
