--- a/packages/control/src/__tests__/changeBounds.test.ts
+++ b/packages/control/src/__tests__/changeBounds.test.ts
@@ -99,6 +99,20 @@
 		expect((platform.callTimesMs.length - callsBefore) / 20 / hosts.length).to.be.at.most(callsPerSecondOfWatcher);
 	});
 
+	it('are in force within the bound and the time of the transfer if snapshots arrive slowly (guards against snapshots that are given up while they arrive)', async () => {
+		const listTransferMs = 6000;
+		const deployment = new FakeDeployment(longestDelays);
+		const {clock, platform} = deployment;
+		platform.listTransferMs = listTransferMs;
+		const {started, store} = deployment.startHost('a');
+		await clock.until(started);
+		platform.isWithholdingEvents = true;
+		const revision = platform.put(changeKey, changeValue);
+		await clock.advance(changeBoundMs + listTransferMs);
+		deployment.stopAllHosts();
+		expect(store.revision()).to.equal(revision);
+	});
+
 	it('cause one snapshot for each change of another deployment (guards against snapshots that are loaded again and again)', async () => {
 		const deployment = new FakeDeployment();
 		const {clock, platform} = deployment;
--- a/packages/control/src/__tests__/etcdKeyValueStore.test.ts
+++ b/packages/control/src/__tests__/etcdKeyValueStore.test.ts
@@ -103,6 +103,23 @@
 		expect(requests[0]).to.deep.equal({path: '/v3/kv/range', body: {key: encodeBase64('p/'), range_end: encodeBase64('p0')}});
 	});
 
+	it('receives a list for longer than its timeout (guards against snapshots that are given up while they arrive)', async () => {
+		const parts = ['{"header":', '{"revision":', '"9"}', ',"kvs":', '[]', '}'];
+		const partIntervalMs = 250;
+		const callTimeoutMs = 1000;
+		responders.push(response => {
+			for (const [index, part] of parts.entries()) {
+				setTimeout(() => {
+					response.write(part);
+					if (index === parts.length - 1) {
+						response.end();
+					}
+				}, (index + 1) * partIntervalMs);
+			}
+		});
+		expect(await createStore(callTimeoutMs).list('p/', signal())).to.deep.equal({revision: 9, entries: []});
+	});
+
 	it('handles a missing key and responses that omit fields with default values', async () => {
 		responders.push(sendJson({header: header(9)}), sendJson({header: header(9)}));
 		expect(await createStore().get('k', signal())).to.deep.equal({revision: 9, entry: undefined});
--- a/packages/control/src/changeTiming.ts
+++ b/packages/control/src/changeTiming.ts
@@ -3,7 +3,7 @@
 /** Time within which a change must be in force on every host. */
 export const changeBoundMs = 7000;
 
-/** Time for a snapshot. */
+/** Time until a snapshot begins to arrive, and longest pause within it. */
 export const storeResponseTimeoutMs = 2000;
 /** Time from the start of a watch until it is renewed, because it may lose events without an error; also the timeout of its first response. */
 export const watchSessionDurationMs = 2000;
@@ -23,7 +23,8 @@
 /**
  * Returns the longest time until a watcher notices a change, counted from the change or from the return of the store. In the worst
  * case a watch reports no events from its start, and the response of its successor, which tells that events are missing, is lost. No
- * further call can be lost with the same connections, because each call opens its own.
+ * further call can be lost with the same connections, because each call opens its own. The time that a large snapshot takes to arrive
+ * over a slow link is not included.
  */
 export function longestNoticeMs(): number {
 	return Math.max((2 * watchSessionDurationMs) + maximumJitterMs, storeResponseTimeoutMs + maximumJitterMs, watcherBackoff.maximumMs) + snapshotAllowanceMs;
--- a/packages/control/src/etcdKeyValueStore.ts
+++ b/packages/control/src/etcdKeyValueStore.ts
@@ -7,14 +7,14 @@
 	encodeBase64, prefixRangeEnd, rangeResponseSchema, toKeyValueEntry, toKeyValueEvents, txnResponseSchema, watchResponseSchema, type WatchResult,
 } from './etcdMessages.js';
 import {freshConnectionHeaders} from './freshConnection.js';
-import {readLines} from './jsonLines.js';
+import {readLines, readText} from './responseBody.js';
 
 export type EtcdKeyValueStoreOptions = {
 	/** Base URL of the gateway, without a path. */
 	readonly url: string;
 	readonly clock: Clock;
 	readonly random: RandomSource;
-	/** Timeout of one call in milliseconds. */
+	/** Time in milliseconds until the response of a call begins, and longest pause within it. */
 	readonly callTimeoutMs?: number;
 	/** Number of consecutive failures after which a watch throws. */
 	readonly maximumConsecutiveWatchFailures?: number;
@@ -26,6 +26,8 @@
 	readonly body: unknown;
 	/** Effect to report if the response is lost. */
 	readonly lostEffect: WriteEffect;
+	/** Called for each received part of the response. */
+	readonly onData?: () => void;
 };
 
 /** The platform usually responds within milliseconds, so a call without a response after this time has failed. */
@@ -44,9 +46,11 @@
 		this.callTimeoutMs = options.callTimeoutMs ?? defaultCallTimeoutMs;
 	}
 
-	async list(prefix: string, signal: AbortSignal): Promise<{readonly revision: number; readonly entries: readonly KeyValueEntry[]}> {
+	async list(prefix: string, signal: AbortSignal, onData?: () => void): Promise<{readonly revision: number; readonly entries: readonly KeyValueEntry[]}> {
 		const body = {key: encodeBase64(prefix), range_end: encodeBase64(prefixRangeEnd(prefix))};
-		const response = await this.call({path: '/v3/kv/range', body, lostEffect: 'none'}, rangeResponseSchema, signal);
+		const response = await this.call({
+			path: '/v3/kv/range', body, lostEffect: 'none', onData,
+		}, rangeResponseSchema, signal);
 		return {revision: response.header.revision, entries: response.kvs.map(keyValue => toKeyValueEntry(keyValue))};
 	}
 
@@ -156,11 +160,15 @@
 	}
 
 	private async call<S extends z.ZodType>(request: GatewayRequest, schema: S, signal: AbortSignal): Promise<z.infer<S>> {
-		const {body, lostEffect, path} = request;
+		const {body, lostEffect, onData, path} = request;
 		try {
-			return await withTimeout(this.options.clock, this.callTimeoutMs, signal, async callSignal => {
+			return await withTimeout(this.options.clock, this.callTimeoutMs, signal, async (callSignal, restart) => {
 				const response = await this.post(path, body, callSignal);
-				return schema.parse(await response.json());
+				const text = await readText(response.body!, () => {
+					restart(this.callTimeoutMs);
+					onData?.();
+				});
+				return schema.parse(JSON.parse(text));
 			});
 		} catch (error) {
 			throw error instanceof FailureError ? error : this.platformFailure(path, describeError(error), isRequestUnsent(error) ? 'none' : lostEffect, error);
--- a/packages/control/src/platformFollower.ts
+++ b/packages/control/src/platformFollower.ts
@@ -59,7 +59,9 @@
 	async loadSnapshot(signal: AbortSignal): Promise<number> {
 		const {clock, prefix, replica, keyValueStore} = this.options;
 		try {
-			const {revision, entries} = await withTimeout(clock, storeResponseTimeoutMs, signal, async callSignal => keyValueStore.list(prefix, callSignal));
+			const {revision, entries} = await withTimeout(clock, storeResponseTimeoutMs, signal, async (callSignal, restart) => keyValueStore.list(prefix, callSignal, () => {
+				restart(storeResponseTimeoutMs);
+			}));
 			this.recordReachability(true);
 			replica.merge(changeSetOfSnapshot(replica.state, revision, toConfigurationEntries(entries, prefix)));
 			return revision;
--- a/packages/control/src/jsonLines.ts
+++ b/packages/control/src/responseBody.ts
@@ -24,3 +24,19 @@
 		yield partialLine;
 	}
 }
+
+/**
+ * Reads a byte stream to its end.
+ * @param stream - UTF-8 text
+ * @param onData - called for each received part
+ */
+export async function readText(stream: ReadableStream<Uint8Array>, onData: () => void): Promise<string> {
+	const decoder = new TextDecoder();
+	let text = '';
+	for await (const chunk of stream) {
+		onData();
+		text += decoder.decode(chunk, {stream: true});
+	}
+
+	return text + decoder.decode();
+}
--- a/packages/model/src/ports.ts
+++ b/packages/model/src/ports.ts
@@ -51,8 +51,11 @@
 
 /** The platform's key-value service. Methods throw FailureError of kind `platform`, with `effect: 'unknown'` if the call may have taken effect. */
 export type KeyValueStore = {
-	/** Returns all entries under a prefix, as of one revision. */
-	list(prefix: string, signal: AbortSignal): Promise<{readonly revision: number; readonly entries: readonly KeyValueEntry[]}>;
+	/**
+	 * Returns all entries under a prefix, as of one revision.
+	 * @param onData - called for each received part of the response
+	 */
+	list(prefix: string, signal: AbortSignal, onData?: () => void): Promise<{readonly revision: number; readonly entries: readonly KeyValueEntry[]}>;
 	get(key: string, signal: AbortSignal): Promise<{readonly revision: number; readonly entry?: KeyValueEntry}>;
 	/**
 	 * Writes the value if the key was last modified at `expectedRevision`; 0 means that the key does not exist. Otherwise returns
