--- a/packages/control/src/__tests__/changeBounds.test.ts
+++ b/packages/control/src/__tests__/changeBounds.test.ts
@@ -6,6 +6,8 @@
 const changeValue = JSON.stringify({spec: {order: 1, targetMs: 50, floorShare: 0.1}, changes: [{id: 'c1'}]});
 const hostNames = ['a', 'b', 'c'] as const;
 const stepMs = 50;
+/** A link of 2 Mbit/s. */
+const slowLinkBytesPerMs = 250;
 /** Draws the longest delays. */
 const longestDelays = {next: () => 0.999};
 
@@ -113,6 +115,25 @@
 		expect(store.revision()).to.equal(revision);
 	});
 
+	it('reach a host that starts without the store over a slow link (guards against pulls that are given up while they arrive)', async () => {
+		const entryCount = 500;
+		const paddedValue = JSON.stringify({spec: {order: 1, targetMs: 50, floorShare: 0.1}, changes: [{id: 'c'.repeat(2000)}]});
+		const deployment = new FakeDeployment();
+		const {clock, network, platform} = deployment;
+		for (let index = 0; index < entryCount; index++) {
+			platform.put(`${changeKey}-${index}`, paddedValue);
+		}
+
+		await clock.until(deployment.startHost('a').started);
+		platform.setDown(true);
+		network.bytesPerMs = slowLinkBytesPerMs;
+		const {started, store} = deployment.startHost('b');
+		await clock.until(started);
+		deployment.stopAllHosts();
+		expect(store.revision()).to.equal(entryCount);
+		expect(store.current().ranks.size).to.equal(entryCount);
+	});
+
 	it('cause one snapshot for each change of another deployment (guards against snapshots that are loaded again and again)', async () => {
 		const deployment = new FakeDeployment();
 		const {clock, platform} = deployment;
--- a/packages/control/src/__tests__/fakes.ts
+++ b/packages/control/src/__tests__/fakes.ts
@@ -221,9 +221,13 @@
 
 /** Delivers calls between hosts in memory. An isolated host can neither call nor be called. */
 export class FakeNetwork {
+	/** Rate at which results arrive at a caller. */
+	bytesPerMs = Number.POSITIVE_INFINITY;
 	readonly handlers = new Map<string, Map<string, Handler>>();
 	readonly isolatedHosts = new Set<string>();
 
+	constructor(private readonly clock: Clock) {}
+
 	rpcOf(self: string): PeerRpc {
 		const hostHandlers = new Map<string, Handler>();
 		this.handlers.set(self, hostHandlers);
@@ -246,7 +250,9 @@
 			});
 		}
 
-		return roundTripJson(await handler(roundTripJson(message.parameters), from, message.signal));
+		const result = await handler(roundTripJson(message.parameters), from, message.signal);
+		await this.clock.sleep(JSON.stringify(result ?? null).length / this.bytesPerMs, message.signal);
+		return roundTripJson(result);
 	}
 }
 
@@ -280,7 +286,7 @@
 export class FakeDeployment {
 	readonly clock = new FakeClock();
 	readonly platform = new FakeKeyValueStore(this.clock);
-	readonly network = new FakeNetwork();
+	readonly network = new FakeNetwork(this.clock);
 	/** Members as known to all hosts. A running host reports its current revision. */
 	readonly members = new Map<string, Member>();
 	readonly hosts = new Map<string, FakeHost>();
--- a/packages/control/src/configurationState.ts
+++ b/packages/control/src/configurationState.ts
@@ -137,6 +137,29 @@
 	return {sinceRevision, revision: Math.max(sinceRevision, state.revision), entries};
 }
 
+/**
+ * Returns the first part of a change set, so that it arrives within the timeout of a call over a slow link. Entries of one revision stay
+ * together, and at least one revision is returned.
+ * @param changes - entries in the order of their revisions
+ * @param maximumCharacters - maximum size of the entries' values
+ * @returns changes up to a revision below that of `changes`, or `changes` if it is not larger than the maximum
+ */
+export function firstChanges(changes: ChangeSet, maximumCharacters: number): ChangeSet {
+	let characters = 0;
+	let lastRevision: number | undefined;
+	for (const [index, {revision, value = '', lastValid}] of changes.entries.entries()) {
+		characters += value.length + (lastValid?.value.length ?? 0);
+		const canEndHere = lastRevision !== undefined && lastRevision < revision && lastRevision < changes.revision;
+		if (characters > maximumCharacters && canEndHere) {
+			return {sinceRevision: changes.sinceRevision, revision: lastRevision!, entries: changes.entries.slice(0, index)};
+		}
+
+		lastRevision = revision;
+	}
+
+	return changes;
+}
+
 /** Result of parsing an entry: a resource, a deletion, or the reasons why the entry is invalid. */
 export type ParsedEntry
 	= | {readonly type: 'resource'; readonly resource: Resource}
--- a/packages/control/src/peerPropagation.ts
+++ b/packages/control/src/peerPropagation.ts
@@ -3,7 +3,9 @@
 } from '@crocusloom/model';
 import {z} from 'zod';
 import {pullTimeoutMs, revisionCheckIntervalMs} from './changeTiming.js';
-import {changesSince, type ChangeSet, type EntryKey} from './configurationState.js';
+import {
+	changesSince, firstChanges, type ChangeSet, type ConfigurationEntry, type EntryKey,
+} from './configurationState.js';
 import {type ConfigurationReplica} from './configurationReplica.js';
 
 /** Orders hosts by rendezvous hashing with a key, best first. */
@@ -23,7 +25,10 @@
 	lastValid: z.object({revision: z.int().min(0), value: z.string()}).optional(),
 });
 const changeSetSchema = z.object({sinceRevision: z.int().min(0), revision: z.int().min(0), entries: z.array(entrySchema)});
-const changesResponseSchema = z.object({changes: changeSetSchema, highestKnownRevision: z.int().min(0), ready: z.boolean()});
+const changesResponseSchema = z.object({
+	changes: changeSetSchema, hasMore: z.boolean().default(false), highestKnownRevision: z.int().min(0), ready: z.boolean(),
+});
+type ChangesResponse = z.infer<typeof changesResponseSchema>;
 const changesRequestSchema = z.object({revision: z.int().min(0)});
 
 export type PeerPropagationOptions = {
@@ -44,6 +49,9 @@
 /** Maximum number of entries in a notification. Of a larger change, only the revision is sent, and the peers that lack it pull it. */
 const maximumPushedEntries = 32;
 
+/** Maximum size of the values in the response to a pull. Three such responses arrive over a link of 2 Mbit/s within the timeout of a pull. */
+const maximumPulledCharacters = 64 * 1024;
+
 /** Propagates configuration changes between peers: notifies neighbours of changes and pulls missing ones. */
 export class PeerPropagation {
 	private pendingPull: Promise<boolean> | undefined;
@@ -54,7 +62,11 @@
 		const {peers, replica} = options;
 		peers.handle(peerMethods.changesSince, parameters => {
 			const {revision} = changesRequestSchema.parse(parameters);
-			return {changes: changesSince(replica.state, revision), highestKnownRevision: this.highestKnownRevision(), ready: replica.isReady};
+			const allChanges = changesSince(replica.state, revision);
+			const changes = firstChanges(allChanges, maximumPulledCharacters);
+			return {
+				changes, hasMore: changes.revision < allChanges.revision, highestKnownRevision: this.highestKnownRevision(), ready: replica.isReady,
+			};
 		});
 		peers.handle(peerMethods.changed, (parameters, callerHost) => {
 			const changes = changeSetSchema.parse(parameters);
@@ -147,15 +159,27 @@
 		return this.pendingPull;
 	}
 
+	/**
+	 * Pulls the changes of a peer in parts, and merges them together, because the configuration between two parts may refer to a resource
+	 * that was already deleted.
+	 * @returns true if the peer has responded and has a configuration in force
+	 */
 	private async requestChanges(host: string, signal: AbortSignal): Promise<boolean> {
-		const {clock, log, peers, replica} = this.options;
-		const {revision} = replica.state;
+		const {log, replica} = this.options;
+		const sinceRevision = replica.state.revision;
+		const entries: ConfigurationEntry[] = [];
+		let revision = sinceRevision;
 		try {
-			const response = await withTimeout(clock, pullTimeoutMs, signal, async callSignal => peers.call(host, peerMethods.changesSince, {revision}, callSignal));
-			const {changes, highestKnownRevision, ready} = changesResponseSchema.parse(response);
-			replica.recordReportedRevision(highestKnownRevision);
-			replica.merge(changes);
-			return ready;
+			let response: ChangesResponse;
+			do {
+				response = await this.requestChangesSince(revision, host, signal);
+				replica.recordReportedRevision(response.highestKnownRevision);
+				entries.push(...response.changes.entries);
+				revision = response.changes.revision;
+			} while (response.hasMore);
+
+			replica.merge({sinceRevision, revision, entries});
+			return response.ready;
 		} catch (error) {
 			if (!signal.aborted) {
 				log.warn({
@@ -167,6 +191,12 @@
 		}
 	}
 
+	private async requestChangesSince(revision: number, host: string, signal: AbortSignal): Promise<ChangesResponse> {
+		const {clock, peers} = this.options;
+		const response = await withTimeout(clock, pullTimeoutMs, signal, async callSignal => peers.call(host, peerMethods.changesSince, {revision}, callSignal));
+		return changesResponseSchema.parse(response);
+	}
+
 	private notifyNeighbours(changes: ChangeSet): void {
 		const message = changes.entries.length > maximumPushedEntries ? {...changes, sinceRevision: changes.revision, entries: []} : changes;
 		for (const host of this.orderedNeighbours().slice(0, maximumNotifiedNeighbours)) {
