--- a/packages/endToEnd/src/__tests__/platformFailures.test.ts
+++ b/packages/endToEnd/src/__tests__/platformFailures.test.ts
@@ -1,6 +1,6 @@
 import {assert} from 'chai';
 import {CallerSession} from '../callerSession.js';
-import {type FaultCluster, sendRequest} from '../faultCluster.js';
+import {type FaultCluster, sendRequest, smallDeployment} from '../faultCluster.js';
 import {type LoadGenerator} from '../loadGenerator.js';
 import {pollUntil} from '../poll.js';
 import {describeFailureCases, type FailureCase} from './failureCases.js';
@@ -26,6 +26,27 @@
 	});
 }
 
+/** Waits until a target of the rank `boards` is in force at every proxy. */
+async function waitUntilInForce(faultCluster: FaultCluster, targetMs: number): Promise<void> {
+	await pollUntil('the change at every proxy', async () => {
+		const ranks = await Promise.all(faultCluster.operatorEndpoints.map(async ({url}) => sendRequest<Rank>(`${url}/v1/ranks/boards`)));
+		return ranks.every(({body}) => body.spec.targetMs === targetMs);
+	}, maxPropagationMs);
+}
+
+/** Writes the rank `boards` to the platform's store without a proxy. */
+async function writeRankToStore({platform}: FaultCluster, targetMs: number): Promise<void> {
+	const value = JSON.stringify({spec: {order: 2, targetMs, floorShare: 0.2}, changes: [{id: 'another-tool'}]});
+	const {status} = await sendRequest(`http://${platform.host}:${platform.port}/v3/kv/put`, {
+		method: 'POST', body: {key: encodeBase64(`crocusloom/${smallDeployment.name}/ranks/boards`), value: encodeBase64(value)},
+	});
+	assert.equal(status, 200);
+}
+
+function encodeBase64(text: string): string {
+	return Buffer.from(text).toString('base64');
+}
+
 const platformFaults = [
 	{name: 'down', faults: {down: 'hang'}, seed: 21},
 	{name: 'slow', faults: {slowMs: 1500}, seed: 22},
@@ -48,11 +69,17 @@
 			const {body: {revision}} = await sendRequest<Rank>(`${faultCluster.operatorEndpoints[0]!.url}/v1/ranks/boards`);
 			const answers = await Promise.all([0, 1].map(async operator => putRank(faultCluster, operator, revision, 600 + operator)));
 			assert.sameMembers(answers.map(({status}) => status), [200, 409]);
-			const acceptedTargetMs = 600 + answers.findIndex(({status}) => status === 200);
-			await pollUntil('the change at every proxy', async () => {
-				const ranks = await Promise.all(faultCluster.operatorEndpoints.map(async ({url}) => sendRequest<Rank>(`${url}/v1/ranks/boards`)));
-				return ranks.every(({body}) => body.spec.targetMs === acceptedTargetMs);
-			}, maxPropagationMs);
+			await waitUntilInForce(faultCluster, 600 + answers.findIndex(({status}) => status === 200));
+		},
+	},
+	{
+		name: 'the platform confirms watches and withholds their events while another tool changes a resource',
+		guardsAgainst: 'a change that stays unknown for as long as watches report nothing',
+		seed: 28,
+		async run(faultCluster) {
+			await faultCluster.setPlatformFaults({withholdEvents: true});
+			await writeRankToStore(faultCluster, 650);
+			await waitUntilInForce(faultCluster, 650);
 		},
 	},
 	...(['resource', 'host list'] as const).map((source, index): FailureCase => ({
--- a/packages/endToEnd/src/faultCluster.ts
+++ b/packages/endToEnd/src/faultCluster.ts
@@ -151,7 +151,9 @@
 			this.cluster.resume(name);
 		}
 
-		await this.setPlatformFaults({slowMs: 0, down: 'no', loseAnswers: 0});
+		await this.setPlatformFaults({
+			slowMs: 0, down: 'no', loseAnswers: 0, withholdEvents: false,
+		});
 		await Promise.all([
 			...this.proxies.map(async proxy => this.setBlockedPorts(proxy, [])),
 			...this.databases.map(async database => this.setDatabaseFaults(database, {
--- a/packages/standins/src/platform/platform.ts
+++ b/packages/standins/src/platform/platform.ts
@@ -215,7 +215,7 @@
 			await sleep(this.faultSettings.slowMs);
 		}
 
-		new Watch(this.store, this.gateway, createRequest, () => this.faultSettings.down === 'no').start(request, response);
+		new Watch(this.store, this.gateway, createRequest, () => this.faultSettings.down === 'no' && !this.faultSettings.withholdEvents).start(request, response);
 	}
 
 	private laggedHosts(): readonly ListedHost[] {
--- a/packages/standins/src/platform/platformFaults.ts
+++ b/packages/standins/src/platform/platformFaults.ts
@@ -8,10 +8,12 @@
 	readonly loseAnswers: number;
 	/** Delay before `GET /hosts` returns a list set by `PUT /hosts`. */
 	readonly hostLagMs: number;
+	/** Watches are confirmed and report no events, although all other calls are answered. */
+	readonly withholdEvents: boolean;
 };
 
 export const noPlatformFaults: PlatformFaults = {
-	slowMs: 0, down: 'no', loseAnswers: 0, hostLagMs: 0,
+	slowMs: 0, down: 'no', loseAnswers: 0, hostLagMs: 0, withholdEvents: false,
 };
 
 /** Applies a change to the settings. @throws TypeError if a name is unknown or the type of a value differs from that of the setting */
