--- a/packages/membership/src/__tests__/hostListReader.test.ts
+++ b/packages/membership/src/__tests__/hostListReader.test.ts
@@ -32,6 +32,7 @@
 	/** Reads that begin until this time are never answered. */
 	readsLostUntilMs = Number.NEGATIVE_INFINITY;
 	areNotificationsLost = false;
+	readonly messages: string[] = [];
 	readonly readers: readonly HostListReader[];
 	private readonly handlers = new Map<string, Map<string, Handler>>();
 	private readonly abortController = new AbortController();
@@ -46,7 +47,15 @@
 			peers: this.peersOf(host),
 			clock: this.clock,
 			random: {next: () => draw},
-			log: noopLogger,
+			log: {
+				...noopLogger,
+				info: (_fields, message) => {
+					this.messages.push(message);
+				},
+				warn: (_fields, message) => {
+					this.messages.push(message);
+				},
+			},
 			metrics: noopMetrics,
 		}));
 	}
@@ -135,6 +144,20 @@
 		expect(longestHostListNoticeMs()).to.be.below(leavingBoundMs);
 	});
 
+	it('logs the begin and the end of an outage once on each host (guards against failed reads without a line, and a line for each of them)', async () => {
+		const domain = new FakeDomain(0.5);
+		domain.start();
+		await domain.clock.runUntil(5000);
+		domain.messages.length = 0;
+		domain.readsLostUntilMs = domain.clock.nowMs() + 20_000;
+		await domain.clock.runUntil(40_000);
+		domain.stop();
+		expect(domain.messages.toSorted()).to.deep.equal([
+			...hostNames.map(() => 'the host list cannot be read; the last list stays in use'),
+			...hostNames.map(() => 'the host list is current again'),
+		]);
+	});
+
 	for (const {title, change} of cases) {
 		it(`tells all hosts within the bound that a backend server leaves, ${title} (guards against new work at leaving servers)`, async () => {
 			for (const draw of [0, 0.5, 0.999]) {
--- a/packages/membership/src/hostListReader.ts
+++ b/packages/membership/src/hostListReader.ts
@@ -53,6 +53,8 @@
 	/** Signal of `run`; undefined before it is called. */
 	private runSignal: AbortSignal | undefined;
 	private nextReadMs = Number.NEGATIVE_INFINITY;
+	/** Start of the first of a series of failed reads; undefined while the list is current. */
+	private failingSinceMs: number | undefined;
 
 	constructor(private readonly options: HostListReaderOptions) {
 		options.peers.handle(hostListChangedMethod, parameters => {
@@ -107,6 +109,7 @@
 
 	/** Postpones the read of this host after the reader has been heard. */
 	private postponeRead(): void {
+		this.recordCurrent();
 		if (!this.isReader()) {
 			this.nextReadMs = this.options.clock.nowMs() + this.readDelayMs();
 		}
@@ -124,9 +127,11 @@
 	}
 
 	private async readAndNotify(signal: AbortSignal): Promise<void> {
-		const {clock, hostList, metrics, peers} = this.options;
+		const {clock, hostList, peers} = this.options;
+		const startedMs = clock.nowMs();
 		try {
 			const hosts = await withTimeout(clock, readTimeoutMs, signal, async callSignal => hostList.list(callSignal));
+			this.recordCurrent();
 			const hasChanged = this.applyHosts(hosts);
 			for (const {host} of this.localPeers()) {
 				if (hasChanged) {
@@ -135,8 +140,28 @@
 					peers.notify(host, hostListDigestMethod, {digest: this.digest()});
 				}
 			}
-		} catch {
-			metrics.count('host_list_failures_total');
+		} catch (error) {
+			if (!signal.aborted) {
+				this.recordReadFailure(startedMs, error);
+			}
+		}
+	}
+
+	/** Records that this host has the current list, from a read or from the reader. */
+	private recordCurrent(): void {
+		if (this.failingSinceMs !== undefined) {
+			this.options.log.info({unreadableForMs: Math.round(this.options.clock.nowMs() - this.failingSinceMs)}, 'the host list is current again');
+			this.failingSinceMs = undefined;
+		}
+	}
+
+	/** Counts a failed read, and logs the first one of a series, so that a long outage does not fill the log. */
+	private recordReadFailure(startedMs: number, error: unknown): void {
+		const {log, metrics} = this.options;
+		metrics.count('host_list_failures_total');
+		if (this.failingSinceMs === undefined) {
+			this.failingSinceMs = startedMs;
+			log.warn({hosts: this.listedHosts.length, reason: errorMessageOf(error)}, 'the host list cannot be read; the last list stays in use');
 		}
 	}
 
