--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -226,6 +226,42 @@
 		expect(formerPrimary.role).to.equal('replica');
 	}).timeout(15_000);
 
+	it('recognizes the primary again after a former one has stepped down for a promotion that was refused (guards against hosts that wait for a primary of a term that nobody leads)', async () => {
+		const [formerPrimary, currentPrimary] = await startWithFormerPrimary();
+		const {view} = harness;
+		startPromotions({requestPromotion: async () => 'notRunning'});
+		currentPrimary.isUnresponsive = true;
+		await waitUntil(() => formerPrimary.role === 'replica', 8000);
+		expect(formerPrimary.term).to.equal(currentPrimary.term);
+		currentPrimary.isUnresponsive = false;
+		await waitUntil(() => view.currentPrimary?.backend.id === currentPrimary.id);
+		expect(await errorOf(harness.proxy.openSession('strict', 'u'), 'WRITE a 1')).to.equal(undefined);
+	}).timeout(15_000);
+
+	it('recognizes a promoted server whose term is below the planned one (guards against hosts that wait for a primary of a term that nobody leads)', async () => {
+		await startHarness();
+		const {service, view} = harness;
+		const [formerPrimary, ...replicas] = service.servers as [MemoryServer, ...MemoryServer[]];
+		replicas[0]!.pausedTerm = 2;
+		startPromotions({
+			async requestPromotion(_service, serverId) {
+				for (const replica of replicas) {
+					replica.pausedTerm = 0;
+				}
+
+				service.promote(serverId, 1);
+				formerPrimary.isUnresponsive = false;
+				return 'accepted';
+			},
+		});
+		formerPrimary.isUnresponsive = true;
+		await waitUntil(() => service.promotions.length > 0 && formerPrimary.role === 'replica', 8000);
+		const promoted = service.server(service.promotions[0]!.server);
+		expect(formerPrimary.term).to.equal(promoted.term);
+		await waitUntil(() => view.currentPrimary?.backend.id === promoted.id);
+		expect(await errorOf(harness.proxy.openSession('strict', 'u'), 'WRITE a 1')).to.equal(undefined);
+	}).timeout(15_000);
+
 	it('keeps a replica paused that has not heard of the new term until the former primary has stepped down (guards against commits that the new primary lacks)', async () => {
 		await start();
 		const {service} = harness;
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -159,7 +159,7 @@
 		await this.requestOrResume(view, candidate, {target, pauses, signal});
 		const newTerm = await this.completePromotion(view, target, term, startedMs);
 		const formerPrimary: FormerPrimary = {backend: primary, hasSteppedDown: need.kind === 'leaving'};
-		void this.stepDownWhenReachable(formerPrimary, term, signal);
+		void this.stepDownWhenReachable(formerPrimary, newTerm, signal);
 		const pausedBackends = pauses.backends.filter(backend => backend !== candidate.backend);
 		await Promise.all(pausedBackends.map(async backend => this.endPause(backend, pauses, formerPrimary, newTerm)));
 	}
@@ -315,8 +315,11 @@
 		}
 	}
 
-	/** Tells a replaced primary to step down, and repeats the command until the server is a replica or the time has passed. */
-	private async stepDownWhenReachable(formerPrimary: FormerPrimary, term: number, signal: AbortSignal): Promise<void> {
+	/**
+	 * Tells a replaced primary to step down, and repeats the command until the server is a replica or the time has passed.
+	 * @param newTerm - term of the new primary. A higher one would make hosts wait for a primary of that term.
+	 */
+	private async stepDownWhenReachable(formerPrimary: FormerPrimary, newTerm: number, signal: AbortSignal): Promise<void> {
 		const {backend} = formerPrimary;
 		if (!backend) {
 			return;
@@ -324,7 +327,7 @@
 
 		const deadlineMs = this.ports.clock.nowMs() + stepDownTimeoutMs;
 		while (!signal.aborted && this.ports.clock.nowMs() < deadlineMs) {
-			const status = await sendControlCommand(backend, {kind: 'stepDown', term});
+			const status = await sendControlCommand(backend, {kind: 'stepDown', term: newTerm});
 			if (status?.role === 'replica') {
 				formerPrimary.hasSteppedDown = true;
 				return;
--- a/packages/proxy/src/replicationPauses.ts
+++ b/packages/proxy/src/replicationPauses.ts
@@ -44,8 +44,9 @@
 		}
 
 		this.log.info({server: backend.id, term: status.term, primaryTerm}, 'a former primary steps down before replication to it is paused');
-		await sendControlCommand(backend, {kind: 'stepDown', term});
-		const laterStatus = await this.sendPause(backend, term + 1);
+		// The term of the known primary is enough. With a higher one, hosts would wait for a primary of that term, also if no promotion follows.
+		await sendControlCommand(backend, {kind: 'stepDown', term: primaryTerm});
+		const laterStatus = await this.sendPause(backend, term);
 		return laterStatus && this.isPausedBy(backend, laterStatus) ? laterStatus : undefined;
 	}
 
