--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -162,7 +162,15 @@
 	it('resumes replication if the promotion lease is lost before the promotion is requested (guards against commits that are never acknowledged because replicas stay paused)', async () => {
 		harness = await startProxy();
 		lifetime = new AbortController();
-		const lease: PromotionLease = {holder: 'h', fencingToken: () => 7, confirm: async () => false};
+		let confirmations = 0;
+		const lease: PromotionLease = {
+			holder: 'h',
+			fencingToken: () => 7,
+			async confirm() {
+				confirmations++;
+				return confirmations % 2 === 1;
+			},
+		};
 		new PromotionTask(() => harness.proxy.services, {
 			clock: systemClock, log: harness.log, lease, promotionService: createPromotionService(harness.service),
 		}).run(lifetime.signal).catch(() => undefined);
@@ -179,6 +187,27 @@
 		expect(lastError).to.equal(undefined);
 	});
 
+	it('pauses no replica while the promotion lease is not confirmed (guards against a process that replaces and ends the pauses of the next holder)', async () => {
+		await startHarness();
+		const {service} = harness;
+		const [primary, ...replicas] = service.servers as [MemoryServer, ...MemoryServer[]];
+		const lease: PromotionLease = {holder: 'h', fencingToken: () => 7, confirm: async () => false};
+		const task = new PromotionTask(() => harness.proxy.services, {
+			clock: systemClock, log: harness.log, lease, promotionService: createPromotionService(service),
+		});
+		task.run(lifetime.signal).catch(() => undefined);
+		const pausedTerms = new Set<number>();
+		const pauseTimer = setInterval(() => {
+			for (const {pausedTerm} of replicas) {
+				pausedTerms.add(pausedTerm);
+			}
+		}, pausePollIntervalMs);
+		primary.isUnresponsive = true;
+		await systemClock.sleep(noPromotionMs);
+		clearInterval(pauseTimer);
+		expect([...pausedTerms]).to.deep.equal([0]);
+	});
+
 	it('ends an orphaned pause, but only after the earlier holder\'s promotion request can no longer take effect (guards against a lease holder that dies during a promotion)', async () => {
 		await start();
 		for (const id of ['b', 'c']) {
--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -109,7 +109,7 @@
 	fencingToken(): number | undefined;
 	/**
 	 * Confirms with the platform that this process still holds the lease.
-	 * @returns false if the lease is lost; true also if the platform cannot be reached and the lease has not expired
+	 * @returns false if the lease is lost or the platform does not answer
 	 */
 	confirm(signal: AbortSignal): Promise<boolean>;
 };
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -124,6 +124,11 @@
 	}
 
 	private async promote(view: ServiceView, need: PromotionNeed, signal: AbortSignal): Promise<void> {
+		// The pauses of a process that has lost the lease would replace and end those of the next holder.
+		if (!await this.ports.lease.confirm(signal)) {
+			throw new PromotionHalt('the promotion lease is not confirmed');
+		}
+
 		const startedMs = this.ports.clock.nowMs();
 		const primary = 'primary' in need ? need.primary : undefined;
 		const others = view.listBackends().filter(backend => backend !== primary);
