--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -77,6 +77,8 @@
 export class PromotionTask {
 	private readonly monitors = new Map<ServiceView, ServiceMonitors>();
 	private readonly activeChecks = new Set<ServiceView>();
+	/** Times until which repeated requests may still take effect. */
+	private readonly repeatsPendingUntilMs = new Map<ServiceView, number>();
 
 	constructor(private readonly services: () => readonly ServiceView[], private readonly ports: PromotionPorts) {}
 
@@ -103,7 +105,11 @@
 		try {
 			const {primaryMonitor, pauseCleaner} = this.monitorsOf(view);
 			const need = await primaryMonitor.check();
-			await (need.kind === 'none' ? pauseCleaner.check() : this.promote(view, need, signal));
+			if (need.kind === 'none') {
+				await pauseCleaner.check();
+			} else if (!(need.kind === 'leaving' && this.hasPendingRepeats(view))) {
+				await this.promote(view, need, signal);
+			}
 		} catch (error) {
 			if (!signal.aborted) {
 				this.ports.log.warn({service: view.name, reason: errorMessageOf(error)}, 'a promotion was not made');
@@ -113,6 +119,14 @@
 		}
 	}
 
+	/**
+	 * Checks whether a repeated request may still take effect. It would promote a server again that has stepped down for its successor,
+	 * so a leaving primary is replaced later.
+	 */
+	private hasPendingRepeats(view: ServiceView): boolean {
+		return this.ports.clock.nowMs() < (this.repeatsPendingUntilMs.get(view) ?? 0);
+	}
+
 	private monitorsOf(view: ServiceView): ServiceMonitors {
 		const {clock, log} = this.ports;
 		const monitors = this.monitors.get(view) ?? {
@@ -259,6 +273,10 @@
 				return attempt === 0 ? 'not sent, because the duty is no longer held' : 'unanswered';
 			}
 
+			if (attempt > 0) {
+				this.repeatsPendingUntilMs.set(view, this.ports.clock.nowMs() + promotionSettleMs);
+			}
+
 			const result = await this.ports.promotionService.requestPromotion(view.name, backend.id, {holder: this.ports.lease.holder, token}, signal);
 			this.ports.log.info({
 				service: view.name, server: backend.id, token, result, position: formatPosition(status.receivedPosition), attempt,
