--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -1,7 +1,7 @@
 import {systemClock} from '@crocusloom/model';
 import {expect} from 'chai';
 import {PromotionTask} from '../promotion.js';
-import {type PromotionLease, type PromotionService} from '../ports.js';
+import {type PromotionLease, type PromotionResult, type PromotionService} from '../ports.js';
 import {type MemoryServer, type MemoryService} from '../testing/index.js';
 import {
 	errorOf, type Harness, run, startProxy, waitUntil,
@@ -14,6 +14,8 @@
 	/** Time between the request and its effect. */
 	readonly delayMs: number;
 	readonly response: 'accepted' | 'retry';
+	/** Response to the requests after the first one, which then have no effect; `response` if it is omitted. */
+	readonly laterResponse?: PromotionResult;
 	/** Replicas that have to stay paused until the promotion takes effect. */
 	readonly replicas: readonly MemoryServer[];
 };
@@ -22,11 +24,17 @@
 class LatePromotionService implements PromotionService {
 	readonly pausedTerms = new Set<number>();
 	isPromoted = false;
+	private requestCount = 0;
 
 	constructor(private readonly service: MemoryService, private readonly promotion: LatePromotion) {}
 
-	async requestPromotion(_service: string, serverId: string): Promise<'accepted' | 'retry'> {
-		const {delayMs, replicas, response} = this.promotion;
+	async requestPromotion(_service: string, serverId: string): Promise<PromotionResult> {
+		const {delayMs, laterResponse, replicas, response} = this.promotion;
+		this.requestCount++;
+		if (laterResponse !== undefined && this.requestCount > 1) {
+			return laterResponse;
+		}
+
 		const pauseTimer = setInterval(() => {
 			for (const {pausedTerm} of this.isPromoted ? [] : replicas) {
 				this.pausedTerms.add(pausedTerm);
@@ -231,6 +239,19 @@
 		expect([...latePromotionService.pausedTerms]).to.not.include(0);
 	}).timeout(15_000);
 
+	it('keeps replicas paused if the repetition of an unanswered request is refused (guards against commits that the promoted server lacks)', async () => {
+		await startHarness();
+		const {service} = harness;
+		const [primary, ...replicas] = service.servers as [MemoryServer, ...MemoryServer[]];
+		const latePromotionService = new LatePromotionService(service, {
+			delayMs: 1500, response: 'retry', laterResponse: 'notRunning', replicas,
+		});
+		startPromotions(latePromotionService);
+		primary.isUnresponsive = true;
+		await waitUntil(() => latePromotionService.isPromoted, 8000);
+		expect([...latePromotionService.pausedTerms]).to.not.include(0);
+	}).timeout(15_000);
+
 	it('waits until a promoted former primary reports the new term while it still claims its old one (guards against pauses that end too early)', async () => {
 		const [formerPrimary, currentPrimary, otherReplica] = await startWithFormerPrimary();
 		const {service} = harness;
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -281,8 +281,13 @@
 			this.ports.log.info({
 				service: view.name, server: backend.id, token, result, position: formatPosition(status.receivedPosition), attempt,
 			}, 'a promotion was ordered');
-			if (result !== 'retry') {
-				return result === 'accepted' ? result : 'refused';
+			if (result === 'accepted') {
+				return result;
+			}
+
+			if (result === 'notRunning') {
+				// Earlier requests without an answer may still take effect once the server runs again.
+				return attempt === 0 ? 'refused' : 'unanswered';
 			}
 
 			await this.ports.clock.sleep(requestRetryDelayMs, signal);
