--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -98,6 +98,17 @@
 		return [formerPrimary, currentPrimary, otherReplica];
 	}
 
+	/** Waits until a write succeeds. A server that was silent is suspected until it has answered again, and writes are refused meanwhile. */
+	async function waitUntilServed(): Promise<void> {
+		let lastError: string | undefined = 'no write was tried';
+		for (let attempt = 0; attempt < 20 && lastError !== undefined; attempt++) {
+			await systemClock.sleep(100);
+			lastError = await errorOf(harness.proxy.openSession('strict', 'u'), 'WRITE a 1');
+		}
+
+		expect(lastError).to.equal(undefined);
+	}
+
 	async function start(responsesToLose = 0): Promise<void> {
 		await startHarness();
 		startPromotions(createPromotionService(harness.service, responsesToLose));
@@ -186,13 +197,7 @@
 		await waitUntil(() => harness.log.withMessage('a promotion was not made').length > 0);
 		harness.service.server('a').isUnresponsive = false;
 		await waitUntil(() => harness.service.servers.every(({pausedTerm}) => pausedTerm === 0));
-		let lastError: string | undefined = 'no write was tried';
-		for (let attempt = 0; attempt < 20 && lastError !== undefined; attempt++) {
-			await systemClock.sleep(100);
-			lastError = await errorOf(harness.proxy.openSession('strict', 'u'), 'WRITE a 1');
-		}
-
-		expect(lastError).to.equal(undefined);
+		await waitUntilServed();
 	});
 
 	it('pauses no replica while the promotion lease is not confirmed (guards against a process that replaces and ends the pauses of the next holder)', async () => {
@@ -285,7 +290,7 @@
 		expect(formerPrimary.term).to.equal(currentPrimary.term);
 		currentPrimary.isUnresponsive = false;
 		await waitUntil(() => view.currentPrimary?.backend.id === currentPrimary.id);
-		expect(await errorOf(harness.proxy.openSession('strict', 'u'), 'WRITE a 1')).to.equal(undefined);
+		await waitUntilServed();
 	}).timeout(15_000);
 
 	it('recognizes a promoted server whose term is below the planned one (guards against hosts that wait for a primary of a term that nobody leads)', async () => {
@@ -309,7 +314,7 @@
 		const promoted = service.server(service.promotions[0]!.server);
 		expect(formerPrimary.term).to.equal(promoted.term);
 		await waitUntil(() => view.currentPrimary?.backend.id === promoted.id);
-		expect(await errorOf(harness.proxy.openSession('strict', 'u'), 'WRITE a 1')).to.equal(undefined);
+		await waitUntilServed();
 	}).timeout(15_000);
 
 	it('keeps a replica paused that has not heard of the new term until the former primary has stepped down (guards against commits that the new primary lacks)', async () => {
