--- a/packages/model/src/timeout.ts
+++ b/packages/model/src/timeout.ts
@@ -2,6 +2,9 @@
 import {deferred} from './deferred.js';
 import {type Clock} from './ports.js';
 
+/** Longest time of a timer, with room for a margin that is added to it. Node.js ends timers of more than 2,147,483,647 ms at once. */
+export const maximumTimerMs = 2_000_000_000;
+
 /** Abort reason of a call's signal after the timeout of the call. */
 export class TimeLimitError extends Error {
 	override readonly name = 'TimeLimitError';
