--- a/packages/proxy/src/testing/recordingLogger.ts
+++ b/packages/model/src/testing/recordingLogger.ts
@@ -1,4 +1,4 @@
-import {type Logger} from '@crocusloom/model';
+import {type Logger} from '../ports.js';
 
 /** A recorded log line. */
 export type RecordedLine = {readonly level: keyof Logger; readonly fields: Readonly<Record<string, unknown>>; readonly message: string};
--- a/packages/proxy/src/__tests__/configurationAge.test.ts
+++ b/packages/proxy/src/__tests__/configurationAge.test.ts
@@ -1,8 +1,7 @@
 import {type Metrics, noopMetrics} from '@crocusloom/model';
-import {FakeClock} from '@crocusloom/model/testing';
+import {FakeClock, RecordingLogger} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {ConfigurationAge} from '../configurationAge.js';
-import {RecordingLogger} from '../testing/index.js';
 
 const maximumAgeMs = 3000;
 const checkIntervalMs = 100;
--- a/packages/proxy/src/__tests__/congestion.test.ts
+++ b/packages/proxy/src/__tests__/congestion.test.ts
@@ -1,8 +1,9 @@
 import {mock} from 'node:test';
+import {RecordingLogger} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {Backend} from '../backend.js';
 import {connectionShareFor} from '../connectionShare.js';
-import {MemoryService, RecordingLogger} from '../testing/index.js';
+import {MemoryService} from '../testing/index.js';
 import {mockedClock, tick} from './mockedTime.js';
 
 const hosts = 12;
--- a/packages/proxy/src/__tests__/connectionPool.test.ts
+++ b/packages/proxy/src/__tests__/connectionPool.test.ts
@@ -1,10 +1,10 @@
 import {systemClock} from '@crocusloom/model';
+import {RecordingLogger, waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {ConnectionPool} from '../connectionPool.js';
 import {type ConnectionShare, connectionShareFor} from '../connectionShare.js';
 import {noParameters} from '../sessionParameters.js';
-import {MemoryService, RecordingLogger} from '../testing/index.js';
-import {waitUntil} from './proxyHarness.js';
+import {MemoryService} from '../testing/index.js';
 
 /** Creates a share without scarcity. */
 const shareWith = (guaranteed: number, maximum: number): ConnectionShare => ({
--- a/packages/proxy/src/__tests__/decisions.test.ts
+++ b/packages/proxy/src/__tests__/decisions.test.ts
@@ -1,4 +1,5 @@
 import {noopMetrics, noopLogger} from '@crocusloom/model';
+import {RecordingLogger} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {CommitSamples} from '../commitSamples.js';
 import {HostCount, connectionShareFor} from '../connectionShare.js';
@@ -7,7 +8,6 @@
 import {ranksOf, RouteTable} from '../routeTable.js';
 import {parameterSyncCommands} from '../sessionParameters.js';
 import {SlotLimit} from '../slotLimit.js';
-import {RecordingLogger} from '../testing/index.js';
 import {type ProxyConfiguration, type Route} from '../ports.js';
 import {manualClock} from './proxyHarness.js';
 
--- a/packages/proxy/src/__tests__/leavingServer.test.ts
+++ b/packages/proxy/src/__tests__/leavingServer.test.ts
@@ -1,4 +1,5 @@
 import {mock} from 'node:test';
+import {RecordingLogger} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {Backend} from '../backend.js';
 import {connectionShareFor} from '../connectionShare.js';
@@ -6,7 +7,7 @@
 import {type ServiceView} from '../serviceView.js';
 import {isRefused, StatementRunner} from '../statementRunner.js';
 import {leavingPrimaryGraceMs} from '../targetSearch.js';
-import {MemoryService, RecordingLogger} from '../testing/index.js';
+import {MemoryService} from '../testing/index.js';
 import {type DataWork, type WorkContext} from '../work.js';
 import {advanceTo, mockedClock} from './mockedTime.js';
 
--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -1,10 +1,11 @@
 import {systemClock} from '@crocusloom/model';
+import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {PromotionTask} from '../promotion.js';
 import {type PromotionLease, type PromotionResult, type PromotionService} from '../ports.js';
 import {type MemoryServer, type MemoryService} from '../testing/index.js';
 import {
-	errorOf, type Harness, run, startProxy, waitUntil,
+	errorOf, type Harness, run, startProxy,
 } from './proxyHarness.js';
 
 /** Interval at which the pauses of replicas are read while a promotion is under way. */
--- a/packages/proxy/src/__tests__/proxyHarness.ts
+++ b/packages/proxy/src/__tests__/proxyHarness.ts
@@ -1,10 +1,11 @@
 import {noopMetrics, systemClock} from '@crocusloom/model';
+import {RecordingLogger, waitUntil} from '@crocusloom/model/testing';
 import {type FreshnessRule, type ProxyConfiguration, type Route} from '../ports.js';
 import {type ServiceView} from '../serviceView.js';
 import {type Session} from '../session.js';
 import {SessionProxy} from '../sessionProxy.js';
 import {type Answer, type ErrorKind, type Statement} from '../statement.js';
-import {MemoryService, RecordingLogger} from '../testing/index.js';
+import {MemoryService} from '../testing/index.js';
 
 const freshnessRules: Readonly<Record<string, FreshnessRule>> = {
 	strict: {kind: 'primary'},
@@ -59,18 +60,6 @@
 	};
 }
 
-/** Waits until a condition holds; throws after the time limit. */
-export async function waitUntil(isDone: () => boolean, timeoutMs = 5000): Promise<void> {
-	const deadlineMs = systemClock.nowMs() + timeoutMs;
-	while (!isDone()) {
-		if (systemClock.nowMs() > deadlineMs) {
-			throw new Error(`not reached within ${timeoutMs} ms: ${isDone.toString()}`);
-		}
-
-		await systemClock.sleep(5);
-	}
-}
-
 let requestCount = 0;
 
 /** Runs a statement, given as a text of the platform's protocol, on a session. */
--- a/packages/proxy/src/__tests__/session.test.ts
+++ b/packages/proxy/src/__tests__/session.test.ts
@@ -1,9 +1,10 @@
 import {systemClock} from '@crocusloom/model';
+import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {type Session} from '../session.js';
 import {type MemoryService} from '../testing/index.js';
 import {
-	errorOf, type Harness, run, startProxy, waitUntil,
+	errorOf, type Harness, run, startProxy,
 } from './proxyHarness.js';
 
 describe('session', () => {
--- a/packages/proxy/src/testing/index.ts
+++ b/packages/proxy/src/testing/index.ts
@@ -1,2 +1,1 @@
 export * from './memoryService.js';
-export * from './recordingLogger.js';
