--- a/packages/proxy/src/__tests__/backend.test.ts
+++ b/packages/proxy/src/__tests__/backend.test.ts
@@ -1,17 +1,18 @@
 import {systemClock} from '@crocusloom/model';
+import {RecordingLogger, waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {Backend} from '../backend.js';
+import {type BackendDialer} from '../ports.js';
 import {probeStatus} from '../leadershipProver.js';
-import {MemoryService, RecordingLogger} from '../testing/index.js';
-import {waitUntil} from './proxyHarness.js';
+import {MemoryService} from '../testing/index.js';
 
-function backendOf(service: MemoryService, log: RecordingLogger): Backend {
+function backendOf(service: MemoryService, log: RecordingLogger, dialer: BackendDialer = service): Backend {
 	return new Backend(service.server('a').listing(), {
 		connections: {
 			guaranteed: 2, maximum: 4, isScarce: false, serverLimit: 20,
 		}, ranks: [],
 	}, {
-		dialer: service, clock: systemClock, random: {next: () => 0.5}, log,
+		dialer, clock: systemClock, random: {next: () => 0.5}, log,
 	});
 }
 
@@ -48,4 +49,23 @@
 		clearInterval(timer);
 		backend.close();
 	});
+
+	it('checks a server again after a check that fails unexpectedly (guards against an error that ends the process or the checks)', async () => {
+		const service = new MemoryService('ledger', ['a']);
+		service.server('a').isUnresponsive = true;
+		let checkCount = 0;
+		const backend = backendOf(service, new RecordingLogger(), {
+			dial: async server => service.dial(server),
+			async isReachable() {
+				checkCount++;
+				throw new RangeError('the port is out of range');
+			},
+		});
+		const timer = setInterval(() => {
+			backend.maintain(1);
+		}, 20);
+		await waitUntil(() => checkCount >= 6);
+		clearInterval(timer);
+		backend.close();
+	});
 });
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -235,11 +235,17 @@
 		this.queue.rejectWaiters('leaving', 'the backend server is no longer used');
 	}
 
-	/** Checks whether the host accepts at least one of several concurrent connection attempts. */
+	/** Checks whether the host accepts at least one of several concurrent connection attempts. An attempt that fails in another way counts as not accepted. */
 	async isHostReachable(): Promise<boolean> {
 		const attempts = Array.from({length: reachabilityAttempts}, async () => this.ports.dialer.isReachable(this.entry, reachabilityTimeoutMs));
-		const results = await Promise.all(attempts);
-		return results.includes(true);
+		const results = await Promise.allSettled(attempts);
+		for (const result of results) {
+			if (result.status === 'rejected') {
+				this.recordProbeFailure(result.reason);
+			}
+		}
+
+		return results.some(result => result.status === 'fulfilled' && result.value);
 	}
 
 	/** Closes all connections of a server whose host is unreachable, so that its work fails at once instead of timing out. */
