Go on after unexpected errors and start ended tasks again

An error that nothing handled ended the whole process with all its sessions, and a task that ended with an error was logged and never started again: the process went on without maintenance, or without the list of databases. A failed accept on the readiness or metrics port, for example with too many open files, was such an error as well.

An error during the start still ends the process, and so does a drain that fails.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,6 +10,7 @@
 import {Holder, WorkDispatcher, WorkServer} from '@crocusloom/work';
 import {type PromMetrics} from './metrics.js';
 import {type Settings} from './settings.js';
+import {runSupervised} from './supervisedTask.js';
 import {tokens} from './tokens.js';
 
 /**
@@ -27,8 +28,8 @@
 	constructor(
 		@inject(tokens.settings) private readonly settings: Settings,
 		@inject(tokens.signal) private readonly signal: AbortSignal,
-		@inject(tokens.log) private readonly log: Logger,
-		@inject(tokens.clock) private readonly clock: Clock,
+		@inject(tokens.log) readonly log: Logger,
+		@inject(tokens.clock) readonly clock: Clock,
 		@inject(tokens.promMetrics) private readonly metrics: PromMetrics,
 		@inject(tokens.configuration) private readonly configuration: ConfigurationSource,
 		@inject(ConfigurationStore) private readonly store: ConfigurationStore,
@@ -50,8 +51,8 @@
 		await this.peers.listen(this.signal);
 		await this.workServer.listen(peers.address, peers.workPort);
 		this.addSeedsFromHostList();
-		this.logUnexpectedFailure('membership', this.membership.run(this.signal));
-		this.logUnexpectedFailure('host list', this.hostList.run(this.signal));
+		void runSupervised('membership', async () => this.membership.run(this.signal), this, this.signal);
+		void runSupervised('host list', async () => this.hostList.run(this.signal), this, this.signal);
 		await startResourceApi({
 			address: operators.address,
 			port: operators.port,
@@ -105,15 +106,6 @@
 		}, this.signal);
 	}
 
-	/** Logs the error if a task fails before the process shuts down. */
-	private logUnexpectedFailure(task: string, promise: Promise<void>): void {
-		promise.catch((error: unknown) => {
-			if (!this.signal.aborted) {
-				this.log.error({task, error: error instanceof Error ? error.stack : String(error)}, 'a task ended unexpectedly');
-			}
-		});
-	}
-
 	/** Explains how a statement would be routed now, and why. */
 	private explain(request: ExplainRequest): RoutingExplanation & {readonly route: unknown; readonly statement: unknown} {
 		const classification = classify(request.statement);
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -6,6 +6,8 @@
 import {createContainer} from './composition.js';
 import {Daemon} from './daemon.js';
 import {formatProblem, readSettings, type Settings} from './settings.js';
+import {tokens} from './tokens.js';
+import {reportUnexpectedErrors} from './unexpectedErrors.js';
 
 /** Exit code if the settings file is invalid. */
 const invalidSettingsExitCode = 2;
@@ -30,7 +32,8 @@
 	const shutdownController = new AbortController();
 	// Every part of the process listens to this signal, so the warning about a possible listener leak does not apply.
 	setMaxListeners(0, shutdownController.signal);
-	const daemon = createContainer(settings, shutdownController.signal).resolve(Daemon);
+	const container = createContainer(settings, shutdownController.signal);
+	const daemon = container.resolve(Daemon);
 	let isShuttingDown = false;
 	const shutDown = async () => {
 		if (isShuttingDown) {
@@ -52,6 +55,8 @@
 	}
 
 	await daemon.start();
+	// An error during the start ends the process; only one that serves callers goes on.
+	reportUnexpectedErrors(process, daemon.log, container.resolve(tokens.promMetrics));
 }
 
 await yargs(hideBin(process.argv))
