Replace a failed primary beside an entry without a server

A well-formed entry of another writer names an address at which nothing ever answers, or at which another server answers. It counted as a server that may hold an acknowledged commit, so no promotion was made as long as the entry stood. It also raised the number of servers that a leadership proof asks, was chosen for reads again and again, held up the search for a primary by claiming to be one, and made every host check the store each 0.5 s and the address each 0.2 s.

A server at whose address another one answers is gone with its log: it is no longer used, counted or asked until its entry changes. A server that never answered this process since it was listed holds up promotions for 15 s; after that it is left out, provided that more other servers are paused than must have a commit. With three servers of which one must confirm, a real replica is therefore never left out. Until its entry is removed it still counts for proofs, which then need both replicas. Slots above the connection limit are not used.

Three new cases; with four listed servers, no promotion was made before.

--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -1,11 +1,12 @@
-import {systemClock} from '@crocusloom/model';
+import {type Clock, systemClock} from '@crocusloom/model';
 import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {PromotionTask} from '../promotion.js';
 import {type PromotionLease, type PromotionResult, type PromotionService} from '../ports.js';
-import {type MemoryServer, type MemoryService} from '../testing/index.js';
+import {unconfirmedServerGraceMs} from '../backend.js';
+import {type MemoryServer, MemoryService} from '../testing/index.js';
 import {
-	errorOf, type Harness, run, startProxy,
+	advanceableClock, errorOf, type Harness, run, startProxy,
 } from './proxyHarness.js';
 
 /** Interval at which the pauses of replicas are read while a promotion is under way. */
@@ -73,8 +74,8 @@
 		};
 	}
 
-	async function startHarness(): Promise<void> {
-		harness = await startProxy();
+	async function startHarness(service?: MemoryService, clock?: Clock): Promise<void> {
+		harness = await startProxy(service, clock);
 		lifetime = new AbortController();
 		token = 7;
 	}
@@ -245,6 +246,46 @@
 		expect([...latePromotionService.pausedTerms]).to.not.include(0);
 	}).timeout(15_000);
 
+	it('replaces a failed primary beside a listed server that never answered, after its grace time (guards against an entry without a server that blocks promotions)', async () => {
+		const service = new MemoryService('ledger', ['a', 'b', 'c', 'never']);
+		const clock = advanceableClock();
+		service.server('never').isUnresponsive = true;
+		await startHarness(service, clock);
+		startPromotions(createPromotionService(service));
+		service.server('a').isUnresponsive = true;
+		await systemClock.sleep(noPromotionMs);
+		expect(service.promotions, 'the server may hold an acknowledged commit').to.deep.equal([]);
+		clock.offsetMs = unconfirmedServerGraceMs;
+		await waitUntil(() => service.promotions.length > 0);
+		expect(['b', 'c']).to.include(service.promotions[0]!.server);
+	}).timeout(15_000);
+
+	it('waits for a replica that never answered if too few others are paused (guards against lost commits)', async () => {
+		const service = new MemoryService('ledger', ['a', 'b', 'c']);
+		const clock = advanceableClock();
+		service.server('c').isUnresponsive = true;
+		await startHarness(service, clock);
+		startPromotions(createPromotionService(service));
+		service.server('a').isUnresponsive = true;
+		clock.offsetMs = unconfirmedServerGraceMs;
+		await systemClock.sleep(noPromotionMs);
+		expect(service.promotions).to.deep.equal([]);
+		service.server('c').isUnresponsive = false;
+		await waitUntil(() => service.promotions.length > 0);
+	}).timeout(15_000);
+
+	it('replaces a failed primary and proves its successor beside a listed server whose address has another server (guards against entries that outlive their server)', async () => {
+		const service = new MemoryService('ledger', ['a', 'b', 'c', 'gone']);
+		service.server('gone').isReplaced = true;
+		await startHarness(service);
+		startPromotions(createPromotionService(service));
+		await errorOf(harness.proxy.openSession('strict', 'u'), 'READ x');
+		service.server('a').isUnresponsive = true;
+		await waitUntil(() => service.promotions.length > 0);
+		await waitUntilServed();
+		expect(await errorOf(harness.proxy.openSession('strict', 'u'), 'READ x'), 'two of three servers are enough for a proof').to.equal(undefined);
+	}).timeout(15_000);
+
 	it('keeps replicas paused if the repetition of an unanswered request is refused (guards against commits that the promoted server lacks)', async () => {
 		await startHarness();
 		const {service} = harness;
--- a/packages/proxy/src/__tests__/proxyHarness.ts
+++ b/packages/proxy/src/__tests__/proxyHarness.ts
@@ -1,4 +1,4 @@
-import {noopMetrics, systemClock} from '@crocusloom/model';
+import {type Clock, noopMetrics, systemClock} from '@crocusloom/model';
 import {RecordingLogger, waitUntil} from '@crocusloom/model/testing';
 import {type FreshnessRule, type ProxyConfiguration, type Route} from '../ports.js';
 import {type ServiceView} from '../serviceView.js';
@@ -23,11 +23,11 @@
 };
 
 /** Starts a proxy in front of an in-memory service and waits until the primary is known. */
-export async function startProxy(service = new MemoryService('ledger', ['a', 'b', 'c'])): Promise<Harness> {
+export async function startProxy(service = new MemoryService('ledger', ['a', 'b', 'c']), clock: Clock = systemClock): Promise<Harness> {
 	const log = new RecordingLogger();
 	const lifetime = new AbortController();
 	const proxy = new SessionProxy({
-		clock: systemClock, random: {next: () => 0.5}, log, metrics: noopMetrics, dialer: service, failureDomain: 'a', configurationBoundMs: 3000,
+		clock, random: {next: () => 0.5}, log, metrics: noopMetrics, dialer: service, failureDomain: 'a', configurationBoundMs: 3000,
 	});
 	const configure = (version: number, databases: readonly string[]) => {
 		const routes = databases.map((database): [string, Route] => [database, {
@@ -74,6 +74,17 @@
 	return error?.kind;
 }
 
+/** Creates a clock that runs with the system's clock, and that tests advance by raising `offsetMs`. */
+export function advanceableClock(): Clock & {offsetMs: number} {
+	return {
+		...systemClock,
+		offsetMs: 0,
+		nowMs() {
+			return systemClock.nowMs() + this.offsetMs;
+		},
+	};
+}
+
 /** Creates a clock that tests advance by setting `timeMs`. Its `sleep` resolves at once. */
 export function manualClock() {
 	return {
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -33,6 +33,10 @@
 const reachabilityAttempts = 2;
 /** Minimum time between two reachability checks. */
 const reachabilityRetryMs = 200;
+/** Time after which a listed server that never answered may belong to an entry without a server. */
+export const unconfirmedServerGraceMs = 15_000;
+/** Minimum time between two reachability checks of such a server. */
+const unconfirmedRetryMs = 2000;
 
 export type BackendPorts = {
 	readonly dialer: BackendDialer;
@@ -67,13 +71,17 @@
 	private inFlightSinceMs = 0;
 	private isChecking = false;
 	private failuresSinceContact = 0;
+	/** False until the server has answered or accepted a connection for the first time. */
+	private hasAnswered = false;
+	/** True after another server answered at the address. */
+	private isReplaced = false;
 
 	constructor(entry: BackendServer, limits: BackendLimits, private readonly ports: BackendPorts) {
 		this.entry = entry;
 		this.ranks = limits.ranks;
 		this.lastContactMs = ports.clock.nowMs();
 		this.updateLeavingSince();
-		this.slotLimit = new SlotLimit(Math.max(1, entry.slots));
+		this.slotLimit = new SlotLimit(usableSlots(entry, limits));
 		this.pool = new ConnectionPool(entry, limits.connections, {
 			...ports,
 			onAvailable: () => {
@@ -107,7 +115,17 @@
 
 	/** True while connections to the server fail or its reachability is being checked. */
 	get isSuspected(): boolean {
-		return this.isChecking || this.isDown;
+		return this.isChecking || this.isDown || this.isReplaced;
+	}
+
+	/** True if another server answered at the address of this one, which is therefore gone with its log although its entry remains. */
+	get isReplacedAtAddress(): boolean {
+		return this.isReplaced;
+	}
+
+	/** Time since the server was listed if all attempts to reach it have failed since then; 0 if it ever answered or was never tried. */
+	get neverAnsweredForMs(): number {
+		return this.hasAnswered ? 0 : this.noContactForMs;
 	}
 
 	/** Time since the last contact if an attempt to reach the server has failed since then; 0 otherwise. */
@@ -121,10 +139,11 @@
 			this.appliedPosition = undefined;
 		}
 
+		this.isReplaced &&= entry.revision === this.entry.revision;
 		this.entry = entry;
 		this.updateLeavingSince();
 		this.ranks = limits.ranks;
-		this.slotLimit.setCeiling(Math.max(1, entry.slots));
+		this.slotLimit.setCeiling(usableSlots(entry, limits));
 		this.pool.configure(entry, limits.connections);
 		this.applySlotLimit();
 	}
@@ -223,7 +242,8 @@
 	maintain(warmConnections: number): void {
 		const nowMs = this.ports.clock.nowMs();
 		const isSilent = this.inFlight > 0 && nowMs - Math.max(this.lastContactMs, this.inFlightSinceMs) > silenceThresholdMs;
-		if (!this.isChecking && (isSilent || this.isDown) && nowMs - this.lastCheckMs >= reachabilityRetryMs) {
+		const retryMs = this.neverAnsweredForMs >= unconfirmedServerGraceMs ? unconfirmedRetryMs : reachabilityRetryMs;
+		if (!this.isChecking && (isSilent || this.isDown) && nowMs - this.lastCheckMs >= retryMs) {
 			void this.checkReachability();
 		}
 
@@ -285,7 +305,9 @@
 	private recordContact(): void {
 		this.lastContactMs = this.ports.clock.nowMs();
 		this.failuresSinceContact = 0;
+		this.hasAnswered = true;
 		this.isDown = false;
+		this.isReplaced = false;
 	}
 
 	private async withConnectionTimeout<T>(work: Promise<T>, timeoutMs: number, onTimeout: () => void): Promise<T> {
@@ -304,6 +326,10 @@
 
 		this.failuresSinceContact++;
 		this.isDown ||= failure.kind === 'refused' || failure.kind === 'unreachable';
+		if (failure.kind === 'wrongServer' && !this.isReplaced) {
+			this.isReplaced = true;
+			this.ports.log.warn({server: this.id, address: this.entry.address, reason: failure.message}, 'another server answers at the address of a backend server');
+		}
 	}
 
 	private updateLeavingSince(): void {
@@ -360,3 +386,8 @@
 		this.queue.configure({slotLimit: this.slotLimit.value, ranks: this.ranks});
 	}
 }
+
+/** Number of slots that can be in use at a time, because each statement in a slot has a connection. */
+function usableSlots({slots}: BackendServer, {connections}: BackendLimits): number {
+	return Math.max(1, Math.min(slots, connections.serverLimit));
+}
--- a/packages/proxy/src/connectivity.ts
+++ b/packages/proxy/src/connectivity.ts
@@ -1,4 +1,5 @@
 import {type Clock} from '@crocusloom/model';
+import {type Backend, unconfirmedServerGraceMs} from './backend.js';
 import {type ConnectivityCheck} from './isolationDetector.js';
 import {type ServiceView} from './serviceView.js';
 import {isTrueWithin} from './withTimeout.js';
@@ -8,7 +9,13 @@
 
 /** Checks for signs of a network partition: an unknown primary or a server that does not answer. */
 export function isIsolationSuspected(services: readonly ServiceView[]): boolean {
-	return services.some(view => view.currentPrimary === undefined || view.listBackends().some(backend => backend.isSuspected || backend.noContactForMs > 0));
+	return services.some(view => view.currentPrimary === undefined || view.listBackends().some(backend => isSilent(backend)));
+}
+
+/** A server that has not answered for long since it was listed, or that another one replaced, is no sign of a partition. */
+function isSilent(backend: Backend): boolean {
+	const isKnownToBeMissing = backend.isReplacedAtAddress || backend.neverAnsweredForMs >= unconfirmedServerGraceMs;
+	return !isKnownToBeMissing && (backend.isSuspected || backend.noContactForMs > 0);
 }
 
 /**
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -1,7 +1,7 @@
 import {
 	type Clock, comparePositions, formatPosition, type Logger, errorMessageOf,
 } from '@crocusloom/model';
-import {type Backend} from './backend.js';
+import {type Backend, unconfirmedServerGraceMs} from './backend.js';
 import {OrphanedPauseCleaner, promotionSettleMs} from './orphanedPauseCleaner.js';
 import {probeStatus} from './leadershipProver.js';
 import {type PromotionLease, type PromotionService} from './ports.js';
@@ -51,6 +51,8 @@
 	readonly term: number;
 	/** Term of the primary that is replaced; 0 if no primary is known. */
 	readonly primaryTerm: number;
+	/** Number of replicas that have each acknowledged commit. */
+	readonly syncReplicas: number;
 };
 
 /** The primary that a promotion replaces. */
@@ -145,7 +147,7 @@
 
 		const startedMs = this.ports.clock.nowMs();
 		const primary = 'primary' in need ? need.primary : undefined;
-		const others = view.listBackends().filter(backend => backend !== primary);
+		const others = view.listMembers().filter(backend => backend !== primary);
 		const statuses = await Promise.all(view.listBackends().map(async backend => ({
 			backend, status: await probeStatus(backend, need.kind === 'failed' && backend === primary ? finalProbeTimeoutMs : undefined),
 		})));
@@ -170,7 +172,7 @@
 			service: view.name, need: need.kind, primary: primary?.id, term, others: others.map(({id}) => id),
 		}, 'a promotion begins');
 		const pauses = new ReplicationPauses(this.ports.log);
-		const terms: PromotionTerms = {term, primaryTerm: view.currentPrimary?.term ?? 0};
+		const terms: PromotionTerms = {term, primaryTerm: view.currentPrimary?.term ?? 0, syncReplicas: view.syncReplicas};
 		const candidate = need.kind === 'leaving'
 			? await this.switchOver(need.primary, others, terms, pauses)
 			: await this.pauseAndChooseCandidate(others, terms, pauses);
@@ -184,14 +186,15 @@
 	}
 
 	/** Makes a leaving primary step down and waits until another server has its complete log. */
-	private async switchOver(primary: Backend, others: readonly Backend[], {term, primaryTerm}: PromotionTerms, pauses: ReplicationPauses): Promise<Candidate> {
+	private async switchOver(primary: Backend, others: readonly Backend[], terms: PromotionTerms, pauses: ReplicationPauses): Promise<Candidate> {
 		const stayingBackends = others.filter(backend => !backend.server.isLeaving);
 		const statuses = await Promise.all((stayingBackends.length > 0 ? stayingBackends : others).map(async backend => ({backend, status: await probeStatus(backend)})));
-		if (!statuses.some(({status}) => status)) {
+		const answeringBackends = statuses.filter(({status}) => status).map(({backend}) => backend);
+		if (answeringBackends.length === 0) {
 			throw new PromotionHalt('no other server answers');
 		}
 
-		const finalStatus = await sendControlCommand(primary, {kind: 'stepDown', term});
+		const finalStatus = await sendControlCommand(primary, {kind: 'stepDown', term: terms.term});
 		if (!finalStatus) {
 			throw new PromotionHalt('the leaving primary did not confirm the command to step down');
 		}
@@ -199,7 +202,7 @@
 		const deadlineMs = this.ports.clock.nowMs() + catchUpTimeoutMs;
 		const requiredPosition = finalStatus.receivedPosition;
 		while (this.ports.clock.nowMs() < deadlineMs) {
-			for (const {backend} of statuses) {
+			for (const backend of answeringBackends) {
 				const status = await probeStatus(backend);
 				if (status && comparePositions(status.receivedPosition, requiredPosition) >= 0) {
 					return {backend, status};
@@ -209,22 +212,30 @@
 			await this.ports.clock.sleep(pollIntervalMs);
 		}
 
-		return this.pauseAndChooseCandidate([...others, primary], {term: term + 1, primaryTerm}, pauses);
+		return this.pauseAndChooseCandidate([...others, primary], {...terms, term: terms.term + 1}, pauses);
 	}
 
 	/**
-	 * Pauses replication to the servers and chooses the one with the most complete log.
+	 * Pauses replication to the servers and chooses the one with the most complete log. An entry without a server, which never answered,
+	 * is left out once enough others are paused, so that it does not keep a primary from being replaced for ever.
 	 * @throws PromotionHalt if one cannot be paused, because it might be the only one with an acknowledged commit
 	 */
-	private async pauseAndChooseCandidate(others: readonly Backend[], {term, primaryTerm}: PromotionTerms, pauses: ReplicationPauses): Promise<Candidate> {
+	private async pauseAndChooseCandidate(others: readonly Backend[], {term, primaryTerm, syncReplicas}: PromotionTerms, pauses: ReplicationPauses): Promise<Candidate> {
 		const results = await Promise.all(others.map(async backend => ({backend, status: await pauses.pause(backend, term, primaryTerm)})));
 		const candidates = results.filter((result): result is Candidate => result.status !== undefined);
-		if (candidates.length < others.length || candidates.length === 0) {
+		const unpausedBackends = results.filter(({status}) => !status).map(({backend}) => backend);
+		const hasEnoughCandidates = candidates.length > syncReplicas;
+		const blockingBackends = unpausedBackends.filter(backend => !(hasEnoughCandidates && backend.neverAnsweredForMs >= unconfirmedServerGraceMs));
+		if (blockingBackends.length > 0 || candidates.length === 0) {
 			await pauses.endAll();
-			const receivingIds = results.filter(({status}) => !status).map(({backend}) => backend.id);
+			const receivingIds = blockingBackends.map(({id}) => id);
 			throw new PromotionHalt(`replication to ${receivingIds.join(', ') || 'any server'} could not be paused, which may hold an acknowledged commit alone`);
 		}
 
+		if (unpausedBackends.length > 0) {
+			this.ports.log.warn({servers: unpausedBackends.map(({id}) => id), graceMs: unconfirmedServerGraceMs}, 'listed servers that never answered are left out of a promotion');
+		}
+
 		return candidates.toSorted(compareCandidates)[0]!;
 	}
 
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -53,7 +53,7 @@
 		this.clock = ports.clock;
 		this.log = ports.log;
 		this.prover = new LeadershipProver(
-			() => this.primary && {primary: this.primary, others: this.listBackends().filter(backend => backend !== this.primary?.backend), syncReplicas: this.spec.syncReplicas},
+			() => this.primary && {primary: this.primary, others: this.listMembers().filter(backend => backend !== this.primary?.backend), syncReplicas: this.spec.syncReplicas},
 			() => this.clock.nowMs(),
 		);
 	}
@@ -78,6 +78,16 @@
 		return [...this.backends.values()];
 	}
 
+	/** Returns the listed servers that can hold commits: all but those that are gone, as another server answers at their address. */
+	listMembers(): readonly Backend[] {
+		return this.listBackends().filter(backend => !backend.isReplacedAtAddress);
+	}
+
+	/** Number of replicas that must receive a commit before it is acknowledged. */
+	get syncReplicas(): number {
+		return this.spec.syncReplicas;
+	}
+
 	/** Applies a changed configuration. */
 	configure(spec: ServiceSpec, ranks: readonly RankPolicy[]): void {
 		this.spec = spec;
@@ -283,7 +293,7 @@
 	 * the primary is still unknown.
 	 */
 	private async probeForPrimary(): Promise<void> {
-		const [claimant, ...otherClaimants] = this.listBackends().filter(backend => backend.server.role === 'primary' && backend !== this.lastPrimary?.backend);
+		const [claimant, ...otherClaimants] = this.listBackends().filter(backend => backend.server.role === 'primary' && backend !== this.lastPrimary?.backend && !backend.isSuspected);
 		if (claimant && otherClaimants.length === 0) {
 			await this.probeBackend(claimant);
 		}
@@ -320,7 +330,7 @@
 		}
 
 		const startedMs = this.clock.nowMs();
-		const others = this.listBackends().filter(backend => backend !== primary?.backend);
+		const others = this.listMembers().filter(backend => backend !== primary?.backend);
 		const statuses = await Promise.all(others.map(async backend => probeStatus(backend)));
 		if (!primary || others.length < minimumOthersForSample || statuses.includes(undefined)) {
 			return;
--- a/packages/proxy/src/testing/memoryService.ts
+++ b/packages/proxy/src/testing/memoryService.ts
@@ -44,6 +44,8 @@
 	/** If true, the server neither accepts connections nor answers requests. */
 	isUnresponsive = false;
 	isLeaving = false;
+	/** If true, another server answers at the address. */
+	isReplaced = false;
 	/** If true, the server refuses connections as if it were at its connection limit. */
 	isFull = false;
 	/** Number of further caller statements that the server runs without answering them. */
@@ -203,6 +205,10 @@
 			throw new ConnectionError({kind: 'unreachable', message: 'unresponsive'}, 'connect', server.id);
 		}
 
+		if (target.isReplaced) {
+			throw new ConnectionError({kind: 'wrongServer', message: 'another server'}, 'connect', server.id);
+		}
+
 		if (target.isFull || target.openConnections >= this.maxConnections) {
 			throw new ConnectionError({kind: 'connectionLimit', message: 'full'}, 'connect', server.id);
 		}
@@ -220,7 +226,7 @@
 
 /** Checks whether a primary can send its log to a follower. */
 function canExchange(primary: MemoryServer, follower: MemoryServer): boolean {
-	return !follower.isUnresponsive && !follower.partitionedFrom.has(primary) && !primary.partitionedFrom.has(follower);
+	return !follower.isUnresponsive && !follower.isReplaced && !follower.partitionedFrom.has(primary) && !primary.partitionedFrom.has(follower);
 }
 
 type Transaction = {readonly readOnly: boolean; readonly writes: string[]};
