Let running work finish at a server whose entry lapsed

A server that does not reach the store for three heartbeats loses its entry, although it runs and answers. 2.5 s later all its connections were closed: open transactions were aborted, and running writes were in doubt. The same happened to the servers of a service that a configuration no longer has.

Now such a server gets no new work, its idle connections are closed, and the others when their statement or transaction has ended. It stays under the check of reachability meanwhile, so a dead one holds nothing until its deadline. A server that started again, or at another address, is cut off as before, because its earlier process is gone.

--- a/packages/proxy/src/__tests__/leavingServer.test.ts
+++ b/packages/proxy/src/__tests__/leavingServer.test.ts
@@ -1,5 +1,6 @@
 import {mock} from 'node:test';
-import {RecordingLogger} from '@crocusloom/model/testing';
+import {systemClock} from '@crocusloom/model';
+import {RecordingLogger, waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {Backend} from '../backend.js';
 import {connectionShareFor} from '../connectionShare.js';
@@ -10,6 +11,9 @@
 import {MemoryService} from '../testing/index.js';
 import {type DataWork, type WorkContext} from '../work.js';
 import {advanceTo, mockedClock} from './mockedTime.js';
+import {
+	errorOf, type Harness, run, startProxy,
+} from './proxyHarness.js';
 
 /** Duration of the statement that occupies the only slot while the grace time ends. */
 const blockingStatementMs = 1500;
@@ -52,6 +56,66 @@
 	};
 }
 
+type Removal = {readonly title: string; readonly remove: (harness: Harness) => void};
+
+const removals: readonly Removal[] = [
+	{
+		title: 'a server whose entry is removed',
+		remove({proxy, service}) {
+			proxy.setServers(service.listings().filter(({id}) => id !== 'a'));
+		},
+	},
+	{
+		title: 'the servers of a service that is no longer configured',
+		remove({proxy}) {
+			proxy.routes.apply({
+				version: 2, routes: new Map(), services: new Map(), transactionIdleMs: 3000,
+			});
+		},
+	},
+];
+
+describe('removed server', () => {
+	let harness: Harness;
+
+	beforeEach(async () => {
+		harness = await startProxy();
+	});
+
+	afterEach(() => {
+		harness.stop();
+	});
+
+	async function expectWorkToFinish({remove}: Removal): Promise<void> {
+		const {service, proxy} = harness;
+		const transactionSession = proxy.openSession('strict', 'u1');
+		await run(transactionSession, 'BEGIN');
+		await run(transactionSession, 'WRITE x 1');
+		service.server('a').statementDurationMs = 200;
+		const write = run(proxy.openSession('strict', 'u2'), 'WRITE y 1');
+		await systemClock.sleep(50);
+		remove(harness);
+		const {error} = await write;
+		expect(error).to.equal(undefined);
+		const commit = await run(transactionSession, 'COMMIT');
+		expect(commit.error).to.equal(undefined);
+		expect(service.acknowledged.length).to.equal(2);
+		await waitUntil(() => service.server('a').openConnections === 0);
+	}
+
+	for (const removal of removals) {
+		it(`lets ${removal.title} finish a running statement and an open transaction (guards against work that is given up because a server was silent towards the store)`, async () => expectWorkToFinish(removal));
+	}
+
+	it('sends no new work to a server whose entry is removed (guards against work at a server that is gone)', async () => {
+		const {service, proxy} = harness;
+		proxy.setServers(service.listings().filter(({id}) => id !== 'a'));
+		const runsBefore = service.runs.length;
+		expect(await errorOf(proxy.openSession('strict', 'u'), 'WRITE x 1')).to.equal('overloaded');
+		expect(service.runs.slice(runsBefore).filter(({server, command}) => server === 'a' && 'id' in command)).to.deep.equal([]);
+	});
+});
+
 describe('leaving server', () => {
 	beforeEach(() => {
 		mock.timers.enable({apis: ['setTimeout', 'setInterval']});
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -75,6 +75,7 @@
 	private hasAnswered = false;
 	/** True after another server answered at the address. */
 	private isReplaced = false;
+	private hasRetired = false;
 
 	constructor(entry: BackendServer, limits: BackendLimits, private readonly ports: BackendPorts) {
 		this.entry = entry;
@@ -250,9 +251,22 @@
 		this.pool.maintain(this.isSuspected ? 0 : warmConnections);
 	}
 
+	/** True once the server takes no new work because it is no longer listed. */
+	get isRetired(): boolean {
+		return this.hasRetired;
+	}
+
+	/** Takes no new work, and lets the statements and transactions that are running end by themselves. */
+	retire(): void {
+		this.hasRetired = true;
+		this.pool.retire();
+		this.queue.rejectWaiters('leaving', 'the backend server is no longer used');
+	}
+
+	/** Ends all work and closes all connections. */
 	close(): void {
+		this.retire();
 		this.pool.close();
-		this.queue.rejectWaiters('leaving', 'the backend server is no longer used');
 	}
 
 	/** Checks whether the host accepts at least one of several concurrent connection attempts. An attempt that fails in another way counts as not accepted. */
--- a/packages/proxy/src/connectionPool.ts
+++ b/packages/proxy/src/connectionPool.ts
@@ -143,16 +143,22 @@
 		this.closeSurplusIdle();
 	}
 
-	/** Closes the pool and all connections. Requests in flight fail. */
-	close(): void {
+	/** Opens no further connections and closes the idle ones; those in use are closed when they are released. */
+	retire(): void {
 		this.isClosed = true;
-		for (const connection of this.connections) {
+		for (const connection of this.idle) {
 			connection.close();
 		}
 
 		this.failWaiters(new ConnectionError({kind: 'closed', message: 'the backend server is no longer used'}, 'connect', this.server.id));
 	}
 
+	/** Closes the pool and all connections. Requests in flight fail. */
+	close(): void {
+		this.retire();
+		this.closeAll();
+	}
+
 	/** Closes all connections, because the server is unreachable. New connections may be opened. */
 	closeAll(): void {
 		for (const connection of this.connections) {
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -36,6 +36,8 @@
 	/** Called when the primary or the list of servers changes. */
 	private readonly listeners = new Set<Listener>();
 	private readonly backends = new Map<string, Backend>();
+	/** Servers that are no longer listed and still have connections in use. */
+	private readonly retiredBackends = new Set<Backend>();
 	private readonly prover: LeadershipProver;
 	private primary: KnownPrimary | undefined;
 	/** Last known primary; kept while the primary is unknown. */
@@ -124,6 +126,8 @@
 			backend.maintain(backend === this.primary?.backend ? 1 : 0);
 		}
 
+		this.maintainRetired();
+
 		if (!this.primary) {
 			void this.findPrimary();
 		}
@@ -236,8 +240,30 @@
 		return this.samples.oldestSampleSince(oldestMs)?.position;
 	}
 
-	close(): void {
+	/** True while a server that takes no new work still has connections in use. */
+	get hasRunningWork(): boolean {
+		return this.retiredBackends.size > 0;
+	}
+
+	/** Takes no new work, because the service is no longer configured, and lets running work end by itself. */
+	retire(): void {
 		for (const backend of this.listBackends()) {
+			this.removeBackend(backend);
+		}
+	}
+
+	/** Maintains the connections of servers that take no new work, until the last one is closed. */
+	maintainRetired(): void {
+		for (const backend of this.retiredBackends) {
+			backend.maintain(0);
+			if (backend.pool.openCount === 0) {
+				this.retiredBackends.delete(backend);
+			}
+		}
+	}
+
+	close(): void {
+		for (const backend of [...this.listBackends(), ...this.retiredBackends]) {
 			backend.close();
 		}
 	}
@@ -246,14 +272,19 @@
 		return {connections: connectionShareFor(this.spec.maxConnections, this.ports.hostCount()), ranks: this.ranks};
 	}
 
+	/** Removes a server that is no longer listed. Its entry may only have lapsed, so the work that it is running goes on. */
 	private removeBackend(backend: Backend): void {
+		this.forget(backend);
+		backend.retire();
+		this.retiredBackends.add(backend);
+		this.log.info({service: this.name, server: backend.id, connectionsInUse: backend.pool.openCount}, 'a backend server is no longer listed');
+	}
+
+	private forget(backend: Backend): void {
 		this.backends.delete(backend.id);
 		if (this.primary?.backend === backend) {
 			this.primary = undefined;
 		}
-
-		backend.close();
-		this.log.info({service: this.name, server: backend.id}, 'a backend server is no longer listed');
 	}
 
 	private addOrUpdate(server: BackendServer): void {
@@ -264,7 +295,9 @@
 		}
 
 		if (existing) {
-			this.removeBackend(existing);
+			// The earlier process of the server is gone, and its work with it.
+			this.forget(existing);
+			existing.close();
 		}
 
 		this.backends.set(server.id, new Backend(server, this.limits(), this.ports));
--- a/packages/proxy/src/sessionProxy.ts
+++ b/packages/proxy/src/sessionProxy.ts
@@ -32,6 +32,8 @@
 	readonly routes: RouteTable;
 	readonly configurationAge: ConfigurationAge;
 	private readonly views = new Map<string, ServiceView>();
+	/** Views of services that are no longer configured and still run statements. */
+	private readonly retiredViews = new Set<ServiceView>();
 	private readonly runner: StatementRunner;
 	private readonly decisionLog: DecisionLog;
 	private servers: readonly BackendServer[] = [];
@@ -103,17 +105,27 @@
 				view.maintain();
 			}
 
+			this.maintainRetiredViews();
 			await this.ports.clock.sleep(maintenanceIntervalMs, signal);
 		}
 	}
 
 	/** Closes all connections to backend servers. */
 	close(): void {
-		for (const view of this.views.values()) {
+		for (const view of [...this.views.values(), ...this.retiredViews]) {
 			view.close();
 		}
 	}
 
+	private maintainRetiredViews(): void {
+		for (const view of this.retiredViews) {
+			view.maintainRetired();
+			if (!view.hasRunningWork) {
+				this.retiredViews.delete(view);
+			}
+		}
+	}
+
 	private applyHostCount(): void {
 		const hosts = this.hostCount.recentMaximum;
 		if (hosts === this.appliedHostCount) {
@@ -131,7 +143,8 @@
 		for (const [name, view] of this.views) {
 			if (!configuration.services.has(name)) {
 				this.views.delete(name);
-				view.close();
+				this.retiredViews.add(view);
+				view.retire();
 			}
 		}
 
--- a/packages/proxy/src/statementRunner.ts
+++ b/packages/proxy/src/statementRunner.ts
@@ -339,10 +339,10 @@
 
 /**
  * Checks that a server still takes new work. The waits for a slot and a connection may have lasted until its grace time was over.
- * @throws Refusal if the server has been leaving for longer than the grace time
+ * @throws Refusal if the server is no longer listed or has been leaving for longer than the grace time
  */
 function requireNewWorkAccepted(backend: Backend): void {
-	if (backend.leavingForMs > leavingPrimaryGraceMs) {
+	if (backend.isRetired || backend.leavingForMs > leavingPrimaryGraceMs) {
 		throw new Refusal({kind: 'overloaded', message: `${backend.id} is leaving and takes no new work`});
 	}
 }
