Hand the promotion lease over only after running promotions

At SIGTERM the lease was released at once, also between the order of a promotion and its effect. The next holder could then pause the same servers and request a promotion of its own while the first one took effect: orders of two processes for one failure.

Now a stopping process begins no promotion, waits for those that are running, and releases the lease then.

--- a/packages/proxy/src/__tests__/leavingServer.test.ts
+++ b/packages/proxy/src/__tests__/leavingServer.test.ts
@@ -104,7 +104,7 @@
 	}
 
 	for (const removal of removals) {
-		it(`lets ${removal.title} finish a running statement and an open transaction (guards against work that is given up because a server was silent towards the store)`, async () => expectWorkToFinish(removal));
+		it(`lets ${removal.title} finish a statement and a transaction (guards against work that is given up because a server was silent towards the store)`, async () => expectWorkToFinish(removal));
 	}
 
 	it('sends no new work to a server whose entry is removed (guards against work at a server that is gone)', async () => {
--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -80,12 +80,13 @@
 		token = 7;
 	}
 
-	function startPromotions(promotionService: PromotionService): void {
+	function startPromotions(promotionService: PromotionService): PromotionTask {
 		const lease: PromotionLease = {holder: 'h', fencingToken: () => token, confirm: async () => token !== undefined};
 		const task = new PromotionTask(() => harness.proxy.services, {
 			clock: systemClock, log: harness.log, lease, promotionService,
 		});
 		task.run(lifetime.signal).catch(() => undefined);
+		return task;
 	}
 
 	/** Starts a proxy that knows the second server as the primary, while the first one still claims its old term. */
@@ -378,6 +379,31 @@
 		connection.close();
 	});
 
+	it('finishes a running promotion and begins no other one before the lease is handed over (guards against two processes that promote at the same time)', async () => {
+		await startHarness();
+		const {service, log} = harness;
+		const [primary, ...replicas] = service.servers as [MemoryServer, ...MemoryServer[]];
+		const latePromotionService = new LatePromotionService(service, {delayMs: 800, response: 'accepted', replicas});
+		const task = startPromotions(latePromotionService);
+		primary.isUnresponsive = true;
+		await waitUntil(() => log.withMessage('a promotion was ordered').length > 0);
+		expect(await task.stop(5000)).to.equal(true);
+		expect(log.withMessage('a promotion took effect').length).to.equal(1);
+		service.server(harness.view.currentPrimary!.backend.id).isUnresponsive = true;
+		await systemClock.sleep(noPromotionMs);
+		expect(log.withMessage('a promotion was ordered').length).to.equal(1);
+	}).timeout(15_000);
+
+	it('reports a promotion that does not finish in time (guards against a lease that is handed over while a request may take effect)', async () => {
+		await startHarness();
+		const {service, log} = harness;
+		const [primary, ...replicas] = service.servers as [MemoryServer, ...MemoryServer[]];
+		const task = startPromotions(new LatePromotionService(service, {delayMs: 1500, response: 'retry', replicas}));
+		primary.isUnresponsive = true;
+		await waitUntil(() => log.withMessage('a promotion was ordered').length > 0);
+		expect(await task.stop(200)).to.equal(false);
+	}).timeout(15_000);
+
 	it('resumes replication after a promotion (guards against commits that are never acknowledged because replicas stay paused)', async () => {
 		await start();
 		const {service} = harness;
--- a/packages/proxy/src/connectionPool.ts
+++ b/packages/proxy/src/connectionPool.ts
@@ -150,7 +150,7 @@
 			connection.close();
 		}
 
-		this.failWaiters(new ConnectionError({kind: 'closed', message: 'the backend server is no longer used'}, 'connect', this.server.id));
+		this.failWaiters(this.closedError());
 	}
 
 	/** Closes the pool and all connections. Requests in flight fail. */
@@ -197,6 +197,10 @@
 	}
 
 	private async waitForConnection(parameters: SessionParameters): Promise<PooledConnection> {
+		if (this.isClosed) {
+			throw this.closedError();
+		}
+
 		return new Promise((resolve, reject) => {
 			this.waiters.push({parameters, resolve, reject});
 			this.dialForWaiters();
@@ -300,6 +304,10 @@
 		return this.connections.size < this.share.guaranteed ? guaranteedShareBackoffMs : borrowedShareBackoffMs;
 	}
 
+	private closedError(): ConnectionError {
+		return new ConnectionError({kind: 'closed', message: 'the backend server is no longer used'}, 'connect', this.server.id);
+	}
+
 	private failWaiters(error: unknown): void {
 		for (const waiter of this.waiters.splice(0)) {
 			waiter.reject(error);
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -81,6 +81,8 @@
 	private readonly activeChecks = new Set<ServiceView>();
 	/** Times until which repeated requests may still take effect. */
 	private readonly repeatsPendingUntilMs = new Map<ServiceView, number>();
+	private runningPromotions = 0;
+	private isStopping = false;
 
 	constructor(private readonly services: () => readonly ServiceView[], private readonly ports: PromotionPorts) {}
 
@@ -88,6 +90,10 @@
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			await this.ports.clock.sleep(checkIntervalMs, signal);
+			if (this.isStopping) {
+				return;
+			}
+
 			if (this.ports.lease.fencingToken() === undefined) {
 				this.monitors.clear();
 				continue;
@@ -101,6 +107,23 @@
 		}
 	}
 
+	/**
+	 * Begins no further promotions and waits for those that are running, so that the lease can be handed over. The next holder could
+	 * otherwise request a promotion of the same service while a request of this process may still take effect.
+	 * @param timeoutMs - longest wait in milliseconds
+	 * @returns false if a promotion is still running after the timeout
+	 */
+	async stop(timeoutMs: number): Promise<boolean> {
+		this.isStopping = true;
+		const {clock} = this.ports;
+		const deadlineMs = clock.nowMs() + timeoutMs;
+		while (this.runningPromotions > 0 && clock.nowMs() < deadlineMs) {
+			await clock.sleep(pollIntervalMs);
+		}
+
+		return this.runningPromotions === 0;
+	}
+
 	/** Checks one service and replaces its primary if necessary. */
 	private async checkService(view: ServiceView, signal: AbortSignal): Promise<void> {
 		this.activeChecks.add(view);
@@ -109,8 +132,11 @@
 			const need = await primaryMonitor.check();
 			if (need.kind === 'none') {
 				await pauseCleaner.check();
-			} else if (!(need.kind === 'leaving' && this.hasPendingRepeats(view))) {
-				await this.promote(view, need, signal);
+			} else if (!this.isStopping && !(need.kind === 'leaving' && this.hasPendingRepeats(view))) {
+				this.runningPromotions++;
+				await this.promote(view, need, signal).finally(() => {
+					this.runningPromotions--;
+				});
 			}
 		} catch (error) {
 			if (!signal.aborted) {
