--- a/packages/control/src/__tests__/configurationStore.test.ts
+++ b/packages/control/src/__tests__/configurationStore.test.ts
@@ -1,6 +1,9 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
+import {RecordingLogger} from '@crocusloom/model/testing';
 import {type ChangeOutcome, type ConfigurationChange} from '../changeAcceptor.js';
+import {ConfigurationReplica} from '../configurationReplica.js';
+import {createChangeSet} from '../configurationState.js';
 import {
 	FakeDeployment, fakeMember, type FakeKeyValueStore, type Fault,
 } from './fakes.js';
@@ -328,6 +331,48 @@
 		expect(store.invalidEntries).to.have.length(1);
 	});
 
+	it('skips values that are very deep or have numbers out of range, and follows the store afterwards (guards against an odd value that stops the watch)', async () => {
+		const {store} = await startHost();
+		await accept(createRank('first', 'c1'));
+		const deepValue = `${'['.repeat(50_000)}${']'.repeat(50_000)}`;
+		const largeRank = JSON.stringify({spec: {...rankSpec(0.1), targetMs: 1e300}, changes: []});
+		const badPort = JSON.stringify({
+			spec: {
+				databases: [{
+					name: 'a', address: '127.0.0.1', port: 70_000, failureDomain: 'x',
+				}],
+			}, changes: [],
+		});
+		const oddValues = {
+			'ranks/deep': deepValue, 'ranks/nested': `{"spec":${deepValue},"changes":[]}`, 'ranks/large': largeRank, 'databaseGroups/g': badPort, 'ranks/null': 'null',
+		};
+		for (const [key, value] of Object.entries(oddValues)) {
+			deployment.platform.put(`crocusloom/test/${key}`, value);
+		}
+
+		deployment.platform.put('crocusloom/test/ranks/last', JSON.stringify({spec: rankSpec(0.2), changes: []}));
+		await deployment.clock.advance(5000);
+		expect([...store.current().ranks.keys()]).to.deep.equal(['first', 'last']);
+		expect(store.invalidEntries.map(({key}) => key)).to.have.members(Object.keys(oddValues));
+	});
+
+	it('notifies all listeners although one of them throws (guards against a change that hides itself from the others)', () => {
+		const log = new RecordingLogger();
+		const replica = new ConfigurationReplica(log);
+		const notifiedRevisions: number[] = [];
+		const {signal} = new AbortController();
+		replica.onChange(() => {
+			throw new Error('the change cannot be applied');
+		}, signal);
+		replica.onChange(({revision}) => {
+			notifiedRevisions.push(revision);
+		}, signal);
+		replica.serve();
+		replica.merge(createChangeSet(0, [{key: 'ranks/r', revision: 7, value: '{}'}]));
+		expect(notifiedRevisions).to.deep.equal([0, 7]);
+		expect(log.withMessage('a change of the configuration could not be applied').length).to.equal(2);
+	});
+
 	it('keeps the calls of 820 hosts that start during an outage below the rate limit of the store', async () => {
 		deployment.platform.isDown = true;
 		for (let index = 0; index < 820; index++) {
--- a/packages/control/src/configurationReplica.ts
+++ b/packages/control/src/configurationReplica.ts
@@ -1,4 +1,4 @@
-import {type Configuration} from '@crocusloom/model';
+import {type Configuration, type Logger} from '@crocusloom/model';
 import {
 	buildConfiguration, emptyState, mergeChanges, type ChangeSet, type ConfigurationState, type InvalidEntry,
 } from './configurationState.js';
@@ -14,6 +14,8 @@
 	private isServing = false;
 	private readonly listeners = new Set<ChangeSetListener>();
 
+	constructor(private readonly log: Logger) {}
+
 	/** Entries and their common revision, also before the configuration is in force. */
 	get state(): ConfigurationState {
 		return this.heldState;
@@ -83,10 +85,15 @@
 		}, {once: true});
 	}
 
+	/** Notifies the listeners. One that throws must not hide the change from the others, nor end the watch that reported it. */
 	private publish(changes: ChangeSet): void {
 		this.servedConfiguration = this.buildResult.configuration;
 		for (const listener of this.listeners) {
-			listener(changes);
+			try {
+				listener(changes);
+			} catch (error) {
+				this.log.error({revision: changes.revision, error: error instanceof Error ? error.stack : String(error)}, 'a change of the configuration could not be applied');
+			}
 		}
 	}
 }
--- a/packages/control/src/configurationStore.ts
+++ b/packages/control/src/configurationStore.ts
@@ -28,7 +28,7 @@
 
 /** The configuration in force on this host. It is loaded from the platform and from peers, and kept up to date. */
 export class ConfigurationStore implements ConfigurationSource {
-	private readonly replica = new ConfigurationReplica();
+	private readonly replica: ConfigurationReplica;
 	private readonly propagation: PeerPropagation;
 	private readonly follower: PlatformFollower;
 	private readonly acceptor: ChangeAcceptor;
@@ -36,6 +36,7 @@
 	constructor(private readonly options: ConfigurationStoreOptions) {
 		const {clock, log, membership, peers, random, rendezvousOrder, keyValueStore} = options;
 		const prefix = `crocusloom/${options.deployment}/`;
+		this.replica = new ConfigurationReplica(log);
 		const {replica} = this;
 		this.propagation = new PeerPropagation({
 			replica, peers, membership, clock, random, log, rendezvousOrder,
--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -67,7 +67,9 @@
 		clock: dependencies.resolve(tokens.clock),
 		random: dependencies.resolve(tokens.random),
 	}));
-	registerSingleton(childContainer, tokens.hostList, dependencies => new HttpHostList({url: settings.platform.url, clock: dependencies.resolve(tokens.clock)}));
+	registerSingleton(childContainer, tokens.hostList, dependencies => new HttpHostList({
+		url: settings.platform.url, clock: dependencies.resolve(tokens.clock), log: dependencies.resolve(tokens.log),
+	}));
 	registerSingleton(childContainer, tokens.dialer, () => new TcpBackendDialer({
 		user: settings.backend.user,
 		databaseName: settings.backend.database,
