Close all idle connections of a server that is no longer used

The loop over the idle connections skipped every second one, because closing a connection removes it from the list. Up to the guaranteed number of them then stayed open as long as the process ran. Found by reading; the new test opens five connections and expects none to remain.

--- a/packages/proxy/src/__tests__/connectionPool.test.ts
+++ b/packages/proxy/src/__tests__/connectionPool.test.ts
@@ -134,6 +134,24 @@
 		}
 	});
 
+	it('closes all idle connections when it is retired, and the others when they are released (guards against connections to a server that is no longer used)', async () => {
+		const service = new MemoryService('ledger', ['a']);
+		const pool = poolOf(service, shareWith(4, 6));
+		const acquired = await Promise.all(Array.from({length: 5}, async () => {
+			pool.reserve();
+			return pool.acquire(noParameters);
+		}));
+		for (const connection of acquired.slice(1)) {
+			pool.release(connection);
+		}
+
+		pool.retire();
+		expect(service.server('a').openConnections).to.equal(1);
+		pool.release(acquired[0]!);
+		expect(service.server('a').openConnections).to.equal(0);
+		expect(await pool.acquire(noParameters).then(() => 'acquired', () => 'refused')).to.equal('refused');
+	});
+
 	it('fails waiting work when the server is unreachable (guards against endless waits)', async () => {
 		const service = new MemoryService('ledger', ['a']);
 		const pool = poolOf(service, shareWith(1, 3));
--- a/packages/proxy/src/connectionPool.ts
+++ b/packages/proxy/src/connectionPool.ts
@@ -146,8 +146,8 @@
 	/** Opens no further connections and closes the idle ones; those in use are closed when they are released. */
 	retire(): void {
 		this.isClosed = true;
-		for (const connection of this.idle) {
-			connection.close();
+		while (this.idle[0]) {
+			this.idle.shift()!.close();
 		}
 
 		this.failWaiters(this.closedError());
