Revert "Keep one connection a host at a crowded server if every host can have one"

What is left to find is a limit that leaves room for the successors of all hosts, with fewer new connections than now.

--- a/packages/proxy/src/connectionPool.ts
+++ b/packages/proxy/src/connectionPool.ts
@@ -170,7 +170,7 @@
 	private closeSurplusIdle(): void {
 		const nowMs = this.ports.clock.nowMs();
 		const usedFraction = this.share.isScarce ? this.usedFraction() : 0;
-		const keptCount = usedFraction >= crowdedThreshold ? this.share.keptWhenCrowded : this.share.guaranteed;
+		const keptCount = usedFraction >= crowdedThreshold ? 0 : this.share.guaranteed;
 		const idleTimeoutMs = usedFraction >= fullThreshold ? fullIdleTimeoutMs : (usedFraction >= crowdedThreshold ? crowdedIdleTimeoutMs : surplusIdleTimeoutMs);
 		while (this.connections.size > keptCount && this.idle[0] && nowMs - this.idle[0].idleSinceMs > idleTimeoutMs) {
 			this.idle.shift()!.close();
--- a/packages/proxy/src/connectionShare.ts
+++ b/packages/proxy/src/connectionShare.ts
@@ -10,9 +10,6 @@
 /** Fraction of the limit that one host may use if connections are scarce, so that a single host cannot take all of them. */
 const maximumScarceFraction = 0.2;
 
-/** Fraction of the limit up to which each host may keep one connection, so that some are left for hosts that need a second one. */
-const keepableFraction = 0.9;
-
 /** Number of connections to one server that a host may hold. */
 export type ConnectionShare = {
 	/** Connections that the host can always hold: the guaranteed shares of all hosts together stay below the server's limit. */
@@ -21,8 +18,6 @@
 	readonly maximum: number;
 	/** True if there are so few connections per host that idle ones must be closed for other hosts. */
 	readonly isScarce: boolean;
-	/** Connections that the host keeps open at a crowded server. 0 if not every host can have one at the same time. */
-	readonly keptWhenCrowded: number;
 	/** Connection limit of the server for all hosts together. */
 	readonly serverLimit: number;
 };
@@ -36,9 +31,8 @@
 	const guaranteed = Math.max(1, Math.floor((maxConnections * guaranteedFraction) / Math.max(1, hosts)));
 	const isScarce = guaranteed < scarcityThreshold;
 	const maximum = isScarce ? Math.max(guaranteed * 2, Math.floor(maxConnections * maximumScarceFraction)) : guaranteed * 2;
-	const keptWhenCrowded = hosts <= maxConnections * keepableFraction ? 1 : 0;
 	return {
-		guaranteed, maximum: Math.min(maxConnections, maximum), isScarce, keptWhenCrowded, serverLimit: maxConnections,
+		guaranteed, maximum: Math.min(maxConnections, maximum), isScarce, serverLimit: maxConnections,
 	};
 }
 
