--- a/packages/control/src/configurationReplica.ts
+++ b/packages/control/src/configurationReplica.ts
@@ -1,4 +1,4 @@
-import {type Configuration, type Logger} from '@crocusloom/model';
+import {type Configuration, errorStackOf, type Logger} from '@crocusloom/model';
 import {
 	buildConfiguration, emptyState, mergeChanges, type ChangeSet, type ConfigurationState, type InvalidEntry,
 } from './configurationState.js';
@@ -92,7 +92,7 @@
 			try {
 				listener(changes);
 			} catch (error) {
-				this.log.error({revision: changes.revision, error: error instanceof Error ? error.stack : String(error)}, 'a change of the configuration could not be applied');
+				this.log.error({revision: changes.revision, error: errorStackOf(error)}, 'a change of the configuration could not be applied');
 			}
 		}
 	}
--- a/packages/daemon/src/supervisedTask.ts
+++ b/packages/daemon/src/supervisedTask.ts
@@ -1,4 +1,4 @@
-import {type Clock, type Logger} from '@crocusloom/model';
+import {type Clock, errorStackOf, type Logger} from '@crocusloom/model';
 
 /** Delay before a task that ended with an error is started again. */
 export const taskRestartDelayMs = 500;
@@ -22,7 +22,7 @@
 				return;
 			}
 
-			log.error({task, restartInMs: taskRestartDelayMs, reason: error instanceof Error ? error.stack : String(error)}, 'a task ended unexpectedly');
+			log.error({task, restartInMs: taskRestartDelayMs, reason: errorStackOf(error)}, 'a task ended unexpectedly');
 			// The sleep ends early only if the signal aborts, which also ends the loop.
 			await clock.sleep(taskRestartDelayMs, signal).catch(() => undefined);
 		}
--- a/packages/daemon/src/unexpectedErrors.ts
+++ b/packages/daemon/src/unexpectedErrors.ts
@@ -1,4 +1,4 @@
-import {type Logger, type Metrics} from '@crocusloom/model';
+import {errorStackOf, type Logger, type Metrics} from '@crocusloom/model';
 
 /** Source of the events of unexpected errors; the process, or a stand-in of it in tests. */
 export type ErrorSource = {
@@ -16,7 +16,7 @@
 	for (const kind of ['uncaughtException', 'unhandledRejection'] as const) {
 		source.on(kind, error => {
 			metrics.count('unexpected_errors', {kind});
-			log.error({kind, reason: error instanceof Error ? error.stack : String(error)}, 'an unexpected error; the process goes on');
+			log.error({kind, reason: errorStackOf(error)}, 'an unexpected error; the process goes on');
 		});
 	}
 }
--- a/packages/model/src/failure.ts
+++ b/packages/model/src/failure.ts
@@ -50,6 +50,11 @@
 	return error instanceof Error ? error.message : String(error);
 }
 
+/** Returns the stack of a caught value for the log, or its text if it is not an `Error`. */
+export function errorStackOf(error: unknown): string {
+	return error instanceof Error ? error.stack ?? error.message : String(error);
+}
+
 const sqlStateByKind: {readonly [K in Failure['kind']]: (failure: Extract<Failure, {kind: K}>) => string} = {
 	notRun: failure => failure.reason === 'shed' || failure.reason === 'limit' ? sqlStates.insufficientResources : sqlStates.cannotConnectNow,
 	unknown: () => sqlStates.transactionResolutionUnknown,
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -124,9 +124,9 @@
 		return this.isReplaced;
 	}
 
-	/** Time since the server was listed if all attempts to reach it have failed since then; 0 if it ever answered or was never tried. */
-	get neverAnsweredForMs(): number {
-		return this.hasAnswered ? 0 : this.noContactForMs;
+	/** True if the server never answered although it was tried and was listed for the grace time, so that its entry may have no server. */
+	get isUnconfirmed(): boolean {
+		return !this.hasAnswered && this.noContactForMs >= unconfirmedServerGraceMs;
 	}
 
 	/** Time since the last contact if an attempt to reach the server has failed since then; 0 otherwise. */
@@ -243,7 +243,7 @@
 	maintain(warmConnections: number): void {
 		const nowMs = this.ports.clock.nowMs();
 		const isSilent = this.inFlight > 0 && nowMs - Math.max(this.lastContactMs, this.inFlightSinceMs) > silenceThresholdMs;
-		const retryMs = this.neverAnsweredForMs >= unconfirmedServerGraceMs ? unconfirmedRetryMs : reachabilityRetryMs;
+		const retryMs = this.isUnconfirmed ? unconfirmedRetryMs : reachabilityRetryMs;
 		if (!this.isChecking && (isSilent || this.isDown) && nowMs - this.lastCheckMs >= retryMs) {
 			void this.checkReachability();
 		}
--- a/packages/proxy/src/connectivity.ts
+++ b/packages/proxy/src/connectivity.ts
@@ -1,5 +1,5 @@
 import {type Clock} from '@crocusloom/model';
-import {type Backend, unconfirmedServerGraceMs} from './backend.js';
+import {type Backend} from './backend.js';
 import {type ConnectivityCheck} from './isolationDetector.js';
 import {type ServiceView} from './serviceView.js';
 import {isTrueWithin} from './withTimeout.js';
@@ -14,7 +14,7 @@
 
 /** A server that has not answered for long since it was listed, or that another one replaced, is no sign of a partition. */
 function isSilent(backend: Backend): boolean {
-	const isKnownToBeMissing = backend.isReplacedAtAddress || backend.neverAnsweredForMs >= unconfirmedServerGraceMs;
+	const isKnownToBeMissing = backend.isReplacedAtAddress || backend.isUnconfirmed;
 	return !isKnownToBeMissing && (backend.isSuspected || backend.noContactForMs > 0);
 }
 
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -251,7 +251,7 @@
 		const candidates = results.filter((result): result is Candidate => result.status !== undefined);
 		const unpausedBackends = results.filter(({status}) => !status).map(({backend}) => backend);
 		const hasEnoughCandidates = candidates.length > syncReplicas;
-		const blockingBackends = unpausedBackends.filter(backend => !(hasEnoughCandidates && backend.neverAnsweredForMs >= unconfirmedServerGraceMs));
+		const blockingBackends = unpausedBackends.filter(backend => !(hasEnoughCandidates && backend.isUnconfirmed));
 		if (blockingBackends.length > 0 || candidates.length === 0) {
 			await pauses.endAll();
 			const receivingIds = blockingBackends.map(({id}) => id);
