Promote no server that may lack commits of a departed one

What callers saw: writes of booking-db were acknowledged and gone after the primary had been replaced. A replica that leaves was the only one besides the primary with these commits; it ended, the primary crashed, and a replica that had received nothing for a while was promoted.

Cause: a promotion took the servers listed at that moment for all that may hold an acknowledged commit alone.

Change: CommitEvidence keeps what a promoted log must hold. A commit that a departed server acknowledged is at or below any later position of the primary, so the first position that is proven after the departure is required. Hosts ask for it as soon as an entry disappears. If it is not known, or no server that answers has it, the old primary is awaited, and the log says which position is missing.

--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -6,7 +6,7 @@
 import {unconfirmedServerGraceMs} from '../backend.js';
 import {type MemoryServer, MemoryService} from '../testing/index.js';
 import {
-	advanceableClock, errorOf, type Harness, run, startProxy,
+	advanceableClock, createPromotionService, errorOf, type Harness, run, startProxy, waitUntilServed,
 } from './proxyHarness.js';
 
 /** Interval at which the pauses of replicas are read while a promotion is under way. */
@@ -59,21 +59,6 @@
 	let lifetime: AbortController;
 	let token: number | undefined;
 
-	function createPromotionService(service: MemoryService, responsesToLose = 0): PromotionService {
-		let remainingLosses = responsesToLose;
-		return {
-			async requestPromotion(_service, serverId, fence) {
-				if (service.server(serverId).isUnresponsive) {
-					return 'notRunning';
-				}
-
-				service.promote(serverId, fence.token);
-				remainingLosses--;
-				return remainingLosses >= 0 ? 'retry' : 'accepted';
-			},
-		};
-	}
-
 	async function startHarness(service?: MemoryService, clock?: Clock): Promise<void> {
 		harness = await startProxy(service, clock);
 		lifetime = new AbortController();
@@ -101,17 +86,6 @@
 		return [formerPrimary, currentPrimary, otherReplica];
 	}
 
-	/** Waits until a write succeeds. A server that was silent is suspected until it has answered again, and writes are refused meanwhile. */
-	async function waitUntilServed(): Promise<void> {
-		let lastError: string | undefined = 'no write was tried';
-		for (let attempt = 0; attempt < 20 && lastError !== undefined; attempt++) {
-			await systemClock.sleep(100);
-			lastError = await errorOf(harness.proxy.openSession('strict', 'u'), 'WRITE a 1');
-		}
-
-		expect(lastError).to.equal(undefined);
-	}
-
 	async function start(responsesToLose = 0): Promise<void> {
 		await startHarness();
 		startPromotions(createPromotionService(harness.service, responsesToLose));
@@ -200,7 +174,7 @@
 		await waitUntil(() => harness.log.withMessage('a promotion was not made').length > 0);
 		harness.service.server('a').isUnresponsive = false;
 		await waitUntil(() => harness.service.servers.every(({pausedTerm}) => pausedTerm === 0));
-		await waitUntilServed();
+		await waitUntilServed(harness);
 	});
 
 	it('pauses no replica while the promotion lease is not confirmed (guards against a process that replaces and ends the pauses of the next holder)', async () => {
@@ -283,7 +257,7 @@
 		await errorOf(harness.proxy.openSession('strict', 'u'), 'READ x');
 		service.server('a').isUnresponsive = true;
 		await waitUntil(() => service.promotions.length > 0);
-		await waitUntilServed();
+		await waitUntilServed(harness);
 		expect(await errorOf(harness.proxy.openSession('strict', 'u'), 'READ x'), 'two of three servers are enough for a proof').to.equal(undefined);
 	}).timeout(15_000);
 
@@ -333,7 +307,7 @@
 		expect(formerPrimary.term).to.equal(currentPrimary.term);
 		currentPrimary.isUnresponsive = false;
 		await waitUntil(() => view.currentPrimary?.backend.id === currentPrimary.id);
-		await waitUntilServed();
+		await waitUntilServed(harness);
 	}).timeout(15_000);
 
 	it('recognizes a promoted server whose term is below the planned one (guards against hosts that wait for a primary of a term that nobody leads)', async () => {
@@ -357,7 +331,7 @@
 		const promoted = service.server(service.promotions[0]!.server);
 		expect(formerPrimary.term).to.equal(promoted.term);
 		await waitUntil(() => view.currentPrimary?.backend.id === promoted.id);
-		await waitUntilServed();
+		await waitUntilServed(harness);
 	}).timeout(15_000);
 
 	it('keeps a replica paused that has not heard of the new term until the former primary has stepped down (guards against commits that the new primary lacks)', async () => {
--- a/packages/proxy/src/__tests__/proxyHarness.ts
+++ b/packages/proxy/src/__tests__/proxyHarness.ts
@@ -1,6 +1,9 @@
 import {type Clock, noopMetrics, systemClock} from '@crocusloom/model';
 import {RecordingLogger, waitUntil} from '@crocusloom/model/testing';
-import {type FreshnessRule, type ProxyConfiguration, type Route} from '../ports.js';
+import {expect} from 'chai';
+import {
+	type FreshnessRule, type PromotionService, type ProxyConfiguration, type Route,
+} from '../ports.js';
 import {type ServiceView} from '../serviceView.js';
 import {type Session} from '../session.js';
 import {SessionProxy} from '../sessionProxy.js';
@@ -60,6 +63,36 @@
 	};
 }
 
+/**
+ * Creates a promotion service that promotes servers at once.
+ * @param responsesToLose - number of requests whose response is lost
+ */
+export function createPromotionService(service: MemoryService, responsesToLose = 0): PromotionService {
+	let remainingLosses = responsesToLose;
+	return {
+		async requestPromotion(_service, serverId, fence) {
+			if (service.server(serverId).isUnresponsive) {
+				return 'notRunning';
+			}
+
+			service.promote(serverId, fence.token);
+			remainingLosses--;
+			return remainingLosses >= 0 ? 'retry' : 'accepted';
+		},
+	};
+}
+
+/** Waits until a write succeeds. A server that was silent is suspected until it has answered again, and writes are refused meanwhile. */
+export async function waitUntilServed({proxy}: Harness): Promise<void> {
+	let lastError: string | undefined = 'no write was tried';
+	for (let attempt = 0; attempt < 20 && lastError !== undefined; attempt++) {
+		await systemClock.sleep(100);
+		lastError = await errorOf(proxy.openSession('strict', 'u'), 'WRITE a 1');
+	}
+
+	expect(lastError).to.equal(undefined);
+}
+
 let requestCount = 0;
 
 /** Runs a statement, given as a text of the platform's protocol, on a session. */
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -124,6 +124,11 @@
 		return this.isReplaced;
 	}
 
+	/** True once the server has answered or accepted a connection. */
+	get isConfirmed(): boolean {
+		return this.hasAnswered;
+	}
+
 	/** True if the server never answered although it was tried and was listed for the grace time, so that its entry may have no server. */
 	get isUnconfirmed(): boolean {
 		return !this.hasAnswered && this.noContactForMs >= unconfirmedServerGraceMs;
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,4 +1,5 @@
 export * from './backend.js';
+export * from './commitEvidence.js';
 export * from './commitSamples.js';
 export * from './configurationAge.js';
 export * from './connectionShare.js';
--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -18,6 +18,8 @@
 	readonly startedAtMs: number;
 	/** Revision of the discovery entry; increases with each change. */
 	readonly revision: number;
+	/** Monotonic time in milliseconds since which the entry is missing; undefined while it exists. */
+	readonly missingSinceMs?: number;
 };
 
 /** Freshness that the reads of a route require. Ages are in milliseconds. */
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -1,7 +1,8 @@
 import {
-	type Clock, comparePositions, formatPosition, type Logger, errorMessageOf,
+	type Clock, comparePositions, formatPosition, type Logger, type LogPosition, errorMessageOf,
 } from '@crocusloom/model';
 import {type Backend, unconfirmedServerGraceMs} from './backend.js';
+import {type CommitProof} from './commitEvidence.js';
 import {OrphanedPauseCleaner, promotionSettleMs} from './orphanedPauseCleaner.js';
 import {probeStatus} from './leadershipProver.js';
 import {type PromotionLease, type PromotionService} from './ports.js';
@@ -64,6 +65,15 @@
 
 type RequestOutcome = 'accepted' | 'refused' | 'unanswered' | 'not sent, because the duty is no longer held';
 
+type UnprovenKind = Exclude<CommitProof['kind'], 'proven'>;
+type ProofOf<K extends UnprovenKind> = Extract<CommitProof, {kind: K}>;
+
+/** Reasons why no server can be promoted, by the kind of the proof that failed. */
+const unprovenReasons: {readonly [K in UnprovenKind]: (proof: ProofOf<K>, position: LogPosition) => string} = {
+	incomplete: ({requiredPosition}, position) => `position ${formatPosition(requiredPosition)} is required and ${formatPosition(position)} was found`,
+	unknown: ({departedServers}) => `the commit position after the departure of ${departedServers.join(', ')} is not known`,
+};
+
 /** Thrown to abandon a promotion, with the reason as message. */
 class PromotionHalt extends Error {
 	override readonly name = 'PromotionHalt';
@@ -74,7 +84,8 @@
  *
  * The new primary must have every commit that the old primary acknowledges. To ensure this, either the old primary steps
  * down and reports the end of its log, or replication to all other servers is paused first, so that the old primary cannot
- * acknowledge further commits, and the server with the most complete log is promoted.
+ * acknowledge further commits, and the server with the most complete log is promoted. A server that departed before may have taken
+ * acknowledged commits with it. If the remaining ones are not known to have them, none is promoted, and the old primary is awaited.
  */
 export class PromotionTask {
 	private readonly monitors = new Map<ServiceView, ServiceMonitors>();
@@ -192,6 +203,10 @@
 			throw new PromotionHalt('the primary answers again');
 		}
 
+		if (need.kind !== 'leaving') {
+			requireAllCommits(view, statuses.filter(({backend}) => others.includes(backend)).flatMap(({status}) => status ? [status.receivedPosition] : []));
+		}
+
 		const highestPriorTerm = Math.max(0, ...statuses.map(({status}) => status?.term ?? 0));
 		const term = Math.max(highestPriorTerm, ...statuses.map(({status}) => status?.pausedTerm ?? 0)) + 1;
 		this.ports.log.info({
@@ -201,9 +216,10 @@
 		const terms: PromotionTerms = {term, primaryTerm: view.currentPrimary?.term ?? 0, syncReplicas: view.syncReplicas};
 		const candidate = need.kind === 'leaving'
 			? await this.switchOver(need.primary, others, terms, pauses)
-			: await this.pauseAndChooseCandidate(others, terms, pauses);
+			: await this.pauseAndChooseSuccessor(view, others, terms, pauses);
 		const target: PromotionTarget = {backend: candidate.backend, highestPriorTerm};
 		await this.requestOrResume(view, candidate, {target, pauses, signal});
+		view.recordPromotedLog(candidate.backend, candidate.status.receivedPosition);
 		const newTerm = await this.completePromotion(view, target, term, startedMs);
 		const formerPrimary: FormerPrimary = {backend: primary, hasSteppedDown: need.kind === 'leaving'};
 		void this.stepDownWhenReachable(formerPrimary, newTerm, signal);
@@ -241,6 +257,22 @@
 		return this.pauseAndChooseCandidate([...others, primary], {...terms, term: terms.term + 1}, pauses);
 	}
 
+	/**
+	 * Pauses replication to the servers and chooses the successor of a primary that does not answer.
+	 * @throws PromotionHalt if none of them is known to have each acknowledged commit
+	 */
+	private async pauseAndChooseSuccessor(view: ServiceView, others: readonly Backend[], terms: PromotionTerms, pauses: ReplicationPauses): Promise<Candidate> {
+		const candidate = await this.pauseAndChooseCandidate(others, terms, pauses);
+		try {
+			requireAllCommits(view, [candidate.status.receivedPosition]);
+		} catch (error) {
+			await pauses.endAll();
+			throw error;
+		}
+
+		return candidate;
+	}
+
 	/**
 	 * Pauses replication to the servers and chooses the one with the most complete log. An entry without a server, which never answered,
 	 * is left out once enough others are paused, so that it does not keep a primary from being replaced for ever.
@@ -403,6 +435,24 @@
 	}
 }
 
+/**
+ * Checks that servers together have each commit that departed servers may have acknowledged.
+ * @param positions - ends of their logs
+ * @throws PromotionHalt if that is not known
+ */
+function requireAllCommits(view: ServiceView, positions: readonly LogPosition[]): void {
+	const [newestPosition] = positions.toSorted((a, b) => comparePositions(b, a));
+	if (!newestPosition) {
+		return;
+	}
+
+	const proof = view.checkCommits(newestPosition);
+	if (proof.kind !== 'proven') {
+		const describe = unprovenReasons[proof.kind] as (proof: CommitProof, position: LogPosition) => string;
+		throw new PromotionHalt(`the servers that answer are not known to have each acknowledged commit: ${describe(proof, newestPosition)}`);
+	}
+}
+
 /** Compares candidates by received position, highest first. Among equal positions, leaving servers come last. */
 function compareCandidates(a: Candidate, b: Candidate): number {
 	const difference = comparePositions(b.status.receivedPosition, a.status.receivedPosition);
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -3,6 +3,7 @@
 } from '@crocusloom/model';
 import {type RankPolicy} from '@crocusloom/work';
 import {Backend, type BackendPorts} from './backend.js';
+import {type CommitProof, CommitEvidence} from './commitEvidence.js';
 import {freshnessMarginMs, CommitSamples} from './commitSamples.js';
 import {type ConnectionShare, connectionShareFor} from './connectionShare.js';
 import {
@@ -33,11 +34,14 @@
 /** View of one service in this proxy: its servers, its primary and samples of its commit position. */
 export class ServiceView {
 	readonly samples = new CommitSamples();
+	private readonly evidence = new CommitEvidence(this.samples);
 	/** Called when the primary or the list of servers changes. */
 	private readonly listeners = new Set<Listener>();
 	private readonly backends = new Map<string, Backend>();
 	/** Servers that are no longer listed and still have connections in use. */
 	private readonly retiredBackends = new Set<Backend>();
+	/** Listed servers that are known to have departed, because another server answers at their address. */
+	private readonly replacedBackends = new Set<Backend>();
 	private readonly prover: LeadershipProver;
 	private primary: KnownPrimary | undefined;
 	/** Last known primary; kept while the primary is unknown. */
@@ -127,7 +131,7 @@
 		}
 
 		this.maintainRetired();
-
+		this.sampleAfterDepartures();
 		if (!this.primary) {
 			void this.findPrimary();
 		}
@@ -197,10 +201,30 @@
 
 	/** Records the status that a server reports. */
 	recordStatus(backend: Backend, status: ServerStatus): void {
-		this.highestTerm = Math.max(this.highestTerm, status.term, status.receivedPosition.term);
-		if (status.role === 'primary') {
-			this.recordPrimary(backend, status.term);
+		const {role, term, receivedPosition} = status;
+		this.highestTerm = Math.max(this.highestTerm, term, receivedPosition.term);
+		if (role !== 'primary') {
+			return;
+		}
+
+		if (receivedPosition.term < term) {
+			this.recordPromotedLog(backend, receivedPosition);
 		}
+
+		this.recordPrimary(backend, term);
+	}
+
+	/** Records the log with which a server is promoted. A server that was the primary before acknowledged nothing as a replica since then. */
+	recordPromotedLog(backend: Backend, position: LogPosition): void {
+		if (this.lastPrimary?.backend !== backend) {
+			this.evidence.recordPromotedLog(position);
+		}
+	}
+
+	/** Checks whether a log that ends at a position holds each acknowledged commit that a departed server may have taken with it. */
+	checkCommits(position: LogPosition): CommitProof {
+		this.recordReplacedServers();
+		return this.spec.syncReplicas === 0 ? {kind: 'proven'} : this.evidence.check(position);
 	}
 
 	/**
@@ -212,6 +236,7 @@
 		const outcome = await this.prover.prove(primary, heldConnection);
 		if (outcome.kind === 'leads') {
 			this.samples.add(outcome.startedMs, outcome.position);
+			this.evidence.recordSample({takenMs: outcome.startedMs, position: outcome.position});
 		} else if (outcome.kind === 'replaced') {
 			this.invalidatePrimary(primary, 'a server knows a newer term');
 		}
@@ -274,14 +299,44 @@
 
 	/** Removes a server that is no longer listed. Its entry may only have lapsed, so the work that it is running goes on. */
 	private removeBackend(backend: Backend): void {
+		this.recordDeparture(backend, backend.server.missingSinceMs ?? this.clock.nowMs());
 		this.forget(backend);
 		backend.retire();
 		this.retiredBackends.add(backend);
 		this.log.info({service: this.name, server: backend.id, connectionsInUse: backend.pool.openCount}, 'a backend server is no longer listed');
 	}
 
+	/**
+	 * Records that a server departed with its log. A primary has no commit alone, except those with which it was promoted, and an entry
+	 * that never had a server has none.
+	 */
+	private recordDeparture(backend: Backend, sinceMs: number): void {
+		if (backend !== this.lastPrimary?.backend && !backend.isUnconfirmed && !this.replacedBackends.has(backend)) {
+			this.evidence.recordDeparture(backend.id, sinceMs);
+		}
+	}
+
+	private recordReplacedServers(): void {
+		for (const backend of this.backends.values()) {
+			if (backend.isReplacedAtAddress && backend.isConfirmed && !this.replacedBackends.has(backend)) {
+				this.recordDeparture(backend, this.clock.nowMs());
+				this.replacedBackends.add(backend);
+			}
+		}
+	}
+
+	/** Asks the primary for its position if a server has departed since the last sample, because the primary may fail before a read asks. */
+	private sampleAfterDepartures(): void {
+		this.recordReplacedServers();
+		const hasMissingServer = this.listBackends().some(({server}) => (server.missingSinceMs ?? Number.NEGATIVE_INFINITY) > this.samples.newestSampleMs);
+		if (this.primary && !this.primary.backend.isSuspected && (hasMissingServer || this.evidence.hasUnresolvedDepartures)) {
+			void this.refreshSamples();
+		}
+	}
+
 	private forget(backend: Backend): void {
 		this.backends.delete(backend.id);
+		this.replacedBackends.delete(backend);
 		if (this.primary?.backend === backend) {
 			this.primary = undefined;
 		}
@@ -296,6 +351,7 @@
 
 		if (existing) {
 			// The earlier process of the server is gone, and its work with it.
+			this.recordDeparture(existing, this.clock.nowMs());
 			this.forget(existing);
 			existing.close();
 		}
@@ -352,8 +408,9 @@
 
 	/**
 	 * Adds a sample of the commit position. Without a primary, the newest position received by any of the other servers covers
-	 * every acknowledged commit, provided that all of them answer. A single other server is not enough: a host that is
-	 * partitioned from the platform may not know of another server that acknowledged a commit.
+	 * every acknowledged commit, provided that all of them answer and that none departed with commits which they lack. A single
+	 * other server is not enough: a host that is partitioned from the platform may not know of another server that acknowledged
+	 * a commit.
 	 */
 	private async takeSample(): Promise<void> {
 		const primary = this.lastPrimary;
@@ -370,7 +427,9 @@
 		}
 
 		const [newestPosition] = statuses.map(status => status!.receivedPosition).toSorted((a, b) => comparePositions(b, a));
-		this.samples.add(startedMs, newestPosition!);
+		if (this.checkCommits(newestPosition!).kind === 'proven') {
+			this.samples.add(startedMs, newestPosition!);
+		}
 	}
 
 	private notifyListeners(): void {
--- a/packages/proxy/src/testing/memoryService.ts
+++ b/packages/proxy/src/testing/memoryService.ts
@@ -46,6 +46,8 @@
 	isLeaving = false;
 	/** If true, another server answers at the address. */
 	isReplaced = false;
+	/** Start time; a server that restarts has another one. */
+	startedAtMs = 1;
 	/** If true, the server refuses connections as if it were at its connection limit. */
 	isFull = false;
 	/** Number of further caller statements that the server runs without answering them. */
@@ -78,7 +80,15 @@
 	/** Returns the entry of the server in service discovery. */
 	listing(): BackendServer {
 		return {
-			id: this.id, service: this.service.name, address: `127.0.0.1:${this.id}`, failureDomain: this.id, slots: 3, isLeaving: this.isLeaving, role: this.role, startedAtMs: 1, revision: 1,
+			id: this.id,
+			service: this.service.name,
+			address: `127.0.0.1:${this.id}`,
+			failureDomain: this.id,
+			slots: 3,
+			isLeaving: this.isLeaving,
+			role: this.role,
+			startedAtMs: this.startedAtMs,
+			revision: 1,
 		};
 	}
 
@@ -114,6 +124,15 @@
 		};
 	}
 
+	/** Starts again under the same id, without a log. */
+	restartEmpty(): void {
+		this.startedAtMs++;
+		this.log.length = 0;
+		this.appliedCount = 0;
+		this.role = 'replica';
+		this.pausedTerm = 0;
+	}
+
 	/** Applies all received entries. */
 	catchUp(): void {
 		this.isLagging = false;
