Limit the wait for the setup of a session on a connection

Cause: SET, PREPARE and DISCARD before a statement were awaited without a limit, with a slot and a place in the pool held.

Change: the setup ends after 500 ms or the time limit of the statement, the connection is closed, and the statement, which was not sent, is tried again within its time limit.

--- a/packages/proxy/src/__tests__/session.test.ts
+++ b/packages/proxy/src/__tests__/session.test.ts
@@ -2,9 +2,9 @@
 import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {type Session} from '../session.js';
-import {type MemoryService} from '../testing/index.js';
+import {MemoryService} from '../testing/index.js';
 import {
-	errorOf, type Harness, run, startProxy,
+	errorOf, type Harness, run, startProxy, waitUntilServed,
 } from './proxyHarness.js';
 
 describe('session', () => {
@@ -193,6 +193,37 @@
 		expect(laterAnswer.position!.term).to.equal(writer.term);
 	});
 
+	const setups: ReadonlyArray<{readonly title: string; readonly statements: readonly string[]}> = [
+		{title: 'SET', statements: ['SET a 1', 'READ x']},
+		{title: 'PREPARE', statements: ['PREPARE p READ q1', 'EXECUTE p x']},
+	];
+
+	async function expectSilentConnectionsToBeReplaced(statements: readonly string[]): Promise<void> {
+		await start('strict', new MemoryService('ledger', ['a'], 0));
+		const {service, proxy} = harness;
+		await run(session, 'READ x');
+		for (let count = 0; count < 4; count++) {
+			const otherSession = proxy.openSession('strict', `u${count}`);
+			service.server('a').silenceConnections();
+			let error: string | undefined;
+			for (const statement of statements) {
+				error = await errorOf(otherSession, statement);
+			}
+
+			expect(error).to.be.oneOf([undefined, 'overloaded']);
+			otherSession.end();
+		}
+
+		await waitUntilServed(harness);
+	}
+
+	for (const {title, statements} of setups) {
+		// A connection to a database went silent, and the slot of the statement that set it up was never free again.
+		it(`frees the slot of a statement whose ${title} is not answered, and says that it did not run (guards against silent connections that keep their slots for good)`, async () => {
+			await expectSilentConnectionsToBeReplaced(statements);
+		}).timeout(15_000);
+	}
+
 	it('refuses a request early if no server can take it (guards against requests that wait until their deadline)', async () => {
 		await start();
 		for (const server of harness.service.servers) {
--- a/packages/proxy/src/statementRunner.ts
+++ b/packages/proxy/src/statementRunner.ts
@@ -6,7 +6,7 @@
 import {ConnectionError} from './ports.js';
 import {rankOf} from './routeTable.js';
 import {
-	type AccessMode, type Answer, type AnswerError, type BackendCommand, errorAnswer, isNotRun,
+	type AccessMode, type Answer, type AnswerError, type BackendCommand, errorAnswer, isNotRun, type PreparedStatement,
 } from './statement.js';
 import {
 	leavingPrimaryGraceMs, type StatementExecution, Refusal, retryDelayMs, type SearchPorts, TargetSearch,
@@ -20,6 +20,8 @@
 const maximumAttempts = 5;
 /** Time in which a server must roll back a transaction. After that the connection is closed, which also rolls the transaction back. */
 const rollbackTimeoutMs = 1000;
+/** Time in which a server must set up a session on a connection. It needs no slot for that, so a longer silence is that of the connection. */
+const setupTimeoutMs = 500;
 
 /** Refusal reasons of the admission queue after which another server is tried. */
 const retryElsewhereReasons: ReadonlySet<NotRunReason> = new Set(['unreachable', 'leaving']);
@@ -63,7 +65,7 @@
 		try {
 			const grant = await this.admit(execution, backend, true);
 			try {
-				await connection.syncSession(context.parameters, work.prepared);
+				await this.setUpSession(execution, connection, work.prepared);
 				execution.isWriteSent = isCommit && hasWritten;
 				const answer = await this.runWithDeadline(execution, connection, work.command, work.mode);
 				const isPrimaryProven = isCommit || await this.withDeadline(execution, transaction.isPrimaryProven, () => undefined);
@@ -199,7 +201,7 @@
 		try {
 			const connection = await this.acquireConnection(execution, backend);
 			try {
-				await connection.syncSession(execution.context.parameters, work.prepared);
+				await this.setUpSession(execution, connection, work.prepared);
 				requireNewWorkAccepted(backend);
 				execution.isWriteSent = work.mode === 'write';
 				const pendingAnswer = this.runWithDeadline(execution, connection, work.command, work.mode);
@@ -225,7 +227,7 @@
 		try {
 			const connection = await this.acquireConnection(execution, target.backend);
 			try {
-				await connection.syncSession(execution.context.parameters, undefined);
+				await this.setUpSession(execution, connection, undefined);
 				requireNewWorkAccepted(target.backend);
 				// The status command of the proof is sent before BEGIN, so that its failure does not fail the transaction.
 				const isPrimaryProven = target.primary ? this.provePrimary(execution, target.primary, connection) : Promise.resolve(true);
@@ -304,6 +306,15 @@
 		return connection;
 	}
 
+	/** Sets up the session on a connection, which is closed if it is silent, so that its slot and its place in the pool become free. */
+	private async setUpSession(execution: StatementExecution, connection: PooledConnection, prepared: PreparedStatement | undefined): Promise<void> {
+		const timeoutMs = Math.max(1, Math.min(setupTimeoutMs, this.remainingMs(execution)));
+		await withTimeout(connection.syncSession(execution.context.parameters, prepared), timeoutMs, () => {
+			connection.close();
+			return new ConnectionError({kind: 'unreachable', message: `the session was not set up within ${Math.round(timeoutMs)} ms`}, 'execute', connection.serverId);
+		});
+	}
+
 	/** Runs a command and closes the connection at the deadline, because a late answer could be taken for that of the next command. */
 	private async runWithDeadline(execution: StatementExecution, connection: PooledConnection, command: BackendCommand, mode: AccessMode): Promise<Answer> {
 		const {backend, minimumPosition} = execution.target!;
--- a/packages/proxy/src/testing/memoryService.ts
+++ b/packages/proxy/src/testing/memoryService.ts
@@ -58,6 +58,8 @@
 	readonly partitionedFrom = new Set<MemoryServer>();
 	openConnections = 0;
 	dialCount = 0;
+	/** Connections up to this number go unanswered, without an end. */
+	lastSilentConnection = 0;
 	/** Number of caller statements that run concurrently. Further ones wait in the order of their arrival. */
 	slots = Number.POSITIVE_INFINITY;
 	/** Time for which a caller statement holds its slot. */
@@ -124,6 +126,11 @@
 		};
 	}
 
+	/** Lets the open connections go silent; new ones work. */
+	silenceConnections(): void {
+		this.lastSilentConnection = this.service.connectionCount;
+	}
+
 	/** Starts again under the same id, without a log. */
 	restartEmpty(): void {
 		this.startedAtMs++;
@@ -155,7 +162,8 @@
 	readonly acknowledged: string[] = [];
 	/** Accepted promotions, each with the promoted server and the fencing token. */
 	readonly promotions: Array<{readonly server: string; readonly token: number}> = [];
-	private connections = 0;
+	/** Number of connections that were opened so far. */
+	connectionCount = 0;
 
 	constructor(readonly name: string, readonly ids: readonly string[], readonly syncReplicas = 1, readonly maxConnections = 20) {
 		this.servers = ids.map(id => new MemoryServer(id, this));
@@ -233,8 +241,8 @@
 		}
 
 		target.openConnections++;
-		this.connections++;
-		return new MemoryConnection(target, this.connections);
+		this.connectionCount++;
+		return new MemoryConnection(target, this.connectionCount);
 	}
 
 	async isReachable(server: BackendServer): Promise<boolean> {
@@ -265,7 +273,7 @@
 		return new Promise((resolve, reject) => {
 			this.pendingRejects.add(reject);
 			const isAccepted = this.schedule(request.command, () => {
-				if (this.server.isUnresponsive || !this.isOpen) {
+				if (this.server.isUnresponsive || !this.isOpen || this.connectionId <= this.server.lastSilentConnection) {
 					return;
 				}
 
