Take no commit position from known replicas that may not be all

Cause: without a primary, the newest position of all listed servers was taken for one that covers each commit. A host that is cut off from the store does not learn of a server that joins and acknowledges commits alone.

Change: the host first asks the store whether it lacks a change of the databases' entries, and takes the sample only if not.

--- a/packages/proxy/src/__tests__/session.test.ts
+++ b/packages/proxy/src/__tests__/session.test.ts
@@ -171,6 +171,26 @@
 		}
 	}).timeout(15_000);
 
+	it('takes no minimum position from the known replicas while service discovery does not confirm them (guards against reads without the commits of a server that joined unseen)', async () => {
+		let isConfirmed = true;
+		harness = await startProxy(undefined, systemClock, async () => isConfirmed);
+		session = harness.proxy.openSession('bounded', 'u');
+		const {service} = harness;
+		await run(session, 'READ x');
+		isConfirmed = false;
+		service.server('a').isUnresponsive = true;
+		await systemClock.sleep(1600);
+		expect(await errorOf(session, 'READ x')).to.equal('overloaded');
+		isConfirmed = true;
+		await waitUntil(() => harness.view.samples.newestSampleMs > 0);
+		let error: string | undefined = 'no read was tried';
+		for (let attempt = 0; attempt < 5 && error !== undefined; attempt++) {
+			error = await errorOf(session, 'READ x');
+		}
+
+		expect(error).to.equal(undefined);
+	}).timeout(15_000);
+
 	it('does not answer a strict read from a replaced primary (guards against stale reads during a partition)', async () => {
 		await start();
 		await run(session, 'READ warm');
--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -103,6 +103,12 @@
 	isReachable(server: BackendServer, timeoutMs: number): Promise<boolean>;
 };
 
+/**
+ * Asks service discovery whether the list of servers has each server that was registered before the call.
+ * @returns false if one is missing or service discovery does not answer
+ */
+export type ConfirmServers = () => Promise<boolean>;
+
 /** Lease on the right to request promotions. One process holds it at a time. */
 export type PromotionLease = {
 	/** Name under which this process holds the lease. */
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -10,7 +10,7 @@
 	probeStatus, type KnownPrimary, LeadershipProver, type ProofOutcome,
 } from './leadershipProver.js';
 import {type PooledConnection} from './pooledConnection.js';
-import {type BackendServer, type ServiceSpec} from './ports.js';
+import {type BackendServer, type ConfirmServers, type ServiceSpec} from './ports.js';
 import {type ServerStatus} from './statement.js';
 
 /** Minimum time between two searches for the primary. */
@@ -29,6 +29,7 @@
 export type ViewPorts = BackendPorts & {
 	/** Returns the number of hosts that share the servers' connections. */
 	readonly hostCount: () => number;
+	readonly confirmServers: ConfirmServers;
 };
 
 /** View of one service in this proxy: its servers, its primary and samples of its commit position. */
@@ -408,9 +409,8 @@
 
 	/**
 	 * Adds a sample of the commit position. Without a primary, the newest position received by any of the other servers covers
-	 * every acknowledged commit, provided that all of them answer and that none departed with commits which they lack. A single
-	 * other server is not enough: a host that is partitioned from the platform may not know of another server that acknowledged
-	 * a commit.
+	 * every acknowledged commit, provided that all of them answer, that none departed with commits which they lack, and that
+	 * service discovery confirms that there is no further one: a server that joined unseen may have acknowledged commits alone.
 	 */
 	private async takeSample(): Promise<void> {
 		const primary = this.lastPrimary;
@@ -420,9 +420,13 @@
 		}
 
 		const startedMs = this.clock.nowMs();
-		const others = this.listMembers().filter(backend => backend !== primary?.backend);
+		if (!primary || !await this.ports.confirmServers()) {
+			return;
+		}
+
+		const others = this.listMembers().filter(backend => backend !== primary.backend);
 		const statuses = await Promise.all(others.map(async backend => probeStatus(backend)));
-		if (!primary || others.length < minimumOthersForSample || statuses.includes(undefined)) {
+		if (others.length < minimumOthersForSample || statuses.includes(undefined)) {
 			return;
 		}
 
--- a/packages/proxy/src/sessionProxy.ts
+++ b/packages/proxy/src/sessionProxy.ts
@@ -4,7 +4,9 @@
 import {ConfigurationAge} from './configurationAge.js';
 import {DecisionLog} from './decisionLog.js';
 import {HostCount} from './connectionShare.js';
-import {type BackendDialer, type BackendServer, type ProxyConfiguration} from './ports.js';
+import {
+	type BackendDialer, type BackendServer, type ConfirmServers, type ProxyConfiguration,
+} from './ports.js';
 import {ranksOf, RouteTable} from './routeTable.js';
 import {ServiceView} from './serviceView.js';
 import {Session, type SessionIdentity} from './session.js';
@@ -21,6 +23,7 @@
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly dialer: BackendDialer;
+	readonly confirmServers: ConfirmServers;
 	/** Failure domain of this process. */
 	readonly failureDomain: string;
 	/** Time after the confirmation of a change within which it must be in force. */
