Limit the calls to the store while a primary is dark

What operators would have seen: a host with a dark primary asked the store for a confirmation at each failed sample, and the holder of the promotion lease confirmed it for each promotion that no server could be proven fit for, ten times a second. Tens of hosts would have reached the limit of the store.

Change: at most two samples a second without the primary for each service, none while the store does not answer; 300 ms between two promotions of this kind.

--- a/packages/proxy/src/__tests__/departedServer.test.ts
+++ b/packages/proxy/src/__tests__/departedServer.test.ts
@@ -95,6 +95,7 @@
 		await systemClock.sleep(noPromotionMs);
 		expect(service.promotions).to.deep.equal([]);
 		expect(reasons()).to.include('the servers that answer are not known to have each acknowledged commit: position 1.2 is required and 1.1 was found');
+		expect(reasons().length, 'the attempts overload the store').to.be.below(10);
 		primary.isUnresponsive = false;
 		service.server('b').partitionedFrom.clear();
 		await waitUntilServed(harness);
--- a/packages/proxy/src/__tests__/session.test.ts
+++ b/packages/proxy/src/__tests__/session.test.ts
@@ -16,6 +16,12 @@
 		session = harness.proxy.openSession(database, 'u');
 	}
 
+	/** Runs a read with a freshness bound on each of several new sessions. */
+	async function readFrom(sessionCount: number): Promise<void> {
+		const sessions = Array.from({length: sessionCount}, (_, index) => harness.proxy.openSession('bounded', `u${index}`));
+		await Promise.all(sessions.map(async reader => errorOf(reader, 'READ x')));
+	}
+
 	afterEach(() => {
 		session.end();
 		harness.stop();
@@ -191,6 +197,23 @@
 		expect(error).to.equal(undefined);
 	}).timeout(15_000);
 
+	it('asks service discovery for a confirmation at most twice a second (guards against a store that is overloaded while a primary is dark)', async () => {
+		let confirmationCount = 0;
+		harness = await startProxy(undefined, systemClock, async () => {
+			confirmationCount++;
+			return false;
+		});
+		session = harness.proxy.openSession('bounded', 'u');
+		harness.service.server('a').isUnresponsive = true;
+		const endMs = systemClock.nowMs() + 2000;
+		while (systemClock.nowMs() < endMs) {
+			await readFrom(5);
+			await systemClock.sleep(10);
+		}
+
+		expect(confirmationCount).to.be.within(1, 5);
+	}).timeout(15_000);
+
 	it('does not answer a strict read from a replaced primary (guards against stale reads during a partition)', async () => {
 		await start();
 		await run(session, 'READ warm');
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -28,6 +28,8 @@
 /** Time for which the old primary is repeatedly told to step down after a promotion. */
 const stepDownTimeoutMs = 20_000;
 const stepDownRetryDelayMs = 500;
+/** Time after which a promotion is tried again for which no server was known to have each acknowledged commit. */
+const unprovenRetryDelayMs = 300;
 
 export type PromotionPorts = {
 	readonly clock: Clock;
@@ -77,6 +79,13 @@
 /** Thrown to abandon a promotion, with the reason as message. */
 class PromotionHalt extends Error {
 	override readonly name = 'PromotionHalt';
+
+	/**
+	 * @param retryDelayMs - time after which the promotion may be tried again
+	 */
+	constructor(message: string, readonly retryDelayMs = 0) {
+		super(message);
+	}
 }
 
 /**
@@ -92,6 +101,8 @@
 	private readonly activeChecks = new Set<ServiceView>();
 	/** Times until which repeated requests may still take effect. */
 	private readonly repeatsPendingUntilMs = new Map<ServiceView, number>();
+	/** Times from which on abandoned promotions may be tried again. */
+	private readonly retryFromMs = new Map<ServiceView, number>();
 	private runningPromotions = 0;
 	private isStopping = false;
 
@@ -143,13 +154,15 @@
 			const need = await primaryMonitor.check();
 			if (need.kind === 'none') {
 				await pauseCleaner.check();
-			} else if (!this.isStopping && !(need.kind === 'leaving' && this.hasPendingRepeats(view))) {
+			} else if (!this.isStopping && this.mayTry(view, need)) {
 				this.runningPromotions++;
 				await this.promote(view, need, signal).finally(() => {
 					this.runningPromotions--;
 				});
 			}
 		} catch (error) {
+			const retryDelayMs = error instanceof PromotionHalt ? error.retryDelayMs : 0;
+			this.retryFromMs.set(view, this.ports.clock.nowMs() + retryDelayMs);
 			if (!signal.aborted) {
 				this.ports.log.warn({service: view.name, reason: errorMessageOf(error)}, 'a promotion was not made');
 			}
@@ -158,6 +171,11 @@
 		}
 	}
 
+	private mayTry(view: ServiceView, need: PromotionNeed): boolean {
+		const isTooSoon = this.ports.clock.nowMs() < (this.retryFromMs.get(view) ?? 0);
+		return !isTooSoon && !(need.kind === 'leaving' && this.hasPendingRepeats(view));
+	}
+
 	/**
 	 * Checks whether a repeated request may still take effect. It would promote a server again that has stepped down for its successor,
 	 * so a leaving primary is replaced later.
@@ -449,7 +467,7 @@
 	const proof = view.checkCommits(newestPosition);
 	if (proof.kind !== 'proven') {
 		const describe = unprovenReasons[proof.kind] as (proof: CommitProof, position: LogPosition) => string;
-		throw new PromotionHalt(`the servers that answer are not known to have each acknowledged commit: ${describe(proof, newestPosition)}`);
+		throw new PromotionHalt(`the servers that answer are not known to have each acknowledged commit: ${describe(proof, newestPosition)}`, unprovenRetryDelayMs);
 	}
 }
 
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -21,6 +21,8 @@
 const recentContactMs = 250;
 /** Minimum number of servers besides the primary for a sample that is taken without it. */
 const minimumOthersForSample = 2;
+/** Minimum time between two samples that are taken without the primary, as each of them asks service discovery. */
+const otherSampleIntervalMs = 500;
 /** Fraction of the freshness bound from which on the age of the newest sample triggers a new one, so that it is ready before the bound is exceeded. */
 const refreshFraction = 0.5;
 
@@ -52,6 +54,7 @@
 	private runningSearch: Promise<void> | undefined;
 	private lastSearchMs = Number.NEGATIVE_INFINITY;
 	private runningRefresh: Promise<void> | undefined;
+	private lastOtherSampleMs = Number.NEGATIVE_INFINITY;
 	private ranks: readonly RankPolicy[] = [];
 	private readonly clock: Clock;
 	private readonly log: Logger;
@@ -420,7 +423,12 @@
 		}
 
 		const startedMs = this.clock.nowMs();
-		if (!primary || !await this.ports.confirmServers()) {
+		if (!primary || startedMs - this.lastOtherSampleMs < otherSampleIntervalMs) {
+			return;
+		}
+
+		this.lastOtherSampleMs = startedMs;
+		if (!await this.ports.confirmServers()) {
 			return;
 		}
 
