Log the pauses of a promotion, and the servers whose logs go on beyond the promoted one

The logs of an incident did not tell which server acknowledged a commit that the promoted log lacks. Each promotion now logs the pausedTerm and the end of the log of every server that it paused, and afterwards each server that has commits beyond the promoted log. No change of logic.

--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -236,9 +236,11 @@
 			? await this.switchOver(need.primary, others, terms, pauses)
 			: await this.pauseAndChooseSuccessor(view, others, terms, pauses);
 		const target: PromotionTarget = {backend: candidate.backend, highestPriorTerm};
+		logPauses(this.ports.log, view, pauses, candidate);
 		await this.requestOrResume(view, candidate, {target, pauses, signal});
 		view.recordPromotedLog(candidate.backend, candidate.status.receivedPosition);
 		const newTerm = await this.completePromotion(view, target, term, startedMs);
+		void this.reportLongerLogs(view, candidate);
 		const formerPrimary: FormerPrimary = {backend: primary, hasSteppedDown: need.kind === 'leaving'};
 		void this.stepDownWhenReachable(formerPrimary, newTerm, signal);
 		const pausedBackends = pauses.backends.filter(backend => backend !== candidate.backend);
@@ -402,6 +404,23 @@
 		return status.term;
 	}
 
+	/**
+	 * Logs each server whose log goes on where that of the promoted server ended. The commits between the two are rolled back, and lost
+	 * if they were acknowledged.
+	 */
+	private async reportLongerLogs(view: ServiceView, candidate: Candidate): Promise<void> {
+		const promotedPosition = candidate.status.receivedPosition;
+		await Promise.all(view.listBackends().filter(backend => backend !== candidate.backend).map(async backend => {
+			const status = await probeStatus(backend);
+			const {receivedPosition = promotedPosition, role, pausedTerm} = status ?? {};
+			if (receivedPosition.term === promotedPosition.term && comparePositions(receivedPosition, promotedPosition) > 0) {
+				this.ports.log.warn({
+					service: view.name, server: backend.id, role, pausedTerm, position: formatPosition(receivedPosition), promoted: candidate.backend.id, promotedPosition: formatPosition(promotedPosition),
+				}, 'a server has commits that the promoted log lacks');
+			}
+		}));
+	}
+
 	/**
 	 * Resumes replication to a server that is still paused after a promotion. A server that has not heard of the new term could receive
 	 * from the former primary, which would then acknowledge commits that the new primary lacks. The pause therefore lasts until the server
@@ -471,6 +490,16 @@
 	}
 }
 
+/** Logs which servers a promotion paused, and where their logs ended, so that a server that received commits later can be told from these. */
+function logPauses(log: Logger, view: ServiceView, pauses: ReplicationPauses, {backend, status}: Candidate): void {
+	const paused = pauses.answers.map(({backend: {id}, status: {role, term, pausedTerm, receivedPosition}}) => ({
+		server: id, role, term, pausedTerm, position: formatPosition(receivedPosition),
+	}));
+	log.info({
+		service: view.name, server: backend.id, position: formatPosition(status.receivedPosition), paused,
+	}, 'replication is paused for a promotion');
+}
+
 /** Compares candidates by received position, highest first. Among equal positions, leaving servers come last. */
 function compareCandidates(a: Candidate, b: Candidate): number {
 	const difference = comparePositions(b.status.receivedPosition, a.status.receivedPosition);
--- a/packages/proxy/src/replicationPauses.ts
+++ b/packages/proxy/src/replicationPauses.ts
@@ -22,6 +22,7 @@
  */
 export class ReplicationPauses {
 	private readonly termsByBackend = new Map<Backend, number>();
+	private readonly statusByBackend = new Map<Backend, ServerStatus>();
 
 	constructor(private readonly log: Logger) {}
 
@@ -30,6 +31,11 @@
 		return [...this.termsByBackend.keys()];
 	}
 
+	/** Answers to the last command to pause of each server. */
+	get answers(): ReadonlyArray<{readonly backend: Backend; readonly status: ServerStatus}> {
+		return [...this.statusByBackend].map(([backend, status]) => ({backend, status}));
+	}
+
 	/**
 	 * Pauses replication to a server. A former primary that still claims its old term cannot be paused and would receive commits as soon as
 	 * it steps down, so it is told to step down first.
@@ -72,6 +78,7 @@
 		const status = await sendControlCommand(backend, {kind: 'pause', term});
 		if (status) {
 			this.termsByBackend.set(backend, term);
+			this.statusByBackend.set(backend, status);
 		}
 
 		return status;
