--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -1,30 +1,18 @@
-import {
-	type Clock, comparePositions, type Logger, type LogPosition,
-} from '@crocusloom/model';
+import {type Clock, type Logger, type LogPosition} from '@crocusloom/model';
 import {type RankPolicy} from '@crocusloom/work';
 import {Backend, type BackendPorts} from './backend.js';
 import {type CommitProof, CommitEvidence} from './commitEvidence.js';
-import {freshnessMarginMs, CommitSamples} from './commitSamples.js';
+import {CommitSampler} from './commitSampler.js';
+import {CommitSamples} from './commitSamples.js';
 import {type ConnectionShare, connectionShareFor} from './connectionShare.js';
-import {
-	probeStatus, type KnownPrimary, LeadershipProver, type ProofOutcome,
-} from './leadershipProver.js';
+import {type KnownPrimary, LeadershipProver, type ProofOutcome} from './leadershipProver.js';
 import {type PooledConnection} from './pooledConnection.js';
 import {type BackendServer, type ConfirmServers, type ServiceSpec} from './ports.js';
+import {PrimarySearch} from './primarySearch.js';
 import {type ServerStatus} from './statement.js';
 
-/** Minimum time between two searches for the primary. */
-const minimumSearchIntervalMs = 100;
-/** Time in which a server must answer a status probe of a search. */
-const searchProbeTimeoutMs = 400;
 /** A primary that this proxy had contact with within this time counts as reachable without a check. */
 const recentContactMs = 250;
-/** Minimum number of servers besides the primary for a sample that is taken without it. */
-const minimumOthersForSample = 2;
-/** Minimum time between two samples that are taken without the primary, as each of them asks service discovery. */
-const otherSampleIntervalMs = 500;
-/** Fraction of the freshness bound from which on the age of the newest sample triggers a new one, so that it is ready before the bound is exceeded. */
-const refreshFraction = 0.5;
 
 type Listener = () => void;
 
@@ -46,15 +34,8 @@
 	/** Listed servers that are known to have departed, because another server answers at their address. */
 	private readonly replacedBackends = new Set<Backend>();
 	private readonly prover: LeadershipProver;
-	private primary: KnownPrimary | undefined;
-	/** Last known primary; kept while the primary is unknown. */
-	private lastPrimary: KnownPrimary | undefined;
-	/** Highest term that any server has reported. */
-	private highestTerm = 0;
-	private runningSearch: Promise<void> | undefined;
-	private lastSearchMs = Number.NEGATIVE_INFINITY;
-	private runningRefresh: Promise<void> | undefined;
-	private lastOtherSampleMs = Number.NEGATIVE_INFINITY;
+	private readonly search: PrimarySearch;
+	private readonly sampler: CommitSampler;
 	private ranks: readonly RankPolicy[] = [];
 	private readonly clock: Clock;
 	private readonly log: Logger;
@@ -62,10 +43,12 @@
 	constructor(private spec: ServiceSpec, private readonly ports: ViewPorts) {
 		this.clock = ports.clock;
 		this.log = ports.log;
+		this.search = this.createSearch();
 		this.prover = new LeadershipProver(
-			() => this.primary && {primary: this.primary, others: this.listMembers().filter(backend => backend !== this.primary?.backend), syncReplicas: this.spec.syncReplicas},
+			() => this.currentPrimary && {primary: this.currentPrimary, others: this.listMembers().filter(backend => backend !== this.currentPrimary?.backend), syncReplicas: this.spec.syncReplicas},
 			() => this.clock.nowMs(),
 		);
+		this.sampler = this.createSampler();
 	}
 
 	get name(): string {
@@ -74,12 +57,12 @@
 
 	/** The primary, or undefined while it is unknown. */
 	get currentPrimary(): KnownPrimary | undefined {
-		return this.primary;
+		return this.search.primary;
 	}
 
 	/** Checks whether the host of the primary, or of the last known primary, had contact with this proxy recently or accepts a connection. */
 	async isPrimaryReachable(): Promise<boolean> {
-		const backend = (this.primary ?? this.lastPrimary)?.backend;
+		const backend = (this.search.primary ?? this.search.lastPrimary)?.backend;
 		return backend !== undefined && (this.clock.nowMs() - backend.lastContactMs < recentContactMs || backend.isHostReachable());
 	}
 
@@ -131,12 +114,12 @@
 	/** Maintains connections and searches for an unknown primary. Called at regular intervals. */
 	maintain(): void {
 		for (const backend of this.backends.values()) {
-			backend.maintain(backend === this.primary?.backend ? 1 : 0);
+			backend.maintain(backend === this.search.primary?.backend ? 1 : 0);
 		}
 
 		this.maintainRetired();
 		this.sampleAfterDepartures();
-		if (!this.primary) {
+		if (!this.search.primary) {
 			void this.findPrimary();
 		}
 	}
@@ -157,56 +140,23 @@
 	 * started less than the minimum interval ago.
 	 */
 	async findPrimary(): Promise<void> {
-		if (this.runningSearch) {
-			return this.runningSearch;
-		}
-
-		if (this.clock.nowMs() - this.lastSearchMs < minimumSearchIntervalMs) {
-			return;
-		}
-
-		this.lastSearchMs = this.clock.nowMs();
-		this.runningSearch = this.probeForPrimary();
-		try {
-			await this.runningSearch;
-		} finally {
-			this.runningSearch = undefined;
-		}
+		return this.search.find();
 	}
 
 	/** Discards the known primary, because an answer contradicts it, and searches for the new one. */
 	invalidatePrimary(primary: KnownPrimary, reason: string): void {
-		if (this.primary === primary) {
-			this.log.warn({
-				service: this.name, server: primary.backend.id, term: primary.term, reason,
-			}, 'the known primary is in doubt');
-			this.primary = undefined;
-			this.lastSearchMs = Number.NEGATIVE_INFINITY;
-		}
-
-		void this.findPrimary();
+		this.search.invalidate(primary, reason);
 	}
 
 	/** Records that a server is the primary of a term, unless a newer term or a primary of this term is already known. */
 	recordPrimary(backend: Backend, term: number): void {
-		this.highestTerm = Math.max(this.highestTerm, term);
-		if (term < this.highestTerm || (this.primary?.term ?? 0) >= term) {
-			return;
-		}
-
-		this.log.info({
-			service: this.name, server: backend.id, term, before: this.primary?.backend.id, beforeTerm: this.primary?.term,
-		}, 'a primary is known');
-		this.primary = {backend, term};
-		this.lastPrimary = this.primary;
-		this.samples.dropTermsBefore(term);
-		this.notifyListeners();
+		this.search.recordPrimary(backend, term);
 	}
 
 	/** Records the status that a server reports. */
 	recordStatus(backend: Backend, status: ServerStatus): void {
 		const {role, term, receivedPosition} = status;
-		this.highestTerm = Math.max(this.highestTerm, term, receivedPosition.term);
+		this.search.recordTerm(Math.max(term, receivedPosition.term));
 		if (role !== 'primary') {
 			return;
 		}
@@ -220,7 +170,7 @@
 
 	/** Records the log with which a server is promoted. A server that was the primary before acknowledged nothing as a replica since then. */
 	recordPromotedLog(backend: Backend, position: LogPosition): void {
-		if (this.lastPrimary?.backend !== backend) {
+		if (this.search.lastPrimary?.backend !== backend) {
 			this.evidence.recordPromotedLog(position);
 		}
 	}
@@ -255,18 +205,7 @@
 	 * @returns undefined if no position can be determined at present
 	 */
 	async minimumPositionFor(arrivedMs: number, maxAgeMs: number): Promise<LogPosition | undefined> {
-		const oldestMs = arrivedMs - maxAgeMs + freshnessMarginMs;
-		if (this.samples.newestSampleMs < arrivedMs - (maxAgeMs * refreshFraction)) {
-			void this.refreshSamples();
-		}
-
-		const sample = this.samples.oldestSampleSince(oldestMs);
-		if (sample) {
-			return sample.position;
-		}
-
-		await this.refreshSamples();
-		return this.samples.oldestSampleSince(oldestMs)?.position;
+		return this.sampler.minimumPositionFor(arrivedMs, maxAgeMs);
 	}
 
 	/** True while a server that takes no new work still has connections in use. */
@@ -297,6 +236,34 @@
 		}
 	}
 
+	private createSearch(): PrimarySearch {
+		return new PrimarySearch({
+			service: this.name,
+			listBackends: () => this.listBackends(),
+			recordStatus: (backend, status) => {
+				this.recordStatus(backend, status);
+			},
+			onPrimary: ({term}) => {
+				this.samples.dropTermsBefore(term);
+				this.notifyListeners();
+			},
+			clock: this.clock,
+			log: this.log,
+		});
+	}
+
+	private createSampler(): CommitSampler {
+		return new CommitSampler(this.samples, {
+			primary: () => this.currentPrimary,
+			lastPrimary: () => this.search.lastPrimary,
+			listMembers: () => this.listMembers(),
+			prove: async primary => this.prove(primary),
+			checkCommits: position => this.checkCommits(position),
+			confirmServers: this.ports.confirmServers,
+			clock: this.clock,
+		});
+	}
+
 	private limits(): {readonly connections: ConnectionShare; readonly ranks: readonly RankPolicy[]} {
 		return {connections: connectionShareFor(this.spec.maxConnections, this.ports.hostCount()), ranks: this.ranks};
 	}
@@ -315,7 +282,7 @@
 	 * that never had a server has none.
 	 */
 	private recordDeparture(backend: Backend, sinceMs: number): void {
-		if (backend !== this.lastPrimary?.backend && !backend.isUnconfirmed && !this.replacedBackends.has(backend)) {
+		if (backend !== this.search.lastPrimary?.backend && !backend.isUnconfirmed && !this.replacedBackends.has(backend)) {
 			this.evidence.recordDeparture(backend.id, sinceMs);
 		}
 	}
@@ -333,17 +300,15 @@
 	private sampleAfterDepartures(): void {
 		this.recordReplacedServers();
 		const hasMissingServer = this.listBackends().some(({server}) => (server.missingSinceMs ?? Number.NEGATIVE_INFINITY) > this.samples.newestSampleMs);
-		if (this.primary && !this.primary.backend.isSuspected && (hasMissingServer || this.evidence.hasUnresolvedDepartures)) {
-			void this.refreshSamples();
+		if (this.search.primary && !this.search.primary.backend.isSuspected && (hasMissingServer || this.evidence.hasUnresolvedDepartures)) {
+			void this.sampler.refresh();
 		}
 	}
 
 	private forget(backend: Backend): void {
 		this.backends.delete(backend.id);
 		this.replacedBackends.delete(backend);
-		if (this.primary?.backend === backend) {
-			this.primary = undefined;
-		}
+		this.search.forget(backend);
 	}
 
 	private addOrUpdate(server: BackendServer): void {
@@ -375,72 +340,8 @@
 			}, 'a backend server changed its state');
 		}
 
-		if (server.role === 'primary' && previous.role !== 'primary' && this.primary?.backend !== backend) {
-			this.lastSearchMs = Number.NEGATIVE_INFINITY;
-			void this.findPrimary();
-		}
-	}
-
-	/**
-	 * If exactly one server other than the last known primary claims to be the primary, probes it first. Probes all servers if
-	 * the primary is still unknown.
-	 */
-	private async probeForPrimary(): Promise<void> {
-		const [claimant, ...otherClaimants] = this.listBackends().filter(backend => backend.server.role === 'primary' && backend !== this.lastPrimary?.backend && !backend.isSuspected);
-		if (claimant && otherClaimants.length === 0) {
-			await this.probeBackend(claimant);
-		}
-
-		if (!this.primary) {
-			await Promise.all(this.listBackends().map(async backend => this.probeBackend(backend)));
-		}
-	}
-
-	private async probeBackend(backend: Backend): Promise<void> {
-		const status = await probeStatus(backend, searchProbeTimeoutMs);
-		if (status) {
-			this.recordStatus(backend, status);
-		}
-	}
-
-	private async refreshSamples(): Promise<void> {
-		this.runningRefresh ??= this.takeSample().finally(() => {
-			this.runningRefresh = undefined;
-		});
-		return this.runningRefresh;
-	}
-
-	/**
-	 * Adds a sample of the commit position. Without a primary, the newest position received by any of the other servers covers
-	 * every acknowledged commit, provided that all of them answer, that none departed with commits which they lack, and that
-	 * service discovery confirms that there is no further one: a server that joined unseen may have acknowledged commits alone.
-	 */
-	private async takeSample(): Promise<void> {
-		const primary = this.lastPrimary;
-		const outcome = primary && primary === this.primary ? await this.prove(primary) : undefined;
-		if (outcome?.kind === 'leads') {
-			return;
-		}
-
-		const startedMs = this.clock.nowMs();
-		if (!primary || startedMs - this.lastOtherSampleMs < otherSampleIntervalMs) {
-			return;
-		}
-
-		this.lastOtherSampleMs = startedMs;
-		if (!await this.ports.confirmServers()) {
-			return;
-		}
-
-		const others = this.listMembers().filter(backend => backend !== primary.backend);
-		const statuses = await Promise.all(others.map(async backend => probeStatus(backend)));
-		if (others.length < minimumOthersForSample || statuses.includes(undefined)) {
-			return;
-		}
-
-		const [newestPosition] = statuses.map(status => status!.receivedPosition).toSorted((a, b) => comparePositions(b, a));
-		if (this.checkCommits(newestPosition!).kind === 'proven') {
-			this.samples.add(startedMs, newestPosition!);
+		if (server.role === 'primary' && previous.role !== 'primary' && this.search.primary?.backend !== backend) {
+			this.search.findAtOnce();
 		}
 	}
 
