Move the requests of promotions into a module of their own

No change of behaviour: requestOrResume, requestPromotion, waitForNewTerm and the times of pending repeats move from promotion.ts to promotionOrder.ts. The tests of promotions, leaving and departed servers pass.

--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -1,12 +1,14 @@
 import {
-	type Clock, comparePositions, formatPosition, type Logger, type LogPosition, errorMessageOf,
+	comparePositions, formatPosition, type Logger, type LogPosition, errorMessageOf,
 } from '@crocusloom/model';
 import {type Backend, unconfirmedServerGraceMs} from './backend.js';
 import {type CommitProof} from './commitEvidence.js';
 import {OrphanedPauseCleaner, promotionSettleMs} from './orphanedPauseCleaner.js';
 import {probeStatus} from './leadershipProver.js';
-import {type PromotionLease, type PromotionService} from './ports.js';
 import {PrimaryMonitor, type PromotionNeed} from './primaryMonitor.js';
+import {
+	type Candidate, pollIntervalMs, PromotionHalt, PromotionOrders, type PromotionPorts, type PromotionTarget,
+} from './promotionOrder.js';
 import {ReplicationPauses, sendControlCommand} from './replicationPauses.js';
 import {type ServiceView} from './serviceView.js';
 import {type ServerStatus} from './statement.js';
@@ -17,37 +19,17 @@
 const finalProbeTimeoutMs = 60;
 /** Time in which a replica must receive the complete log of a primary that stepped down. */
 const catchUpTimeoutMs = 1500;
-/** Interval of status polls while a promotion waits for a server. */
-const pollIntervalMs = 40;
 /** Time in which a promoted server must become the primary. */
 const promotionTimeoutMs = 4000;
-/** Delay before a promotion request without a definite result is repeated. */
-const requestRetryDelayMs = 150;
-/** Maximum number of promotion requests for one candidate before the promotion is abandoned and starts over. */
-const maximumRequests = 6;
 /** Time for which the old primary is repeatedly told to step down after a promotion. */
 const stepDownTimeoutMs = 20_000;
 const stepDownRetryDelayMs = 500;
 /** Time after which a promotion is tried again for which no server was known to have each acknowledged commit. */
 const unprovenRetryDelayMs = 300;
 
-export type PromotionPorts = {
-	readonly clock: Clock;
-	readonly log: Logger;
-	readonly lease: PromotionLease;
-	readonly promotionService: PromotionService;
-};
-
 /** Monitors of one service. They exist while this process holds the promotion lease. */
 type ServiceMonitors = {readonly primaryMonitor: PrimaryMonitor; readonly pauseCleaner: OrphanedPauseCleaner};
 
-type Candidate = {readonly backend: Backend; readonly status: ServerStatus};
-
-/** The server to be promoted, and the highest term before the promotion. */
-type PromotionTarget = {readonly backend: Backend; readonly highestPriorTerm: number};
-
-type PromotionPlan = {readonly target: PromotionTarget; readonly pauses: ReplicationPauses; readonly signal: AbortSignal};
-
 /** Terms with which a promotion pauses and steps down servers. */
 type PromotionTerms = {
 	/** Term of the promotion, above all terms that were found. */
@@ -65,8 +47,6 @@
 	hasSteppedDown: boolean;
 };
 
-type RequestOutcome = 'accepted' | 'refused' | 'unanswered' | 'not sent, because the duty is no longer held';
-
 type UnprovenKind = Exclude<CommitProof['kind'], 'proven'>;
 type ProofOf<K extends UnprovenKind> = Extract<CommitProof, {kind: K}>;
 
@@ -76,18 +56,6 @@
 	unknown: ({departedServers}) => `the commit position after the departure of ${departedServers.join(', ')} is not known`,
 };
 
-/** Thrown to abandon a promotion, with the reason as message. */
-class PromotionHalt extends Error {
-	override readonly name = 'PromotionHalt';
-
-	/**
-	 * @param retryDelayMs - time after which the promotion may be tried again
-	 */
-	constructor(message: string, readonly retryDelayMs = 0) {
-		super(message);
-	}
-}
-
 /**
  * Replaces failed and leaving primaries while this process holds the promotion lease.
  *
@@ -99,14 +67,15 @@
 export class PromotionTask {
 	private readonly monitors = new Map<ServiceView, ServiceMonitors>();
 	private readonly activeChecks = new Set<ServiceView>();
-	/** Times until which repeated requests may still take effect. */
-	private readonly repeatsPendingUntilMs = new Map<ServiceView, number>();
 	/** Times from which on abandoned promotions may be tried again. */
 	private readonly retryFromMs = new Map<ServiceView, number>();
+	private readonly orders: PromotionOrders;
 	private runningPromotions = 0;
 	private isStopping = false;
 
-	constructor(private readonly services: () => readonly ServiceView[], private readonly ports: PromotionPorts) {}
+	constructor(private readonly services: () => readonly ServiceView[], private readonly ports: PromotionPorts) {
+		this.orders = new PromotionOrders(ports);
+	}
 
 	/** Runs until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
@@ -173,15 +142,7 @@
 
 	private mayTry(view: ServiceView, need: PromotionNeed): boolean {
 		const isTooSoon = this.ports.clock.nowMs() < (this.retryFromMs.get(view) ?? 0);
-		return !isTooSoon && !(need.kind === 'leaving' && this.hasPendingRepeats(view));
-	}
-
-	/**
-	 * Checks whether a repeated request may still take effect. It would promote a server again that has stepped down for its successor,
-	 * so a leaving primary is replaced later.
-	 */
-	private hasPendingRepeats(view: ServiceView): boolean {
-		return this.ports.clock.nowMs() < (this.repeatsPendingUntilMs.get(view) ?? 0);
+		return !isTooSoon && !(need.kind === 'leaving' && this.orders.hasPendingRepeats(view));
 	}
 
 	private monitorsOf(view: ServiceView): ServiceMonitors {
@@ -237,7 +198,7 @@
 			: await this.pauseAndChooseSuccessor(view, others, terms, pauses);
 		const target: PromotionTarget = {backend: candidate.backend, highestPriorTerm};
 		logPauses(this.ports.log, view, pauses, candidate);
-		await this.requestOrResume(view, candidate, {target, pauses, signal});
+		await this.orders.requestOrResume(view, candidate, {target, pauses, signal});
 		view.recordPromotedLog(candidate.backend, candidate.status.receivedPosition);
 		const newTerm = await this.completePromotion(view, target, term, startedMs);
 		void this.reportLongerLogs(view, candidate);
@@ -317,74 +278,6 @@
 		return candidates.toSorted(compareCandidates)[0]!;
 	}
 
-	/**
-	 * Requests the promotion. If no request is accepted, resumes replication, but only when no request can take effect any more.
-	 * Otherwise the candidate could be promoted without a commit that was acknowledged after replication had resumed.
-	 */
-	private async requestOrResume(view: ServiceView, candidate: Candidate, {target, pauses, signal}: PromotionPlan): Promise<void> {
-		const outcome = await this.requestPromotion(view, candidate, signal);
-		if (outcome === 'accepted') {
-			return;
-		}
-
-		if (outcome === 'unanswered' && await this.waitForNewTerm(target, promotionSettleMs)) {
-			return;
-		}
-
-		await pauses.endAll();
-		throw new PromotionHalt(`the promotion request for ${candidate.backend.id} was ${outcome}`);
-	}
-
-	/**
-	 * Waits until the promoted server is the primary of a new term. A former primary that has not stepped down also claims to
-	 * be the primary, but in a term that was known before the request.
-	 */
-	private async waitForNewTerm({backend, highestPriorTerm}: PromotionTarget, timeoutMs: number): Promise<ServerStatus | undefined> {
-		const deadlineMs = this.ports.clock.nowMs() + timeoutMs;
-		while (this.ports.clock.nowMs() < deadlineMs) {
-			const status = await probeStatus(backend);
-			if (status?.role === 'primary' && status.term > highestPriorTerm) {
-				return status;
-			}
-
-			await this.ports.clock.sleep(pollIntervalMs);
-		}
-
-		return undefined;
-	}
-
-	/** Requests the promotion while this process holds the promotion lease, and repeats requests without a definite result. */
-	private async requestPromotion(view: ServiceView, {backend, status}: Candidate, signal: AbortSignal): Promise<RequestOutcome> {
-		for (let attempt = 0; attempt < maximumRequests; attempt++) {
-			const isHeld = await this.ports.lease.confirm(signal);
-			const token = this.ports.lease.fencingToken();
-			if (!isHeld || token === undefined) {
-				return attempt === 0 ? 'not sent, because the duty is no longer held' : 'unanswered';
-			}
-
-			if (attempt > 0) {
-				this.repeatsPendingUntilMs.set(view, this.ports.clock.nowMs() + promotionSettleMs);
-			}
-
-			const result = await this.ports.promotionService.requestPromotion(view.name, backend.id, {holder: this.ports.lease.holder, token}, signal);
-			this.ports.log.info({
-				service: view.name, server: backend.id, token, result, position: formatPosition(status.receivedPosition), attempt,
-			}, 'a promotion was ordered');
-			if (result === 'accepted') {
-				return result;
-			}
-
-			if (result === 'notRunning') {
-				// Earlier requests without an answer may still take effect once the server runs again.
-				return attempt === 0 ? 'refused' : 'unanswered';
-			}
-
-			await this.ports.clock.sleep(requestRetryDelayMs, signal);
-		}
-
-		return 'unanswered';
-	}
-
 	/**
 	 * Waits until the promotion takes effect, and records and logs the new primary.
 	 * @returns the new term
@@ -392,7 +285,7 @@
 	 */
 	private async completePromotion(view: ServiceView, target: PromotionTarget, plannedTerm: number, startedMs: number): Promise<number> {
 		const {backend} = target;
-		const status = await this.waitForNewTerm(target, promotionTimeoutMs);
+		const status = await this.orders.waitForNewTerm(target, promotionTimeoutMs);
 		if (!status) {
 			throw new PromotionHalt(`${backend.id} did not become the primary within ${promotionTimeoutMs} ms after the promotion request`);
 		}
