--- /dev/null
+++ b/packages/proxy/src/__tests__/joiningServer.test.ts
@@ -0,0 +1,208 @@
+import {systemClock} from '@crocusloom/model';
+import {waitUntil} from '@crocusloom/model/testing';
+import {expect} from 'chai';
+import {type PromotionResult, type PromotionService} from '../ports.js';
+import {PromotionTask} from '../promotion.js';
+import {HostDialer, type MemoryServer, MemoryService} from '../testing/index.js';
+import {
+	advanceableClock, type Harness, run as runStatement, startProxy,
+} from './proxyHarness.js';
+
+/** Time between an order of a promotion and its effect. */
+const effectDelayMs = 800;
+/** Time for which each server has been listed when the primary is cut off, and the part of it that passes in real time. */
+const listedMs = 20_000;
+const settleMs = 400;
+/** Time in which a write reaches the primary. */
+const writeDelayMs = 30;
+/** Time after the effect in which running writes finish. */
+const finishMs = 700;
+/** Time in which one promotion must take effect, with all its repetitions. */
+const promotionTimeoutMs = 15_000;
+
+const moments = ['before the order', 'between the order and its effect'] as const;
+type Moment = typeof moments[number];
+
+/** A service whose primary `a` one host reaches, and the host that promotes does not. */
+type Scene = {
+	readonly service: MemoryService;
+	readonly promoterDialer: HostDialer;
+	/** Gives the present list of servers to both hosts. */
+	readonly publishServers: () => void;
+};
+
+type Event = {
+	readonly title: string;
+	/** Lets a write wait for a replica from before the event. */
+	readonly hasWaitingWrite?: boolean;
+	/** Prepares the event before the primary is cut off from the host that promotes. */
+	readonly prepare?: (scene: Scene) => void;
+	readonly run: (scene: Scene) => void;
+};
+
+/** Lets a replica receive the log of the primary. */
+function receiveLog(service: MemoryService, replica: MemoryServer): void {
+	service.replicate(service.server('a'), replica);
+}
+
+function joinService({service, publishServers}: Scene, isListed: boolean): void {
+	const joined = service.join('d', isListed);
+	publishServers();
+	receiveLog(service, joined);
+}
+
+const events: readonly Event[] = [
+	{
+		title: 'a server that joins and is listed',
+		run(scene) {
+			joinService(scene, true);
+		},
+	},
+	{
+		title: 'a server that joins and is not listed',
+		run(scene) {
+			joinService(scene, false);
+		},
+	},
+	{
+		title: 'a server that joins unlisted while a commit waits for a replica',
+		hasWaitingWrite: true,
+		run(scene) {
+			joinService(scene, false);
+		},
+	},
+];
+
+/** Promotes servers after a delay, and tells when an order has arrived. */
+class DelayedPromotions implements PromotionService {
+	constructor(private readonly service: MemoryService, private readonly delayMs: number, private readonly onOrder: () => PromotionResult) {}
+
+	async requestPromotion(_service: string, serverId: string): Promise<PromotionResult> {
+		setTimeout(() => {
+			this.service.promote(serverId, 1);
+		}, this.delayMs);
+		return this.onOrder();
+	}
+}
+
+describe('server that receives commits during a promotion', () => {
+	let lifetime: AbortController;
+	let hosts: Harness[];
+	let service: MemoryService;
+	let promoterDialer: HostDialer;
+	let scene: Scene;
+	/** Rows with which writes were answered without an error. */
+	let servedRows: string[];
+
+	/** Starts the host of the callers and the one that promotes. */
+	async function startHosts(): Promise<void> {
+		service = new MemoryService('ledger', ['a', 'b', 'c']);
+		service.acknowledgesLateCommits = true;
+		promoterDialer = new HostDialer(service, systemClock);
+		const clock = advanceableClock();
+		hosts = [await startProxy(service, clock), await startProxy(service, clock, async () => true, promoterDialer)];
+		scene = {
+			service,
+			promoterDialer,
+			publishServers() {
+				for (const {proxy} of hosts) {
+					proxy.setServers(service.listings());
+				}
+			},
+		};
+		servedRows = [];
+		await write();
+		clock.offsetMs += listedMs;
+		await systemClock.sleep(settleMs);
+	}
+
+	/** Writes on a session of its own, and records whether the caller was told that the write succeeded. */
+	async function write(): Promise<void> {
+		const {error, rows} = await runStatement(hosts[0]!.proxy.openSession('strict', 'u'), 'WRITE a 1');
+		servedRows.push(...error ? [] : rows);
+	}
+
+	/**
+	 * Starts promotions on the second host.
+	 * @param onPaused - called once when all replicas are paused and nothing is ordered yet
+	 */
+	function startPromotions(promotionService: PromotionService, onPaused: () => Promise<void>): void {
+		let isNotified = false;
+		const confirm = async () => {
+			if (!isNotified && ['b', 'c'].every(id => service.server(id).pausedTerm > 0)) {
+				isNotified = true;
+				await onPaused();
+			}
+
+			return true;
+		};
+
+		const [, {proxy, log}] = hosts as [Harness, Harness];
+		new PromotionTask(() => proxy.services, {
+			clock: systemClock, log, lease: {holder: 'h', fencingToken: () => 7, confirm}, promotionService,
+		}).run(lifetime.signal).catch(() => undefined);
+	}
+
+	/** Checks that the promoted server has each write that a caller was told to have succeeded. */
+	async function expectNoLoss(): Promise<void> {
+		await waitUntil(() => service.promotions.length > 0, promotionTimeoutMs);
+		await systemClock.sleep(finishMs);
+		const promotedRows = new Set(service.server(service.promotions.at(-1)!.server).log.map(({writeId}) => `row of ${writeId}`));
+		expect(servedRows.filter(row => !promotedRows.has(row)), 'lost writes that callers were told to have succeeded').to.deep.equal([]);
+	}
+
+	/** Lets an event happen at a moment of a promotion, with a write of a caller after it, and checks what the callers were told. */
+	async function play({hasWaitingWrite = false, prepare, run}: Event, moment: Moment): Promise<void> {
+		await startHosts();
+		const writes: Array<Promise<void>> = [];
+		const runEventAt = (reachedMoment: Moment) => {
+			if (moment === reachedMoment) {
+				run(scene);
+				writes.push(write());
+			}
+		};
+
+		let orderCount = 0;
+		const promotions = new DelayedPromotions(service, effectDelayMs, () => {
+			orderCount++;
+			if (orderCount === 1) {
+				runEventAt('between the order and its effect');
+			}
+
+			return 'accepted';
+		});
+		prepare?.(scene);
+		startPromotions(promotions, async () => {
+			if (hasWaitingWrite) {
+				writes.push(write());
+				await systemClock.sleep(writeDelayMs);
+			}
+
+			runEventAt('before the order');
+		});
+		promoterDialer.cutServers.add('a');
+		await expectNoLoss();
+		await Promise.all(writes);
+		expect(writes.length, 'writes during the promotion').to.be.above(0);
+	}
+
+	beforeEach(() => {
+		lifetime = new AbortController();
+		hosts = [];
+	});
+
+	afterEach(() => {
+		lifetime.abort(new Error('the test ends'));
+		for (const host of hosts) {
+			host.stop();
+		}
+	});
+
+	for (const event of events) {
+		for (const moment of moments) {
+			it(`makes no caller rely on it: ${event.title} ${moment} (guards against acknowledged commits that the promoted server lacks)`, async () => {
+				await play(event, moment);
+			});
+		}
+	}
+});
--- a/packages/proxy/src/__tests__/proxyHarness.ts
+++ b/packages/proxy/src/__tests__/proxyHarness.ts
@@ -2,7 +2,7 @@
 import {RecordingLogger, waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {
-	type ConfirmServers, type FreshnessRule, type PromotionService, type ProxyConfiguration, type Route,
+	type BackendDialer, type ConfirmServers, type FreshnessRule, type PromotionService, type ProxyConfiguration, type Route,
 } from '../ports.js';
 import {type ServiceView} from '../serviceView.js';
 import {type Session} from '../session.js';
@@ -26,11 +26,16 @@
 };
 
 /** Starts a proxy in front of an in-memory service and waits until the primary is known. */
-export async function startProxy(service = new MemoryService('ledger', ['a', 'b', 'c']), clock: Clock = systemClock, confirmServers: ConfirmServers = async () => true): Promise<Harness> {
+export async function startProxy(
+	service = new MemoryService('ledger', ['a', 'b', 'c']),
+	clock: Clock = systemClock,
+	confirmServers: ConfirmServers = async () => true,
+	dialer: BackendDialer = service,
+): Promise<Harness> {
 	const log = new RecordingLogger();
 	const lifetime = new AbortController();
 	const proxy = new SessionProxy({
-		clock, random: {next: () => 0.5}, log, metrics: noopMetrics, dialer: service, confirmServers, failureDomain: 'a', configurationBoundMs: 3000,
+		clock, random: {next: () => 0.5}, log, metrics: noopMetrics, dialer, confirmServers, failureDomain: 'a', configurationBoundMs: 3000,
 	});
 	const configure = (version: number, databases: readonly string[]) => {
 		const routes = databases.map((database): [string, Route] => [database, {
--- a/platform/src/__tests__/schedules/hostDialer.ts
+++ b/packages/proxy/src/testing/hostDialer.ts
@@ -1,12 +1,19 @@
 import {type Clock, deferred} from '@crocusloom/model';
 import {
-	type Answer, type BackendConnection, type BackendDialer, type BackendRequest, type BackendServer, ConnectionError, type ServerStatus,
-} from '@crocusloom/proxy';
+	type BackendConnection, type BackendDialer, type BackendServer, ConnectionError,
+} from '../ports.js';
+import {
+	type Answer, type BackendCommand, type BackendRequest, type ServerStatus,
+} from '../statement.js';
+
+type CommandListener = (serverId: string, command: BackendCommand) => void;
 
 /** Dialer of one host, whose paths to servers can be cut in both directions without a reset. */
 export class HostDialer implements BackendDialer {
 	/** Ids of the servers to which the path is cut. */
 	readonly cutServers = new Set<string>();
+	/** Called before each command that this host sends. */
+	onCommand: CommandListener | undefined;
 
 	constructor(private readonly dialer: BackendDialer, private readonly clock: Clock) {}
 
@@ -17,7 +24,9 @@
 		}
 
 		const connection = await this.dialer.dial(server, timeoutMs);
-		return new CuttableConnection(connection, () => this.cutServers.has(server.id));
+		return new CuttableConnection(connection, () => this.cutServers.has(server.id), command => {
+			this.onCommand?.(server.id, command);
+		});
 	}
 
 	async isReachable(server: BackendServer, timeoutMs: number): Promise<boolean> {
@@ -34,7 +43,7 @@
 class CuttableConnection implements BackendConnection {
 	private readonly closed = deferred<never>();
 
-	constructor(private readonly connection: BackendConnection, private readonly isCut: () => boolean) {
+	constructor(private readonly connection: BackendConnection, private readonly isCut: () => boolean, private readonly onCommand: (command: BackendCommand) => void) {
 		this.closed.promise.catch(() => undefined);
 	}
 
@@ -43,6 +52,7 @@
 	}
 
 	async run(request: BackendRequest): Promise<Answer> {
+		this.onCommand(request.command);
 		if (this.isCut()) {
 			return this.closed.promise;
 		}
--- a/packages/proxy/src/testing/index.ts
+++ b/packages/proxy/src/testing/index.ts
@@ -1,1 +1,2 @@
+export * from './hostDialer.js';
 export * from './memoryService.js';
--- a/packages/proxy/src/testing/memoryService.ts
+++ b/packages/proxy/src/testing/memoryService.ts
@@ -13,6 +13,13 @@
 
 type LogEntry = {readonly position: LogPosition; readonly writeId: string};
 
+/** A commit that too few replicas have received so far. */
+type WaitingCommit = {
+	readonly primary: MemoryServer;
+	readonly entries: readonly LogEntry[];
+	readonly acknowledge: () => void;
+};
+
 /** A command that a server ran, with the state of the connection at that time. */
 export type RunRecord = {
 	readonly server: string;
@@ -44,6 +51,8 @@
 	/** If true, the server neither accepts connections nor answers requests. */
 	isUnresponsive = false;
 	isLeaving = false;
+	/** If false, service discovery does not list the server, which receives entries all the same. */
+	isListed = true;
 	/** If true, another server answers at the address. */
 	isReplaced = false;
 	/** Start time; a server that restarts has another one. */
@@ -68,6 +77,7 @@
 	queueLimit = 30;
 	private busySlots = 0;
 	private readonly waiting: Array<() => void> = [];
+	private readonly connections = new Set<BackendConnection>();
 
 	constructor(readonly id: string, readonly service: MemoryService) {}
 
@@ -126,18 +136,36 @@
 		};
 	}
 
+	/** Accepts a connection, which is closed when the server restarts. */
+	open(connection: BackendConnection): void {
+		this.openConnections++;
+		this.connections.add(connection);
+		connection.onClose(() => {
+			this.openConnections--;
+			this.connections.delete(connection);
+		});
+	}
+
 	/** Lets the open connections go silent; new ones work. */
 	silenceConnections(): void {
 		this.lastSilentConnection = this.service.connectionCount;
 	}
 
+	/** Starts again under the same id, with its log. */
+	restart(): void {
+		this.startedAtMs++;
+		this.role = 'replica';
+		this.pausedTerm = 0;
+		for (const connection of this.connections) {
+			connection.close();
+		}
+	}
+
 	/** Starts again under the same id, without a log. */
 	restartEmpty(): void {
-		this.startedAtMs++;
+		this.restart();
 		this.log.length = 0;
 		this.appliedCount = 0;
-		this.role = 'replica';
-		this.pausedTerm = 0;
 	}
 
 	/** Applies all received entries. */
@@ -156,7 +184,9 @@
 
 /** A service of several servers. The first server is the initial primary. */
 export class MemoryService implements BackendDialer {
-	readonly servers: readonly MemoryServer[];
+	readonly servers: MemoryServer[];
+	/** If true, a commit that too few replicas received is acknowledged once enough of them have it. */
+	acknowledgesLateCommits = false;
 	readonly runs: RunRecord[] = [];
 	/** Ids of the writes whose commits were acknowledged. */
 	readonly acknowledged: string[] = [];
@@ -164,6 +194,7 @@
 	readonly promotions: Array<{readonly server: string; readonly token: number}> = [];
 	/** Number of connections that were opened so far. */
 	connectionCount = 0;
+	private readonly waitingCommits = new Set<WaitingCommit>();
 
 	constructor(readonly name: string, readonly ids: readonly string[], readonly syncReplicas = 1, readonly maxConnections = 20) {
 		this.servers = ids.map(id => new MemoryServer(id, this));
@@ -175,7 +206,18 @@
 	}
 
 	listings(): readonly BackendServer[] {
-		return this.servers.map(server => server.listing());
+		return this.servers.filter(({isListed}) => isListed).map(server => server.listing());
+	}
+
+	/**
+	 * Adds a replica to the service.
+	 * @param isListed - whether service discovery lists it
+	 */
+	join(id: string, isListed: boolean): MemoryServer {
+		const server = new MemoryServer(id, this);
+		server.isListed = isListed;
+		this.servers.push(server);
+		return server;
 	}
 
 	/**
@@ -221,9 +263,17 @@
 			follower.receive(entry);
 		}
 
+		this.acknowledgeWaitingCommits(primary);
 		return true;
 	}
 
+	/** Acknowledges a commit once enough replicas have it. */
+	awaitReplicas(commit: WaitingCommit): void {
+		if (this.acknowledgesLateCommits) {
+			this.waitingCommits.add(commit);
+		}
+	}
+
 	async dial(server: BackendServer, _timeoutMs?: number): Promise<BackendConnection> {
 		const target = this.server(server.id);
 		target.dialCount++;
@@ -240,15 +290,26 @@
 			throw new ConnectionError({kind: 'connectionLimit', message: 'full'}, 'connect', server.id);
 		}
 
-		target.openConnections++;
 		this.connectionCount++;
-		return new MemoryConnection(target, this.connectionCount);
+		const connection = new MemoryConnection(target, this.connectionCount);
+		target.open(connection);
+		return connection;
 	}
 
 	async isReachable(server: BackendServer): Promise<boolean> {
 		await sleep(1);
 		return !this.server(server.id).isUnresponsive;
 	}
+
+	private acknowledgeWaitingCommits(primary: MemoryServer): void {
+		for (const commit of this.waitingCommits) {
+			const holders = this.servers.filter(server => server !== primary && commit.entries.every(entry => server.log.includes(entry)));
+			if (commit.primary === primary && primary.role === 'primary' && holders.length >= this.syncReplicas) {
+				this.waitingCommits.delete(commit);
+				commit.acknowledge();
+			}
+		}
+	}
 }
 
 /** Checks whether a primary can send its log to a follower. */
@@ -266,6 +327,8 @@
 	private readonly pendingRejects = new Set<(error: unknown) => void>();
 	private transaction: Transaction | undefined;
 	private hasFailed = false;
+	/** Commit of the last statement, if it waits for replicas. */
+	private waitingCommit: Omit<WaitingCommit, 'acknowledge'> | undefined;
 
 	constructor(private readonly server: MemoryServer, private readonly connectionId: number) {}
 
@@ -283,12 +346,18 @@
 					this.server.answersToLose--;
 				}
 
-				if (isLost || !answer) {
-					return;
+				const give = (answerToGive: Answer) => {
+					if (!isLost) {
+						this.pendingRejects.delete(reject);
+						resolve(answerToGive);
+					}
+				};
+
+				if (answer) {
+					give(answer);
+				} else {
+					this.awaitReplicas(request.command, give);
 				}
-
-				this.pendingRejects.delete(reject);
-				resolve(answer);
 			});
 			if (!isAccepted) {
 				this.pendingRejects.delete(reject);
@@ -311,7 +380,6 @@
 		}
 
 		this.isOpen = false;
-		this.server.openConnections--;
 		this.transaction = undefined;
 		for (const reject of this.pendingRejects) {
 			reject(new ConnectionError({kind: 'closed', message: 'closed'}, 'execute', this.server.id));
@@ -322,6 +390,25 @@
 		}
 	}
 
+	/** Answers a statement once enough replicas have its commit, unless the server or the connection has failed by then. */
+	private awaitReplicas(command: BackendCommand, give: (answer: Answer) => void): void {
+		const {waitingCommit, server} = this;
+		this.waitingCommit = undefined;
+		if (!waitingCommit || !('id' in command)) {
+			return;
+		}
+
+		server.service.awaitReplicas({
+			...waitingCommit,
+			acknowledge: () => {
+				server.service.acknowledged.push(...waitingCommit.entries.map(({writeId}) => writeId));
+				if (this.isOpen && !server.isUnresponsive) {
+					give({...this.success(command.id), position: waitingCommit.entries.at(-1)!.position});
+				}
+			},
+		});
+	}
+
 	/** Schedules a command: caller statements need a slot, control commands only take the network delay. */
 	private schedule(command: BackendCommand, run: () => void): boolean {
 		if ('id' in command) {
@@ -443,14 +530,16 @@
 			return this.error('notPrimary');
 		}
 
-		for (const writeId of writes) {
-			server.receive({position: {term: server.term, offsetBytes: server.log.length + 1}, writeId});
+		const entries = writes.map((writeId, index) => ({position: {term: server.term, offsetBytes: server.log.length + index + 1}, writeId}));
+		for (const entry of entries) {
+			server.receive(entry);
 		}
 
 		server.catchUp();
 		const followers = service.servers.filter(peer => peer !== server);
 		const received = followers.map(follower => service.replicate(server, follower)).filter(Boolean).length;
 		if (received < service.syncReplicas) {
+			this.waitingCommit = {primary: server, entries};
 			return undefined;
 		}
 
