--- a/packages/proxy/src/__tests__/joiningServer.test.ts
+++ b/packages/proxy/src/__tests__/joiningServer.test.ts
@@ -71,6 +71,35 @@
 			joinService(scene, false);
 		},
 	},
+	{
+		title: 'a paused server that restarts without its log',
+		run({service, publishServers}) {
+			service.server('c').restartEmpty();
+			publishServers();
+			receiveLog(service, service.server('c'));
+		},
+	},
+	{
+		title: 'a paused server that restarts before its new entry is listed',
+		run({service}) {
+			service.server('c').restart();
+			receiveLog(service, service.server('c'));
+		},
+	},
+	{
+		title: 'a server at the address of a paused one, with its log',
+		run({service, publishServers}) {
+			const replaced = service.server('c');
+			replaced.isReplaced = true;
+			const successor = service.join('d', true);
+			for (const entry of replaced.log) {
+				successor.receive(entry);
+			}
+
+			publishServers();
+			receiveLog(service, successor);
+		},
+	},
 ];
 
 /** Promotes servers after a delay, and tells when an order has arrived. */
