--- a/packages/proxy/src/__tests__/joiningServer.test.ts
+++ b/packages/proxy/src/__tests__/joiningServer.test.ts
@@ -19,6 +19,8 @@
 const finishMs = 700;
 /** Time in which one promotion must take effect, with all its repetitions. */
 const promotionTimeoutMs = 15_000;
+/** Term of a pause that an earlier holder of the promotion lease made. */
+const foreignPauseTerm = 9;
 
 const moments = ['before the order', 'between the order and its effect'] as const;
 type Moment = typeof moments[number];
@@ -100,6 +102,22 @@
 			receiveLog(service, successor);
 		},
 	},
+	{
+		title: 'a server whose pause had no effect, as an earlier lease holder had paused it,',
+		prepare({service, promoterDialer}) {
+			promoterDialer.onCommand = (serverId, {kind}) => {
+				if (serverId === 'c' && kind === 'pause') {
+					promoterDialer.onCommand = undefined;
+					service.server('c').pausedTerm = foreignPauseTerm;
+				}
+			};
+		},
+		run({service}) {
+			const server = service.server('c');
+			server.pausedTerm = server.pausedTerm === foreignPauseTerm ? 0 : server.pausedTerm;
+			receiveLog(service, server);
+		},
+	},
 ];
 
 /** Promotes servers after a delay, and tells when an order has arrived. */
