--- a/packages/proxy/src/__tests__/joiningServer.test.ts
+++ b/packages/proxy/src/__tests__/joiningServer.test.ts
@@ -252,4 +252,22 @@
 			});
 		}
 	}
+
+	it('makes no caller rely on it: a replica whose pause ended before an unanswered order took effect (guards against acknowledged commits that the promoted server lacks)', async () => {
+		await startHosts();
+		let orderCount = 0;
+		const lateEffectMs = 3300;
+		const promotions = new DelayedPromotions(service, lateEffectMs, () => {
+			orderCount++;
+			return orderCount === 1 ? 'retry' : 'notRunning';
+		});
+		startPromotions(promotions, async () => undefined);
+		promoterDialer.cutServers.add('a');
+		await waitUntil(() => orderCount > 1, promotionTimeoutMs);
+		await waitUntil(() => ['b', 'c'].every(id => service.server(id).pausedTerm === 0), promotionTimeoutMs);
+		service.server('a').partitionedFrom.add(service.server('b'));
+		const lateWrite = write();
+		await expectNoLoss();
+		await lateWrite;
+	});
 });
