Hold back promotions while an order of the last lease holder may take effect

The holder now records each order in the store before the request, in a transaction that requires the key of the lease unchanged. It replaces the read that confirmed the lease. A host that acquires the lease reads the records before it uses the lease. While the order of an earlier holder may take effect, it neither promotes nor steps down a server of that service, and ends no pause. A promotion that began under one token is not ordered under a later one.

--- a/packages/proxy/src/__tests__/departedServer.test.ts
+++ b/packages/proxy/src/__tests__/departedServer.test.ts
@@ -3,7 +3,7 @@
 import {expect} from 'chai';
 import {promotionSettleMs} from '../orphanedPauseCleaner.js';
 import {PromotionTask} from '../promotion.js';
-import {type MemoryServer, MemoryService} from '../testing/index.js';
+import {MemoryLease, type MemoryServer, MemoryService} from '../testing/index.js';
 import {
 	createPromotionService, errorOf, type Harness, run, startProxy, waitUntilServed,
 } from './proxyHarness.js';
@@ -58,7 +58,7 @@
 		const task = new PromotionTask(() => harness.proxy.services, {
 			clock: systemClock,
 			log: harness.log,
-			lease: {holder: 'h', fencingToken: () => 7, confirm: async () => true},
+			lease: new MemoryLease('h'),
 			promotionService: createPromotionService(harness.service),
 		});
 		task.run(lifetime.signal).catch(() => undefined);
--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -2,9 +2,9 @@
 import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {PromotionTask} from '../promotion.js';
-import {type PromotionLease, type PromotionResult, type PromotionService} from '../ports.js';
+import {type PromotionResult, type PromotionService} from '../ports.js';
 import {unconfirmedServerGraceMs} from '../backend.js';
-import {type MemoryServer, MemoryService} from '../testing/index.js';
+import {MemoryLease, type MemoryServer, MemoryService} from '../testing/index.js';
 import {
 	advanceableClock, createPromotionService, errorOf, type Harness, run, startProxy, waitUntilServed,
 } from './proxyHarness.js';
@@ -66,7 +66,7 @@
 	}
 
 	function startPromotions(promotionService: PromotionService): PromotionTask {
-		const lease: PromotionLease = {holder: 'h', fencingToken: () => token, confirm: async () => token !== undefined};
+		const lease = new MemoryLease('h', {fencingToken: () => token});
 		const task = new PromotionTask(() => harness.proxy.services, {
 			clock: systemClock, log: harness.log, lease, promotionService,
 		});
@@ -159,14 +159,12 @@
 		harness = await startProxy();
 		lifetime = new AbortController();
 		let confirmations = 0;
-		const lease: PromotionLease = {
-			holder: 'h',
-			fencingToken: () => 7,
+		const lease = new MemoryLease('h', {
 			async confirm() {
 				confirmations++;
 				return confirmations % 2 === 1;
 			},
-		};
+		});
 		new PromotionTask(() => harness.proxy.services, {
 			clock: systemClock, log: harness.log, lease, promotionService: createPromotionService(harness.service),
 		}).run(lifetime.signal).catch(() => undefined);
@@ -181,7 +179,7 @@
 		await startHarness();
 		const {service} = harness;
 		const [primary, ...replicas] = service.servers as [MemoryServer, ...MemoryServer[]];
-		const lease: PromotionLease = {holder: 'h', fencingToken: () => 7, confirm: async () => false};
+		const lease = new MemoryLease('h', {confirm: async () => false});
 		const task = new PromotionTask(() => harness.proxy.services, {
 			clock: systemClock, log: harness.log, lease, promotionService: createPromotionService(service),
 		});
--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -109,6 +109,24 @@
  */
 export type ConfirmServers = () => Promise<boolean>;
 
+/** An order of promotion as it is recorded before the request, so that the next holder of the promotion lease knows of it. */
+export type PromotionOrder = {
+	readonly service: string;
+	readonly server: string;
+	/** Highest term before the promotion. The order has taken effect once the server is the primary of a later one. */
+	readonly priorTerm: number;
+	/** True if further requests for the service may take effect after the first effect. */
+	readonly isRepeated: boolean;
+};
+
+/** An order of an earlier holder of the promotion lease, found when the lease was acquired. */
+export type PriorOrder = {
+	/** Undefined if the record is unreadable. */
+	readonly order: PromotionOrder | undefined;
+	/** Monotonic time in milliseconds at which the record was found. No order of earlier holders is recorded after it. */
+	readonly foundMs: number;
+};
+
 /** Lease on the right to request promotions. One process holds it at a time. */
 export type PromotionLease = {
 	/** Name under which this process holds the lease. */
@@ -120,6 +138,15 @@
 	 * @returns false if the lease is lost or the platform does not answer
 	 */
 	confirm(signal: AbortSignal): Promise<boolean>;
+	/** Returns the order of an earlier holder for a service, or undefined if there is none or it was cleared. */
+	priorOrder(service: string): PriorOrder | undefined;
+	/**
+	 * Records an order, and thereby confirms that this process still holds the lease.
+	 * @returns false if the lease is lost or the platform does not answer; the order may be recorded all the same
+	 */
+	recordOrder(order: PromotionOrder, signal: AbortSignal): Promise<boolean>;
+	/** Removes the record of an order that can no longer take effect. A record that remains delays the next holder only. */
+	clearOrder(service: string, signal: AbortSignal): Promise<void>;
 };
 
 /** Result of a promotion request. An accepted request takes effect later. After `retry`, the request may or may not take effect. */
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -121,6 +121,10 @@
 		try {
 			const {primaryMonitor, pauseCleaner} = this.monitorsOf(view);
 			const need = await primaryMonitor.check();
+			if (await this.orders.isPriorOrderPending(view, signal)) {
+				return;
+			}
+
 			if (need.kind === 'none') {
 				await pauseCleaner.check();
 			} else if (!this.isStopping && this.mayTry(view, need)) {
@@ -157,7 +161,8 @@
 
 	private async promote(view: ServiceView, need: PromotionNeed, signal: AbortSignal): Promise<void> {
 		// The pauses of a process that has lost the lease would replace and end those of the next holder.
-		if (!await this.ports.lease.confirm(signal)) {
+		const token = this.ports.lease.fencingToken();
+		if (token === undefined || !await this.ports.lease.confirm(signal)) {
 			throw new PromotionHalt('the promotion lease is not confirmed');
 		}
 
@@ -198,7 +203,9 @@
 			: await this.pauseAndChooseSuccessor(view, others, terms, pauses);
 		const target: PromotionTarget = {backend: candidate.backend, highestPriorTerm};
 		logPauses(this.ports.log, view, pauses, candidate);
-		await this.orders.requestOrResume(view, candidate, {target, pauses, signal});
+		await this.orders.requestOrResume(view, candidate, {
+			target, pauses, token, signal,
+		});
 		view.recordPromotedLog(candidate.backend, candidate.status.receivedPosition);
 		const newTerm = await this.completePromotion(view, target, term, startedMs);
 		void this.reportLongerLogs(view, candidate);
--- a/packages/proxy/src/promotionOrder.ts
+++ b/packages/proxy/src/promotionOrder.ts
@@ -2,7 +2,9 @@
 import {type Backend} from './backend.js';
 import {probeStatus} from './leadershipProver.js';
 import {promotionSettleMs} from './orphanedPauseCleaner.js';
-import {type PromotionLease, type PromotionService} from './ports.js';
+import {
+	type PriorOrder, type PromotionLease, type PromotionOrder, type PromotionService,
+} from './ports.js';
 import {type ReplicationPauses} from './replicationPauses.js';
 import {type ServiceView} from './serviceView.js';
 import {type ServerStatus} from './statement.js';
@@ -11,6 +13,15 @@
 export const pollIntervalMs = 40;
 /** Delay before a promotion request without a definite result is repeated. */
 const requestRetryDelayMs = 150;
+/** Longest time between the confirmation of the lease and a promotion request. A holder may have been suspended between the two. */
+const maximumConfirmationAgeMs = 1200;
+/** Time in which a promotion request is answered or given up. */
+const requestTimeoutMs = 1500;
+/**
+ * Time for which an order of an earlier holder may take effect, from the time when its record was found. Its request was sent at most
+ * `maximumConfirmationAgeMs` later, and is given up within the request timeout.
+ */
+export const orderSettleMs = requestTimeoutMs + promotionSettleMs;
 /** Maximum number of promotion requests for one candidate before the promotion is abandoned and starts over. */
 const maximumRequests = 6;
 
@@ -26,7 +37,13 @@
 /** The server to be promoted, and the highest term before the promotion. */
 export type PromotionTarget = {readonly backend: Backend; readonly highestPriorTerm: number};
 
-export type PromotionPlan = {readonly target: PromotionTarget; readonly pauses: ReplicationPauses; readonly signal: AbortSignal};
+export type PromotionPlan = {
+	readonly target: PromotionTarget;
+	readonly pauses: ReplicationPauses;
+	/** Fencing token under which the promotion began. Another process may have held the lease before a later one. */
+	readonly token: number;
+	readonly signal: AbortSignal;
+};
 
 type RequestOutcome = 'accepted' | 'refused' | 'unanswered' | 'not sent, because the duty is no longer held';
 
@@ -47,8 +64,36 @@
 	/** Times until which repeated requests may still take effect. */
 	private readonly repeatsPendingUntilMs = new Map<ServiceView, number>();
 
+	/** Number of orders of each service, to tell the last one. */
+	private readonly orderCounts = new Map<ServiceView, number>();
+
 	constructor(private readonly ports: PromotionPorts) {}
 
+	/**
+	 * Checks whether an order of an earlier holder may still take effect. Until then, this process must neither promote or step down a
+	 * server of the service nor end a pause.
+	 * @returns false once the order has taken effect, or its time has passed
+	 */
+	async isPriorOrderPending(view: ServiceView, signal: AbortSignal): Promise<boolean> {
+		const {lease, clock, log} = this.ports;
+		const priorOrder = lease.priorOrder(view.name);
+		if (!priorOrder) {
+			return false;
+		}
+
+		const waitedMs = clock.nowMs() - priorOrder.foundMs;
+		const hasTakenEffect = await hasTakenFinalEffect(view, priorOrder);
+		if (waitedMs < orderSettleMs && !hasTakenEffect) {
+			return true;
+		}
+
+		log.info({
+			service: view.name, server: priorOrder.order?.server, hasTakenEffect, waitedMs: Math.round(waitedMs),
+		}, 'the order of an earlier holder of the promotion lease is settled');
+		void lease.clearOrder(view.name, signal);
+		return false;
+	}
+
 	/**
 	 * Checks whether a repeated request may still take effect. It would promote a server again that has stepped down for its successor,
 	 * so a leaving primary is replaced later.
@@ -61,8 +106,10 @@
 	 * Requests the promotion. If no request is accepted, resumes replication, but only when no request can take effect any more.
 	 * Otherwise the candidate could be promoted without a commit that was acknowledged after replication had resumed.
 	 */
-	async requestOrResume(view: ServiceView, candidate: Candidate, {target, pauses, signal}: PromotionPlan): Promise<void> {
-		const outcome = await this.requestPromotion(view, candidate, signal);
+	async requestOrResume(view: ServiceView, candidate: Candidate, plan: PromotionPlan): Promise<void> {
+		const {target, pauses, signal} = plan;
+		const outcome = await this.requestPromotion(view, candidate, plan);
+		void this.clearWhenSettled(view, plan.token, signal);
 		if (outcome === 'accepted') {
 			return;
 		}
@@ -94,20 +141,23 @@
 	}
 
 	/** Requests the promotion while this process holds the promotion lease, and repeats requests without a definite result. */
-	private async requestPromotion(view: ServiceView, {backend, status}: Candidate, signal: AbortSignal): Promise<RequestOutcome> {
+	private async requestPromotion(view: ServiceView, {backend, status}: Candidate, {target, token, signal}: PromotionPlan): Promise<RequestOutcome> {
+		const {clock, lease, log, promotionService} = this.ports;
+		this.orderCounts.set(view, this.countOrders(view) + 1);
 		for (let attempt = 0; attempt < maximumRequests; attempt++) {
-			const isHeld = await this.ports.lease.confirm(signal);
-			const token = this.ports.lease.fencingToken();
-			if (!isHeld || token === undefined) {
+			const order: PromotionOrder = {
+				service: view.name, server: backend.id, priorTerm: target.highestPriorTerm, isRepeated: attempt > 0 || this.hasPendingRepeats(view),
+			};
+			if (!await this.recordAndConfirm(order, {token, attempt}, signal)) {
 				return attempt === 0 ? 'not sent, because the duty is no longer held' : 'unanswered';
 			}
 
 			if (attempt > 0) {
-				this.repeatsPendingUntilMs.set(view, this.ports.clock.nowMs() + promotionSettleMs);
+				this.repeatsPendingUntilMs.set(view, clock.nowMs() + promotionSettleMs);
 			}
 
-			const result = await this.ports.promotionService.requestPromotion(view.name, backend.id, {holder: this.ports.lease.holder, token}, signal);
-			this.ports.log.info({
+			const result = await promotionService.requestPromotion(view.name, backend.id, {holder: lease.holder, token}, signal);
+			log.info({
 				service: view.name, server: backend.id, token, result, position: formatPosition(status.receivedPosition), attempt,
 			}, 'a promotion was ordered');
 			if (result === 'accepted') {
@@ -119,9 +169,55 @@
 				return attempt === 0 ? 'refused' : 'unanswered';
 			}
 
-			await this.ports.clock.sleep(requestRetryDelayMs, signal);
+			await clock.sleep(requestRetryDelayMs, signal);
 		}
 
 		return 'unanswered';
 	}
+
+	/**
+	 * Records the order before the first and the second request, and confirms the lease before each further one, which changes nothing in the record.
+	 * @returns false if the lease is not certainly held now, under the token
+	 */
+	private async recordAndConfirm(order: PromotionOrder, {token, attempt}: {readonly token: number; readonly attempt: number}, signal: AbortSignal): Promise<boolean> {
+		const {clock, lease} = this.ports;
+		if (lease.fencingToken() !== token) {
+			return false;
+		}
+
+		const startedMs = clock.nowMs();
+		const isHeld = attempt < 2 ? await lease.recordOrder(order, signal) : await lease.confirm(signal);
+		return isHeld && lease.fencingToken() === token && clock.nowMs() - startedMs <= maximumConfirmationAgeMs;
+	}
+
+	/** Removes the record of the last order once no request can take effect any more. Otherwise a later holder would wait for it. */
+	private async clearWhenSettled(view: ServiceView, token: number, signal: AbortSignal): Promise<void> {
+		const {clock, lease} = this.ports;
+		const count = this.countOrders(view);
+		try {
+			await clock.sleep(orderSettleMs, signal);
+		} catch {
+			// The process stops, and the next holder settles the record.
+			return;
+		}
+
+		if (this.countOrders(view) === count && lease.fencingToken() === token) {
+			await lease.clearOrder(view.name, signal);
+		}
+	}
+
+	private countOrders(view: ServiceView): number {
+		return this.orderCounts.get(view) ?? 0;
+	}
+}
+
+/** Checks whether an order has taken effect, and cannot do so again. */
+async function hasTakenFinalEffect(view: ServiceView, {order}: PriorOrder): Promise<boolean> {
+	const backend = view.listBackends().find(({id}) => id === order?.server);
+	if (!order || order.isRepeated || !backend) {
+		return false;
+	}
+
+	const status = await probeStatus(backend);
+	return status?.role === 'primary' && status.term > order.priorTerm;
 }
--- a/packages/proxy/src/testing/index.ts
+++ b/packages/proxy/src/testing/index.ts
@@ -1,1 +1,2 @@
+export * from './memoryLease.js';
 export * from './memoryService.js';
