--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -11,6 +11,7 @@
 export * from './ports.js';
 export * from './primaryMonitor.js';
 export * from './promotion.js';
+export {promotionRequestTimeoutMs} from './promotionOrder.js';
 export * from './routeTable.js';
 export * from './serviceView.js';
 export * from './session.js';
--- a/packages/proxy/src/promotionOrder.ts
+++ b/packages/proxy/src/promotionOrder.ts
@@ -15,13 +15,13 @@
 const requestRetryDelayMs = 150;
 /** Longest time between the confirmation of the lease and a promotion request. A holder may have been suspended between the two. */
 const maximumConfirmationAgeMs = 1200;
-/** Time in which a promotion request is answered or given up. */
-const requestTimeoutMs = 1500;
+/** Time in which a promotion request is answered or given up, from the start of its connection. It is not sent later. */
+export const promotionRequestTimeoutMs = 1500;
 /**
  * Time for which an order of an earlier holder may take effect, from the time when its record was found. Its request was sent at most
  * `maximumConfirmationAgeMs` later, and is given up within the request timeout.
  */
-export const orderSettleMs = requestTimeoutMs + promotionSettleMs;
+export const orderSettleMs = promotionRequestTimeoutMs + promotionSettleMs;
 /** Maximum number of promotion requests for one candidate before the promotion is abandoned and starts over. */
 const maximumRequests = 6;
 
