Confirm each commit by a server that every promotion under way has paused

Cause: the primary acknowledges a commit once any replica has it. A server that joins after a promotion has paused the others, or a paused one that restarts, makes the old primary acknowledge commits until the order takes effect. Such a server may be in no list yet, so the list of servers cannot settle it.

Change: a host answers success for a write only once the position of the answer is known to be in the log of a witness, a server listed unchanged for longer than an order takes. Each promotion under way has paused it: what it has, the promotion knows, and after the pause it gets nothing. One status probe serves all commits that wait; without a witness the answer is in doubt, at once if the witnesses are paused.

--- a/packages/proxy/src/__tests__/connectionPool.test.ts
+++ b/packages/proxy/src/__tests__/connectionPool.test.ts
@@ -13,7 +13,7 @@
 
 function poolOf(service: MemoryService, share: ConnectionShare, log = new RecordingLogger()): ConnectionPool {
 	return new ConnectionPool(service.server('a').listing(), share, {
-		dialer: service, clock: systemClock, random: {next: () => 0}, log, onAvailable: () => undefined, onDialResult: () => undefined,
+		dialer: service, clock: systemClock, random: {next: () => 0}, log, onAvailable: () => undefined, onDialResult: () => undefined, onConnectionLost: () => undefined,
 	});
 }
 
--- a/packages/proxy/src/__tests__/leavingServer.test.ts
+++ b/packages/proxy/src/__tests__/leavingServer.test.ts
@@ -1,5 +1,5 @@
 import {mock} from 'node:test';
-import {systemClock} from '@crocusloom/model';
+import {noopLogger, noopMetrics, systemClock} from '@crocusloom/model';
 import {RecordingLogger, waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {Backend} from '../backend.js';
@@ -135,8 +135,12 @@
 			const backend = new Backend(entry, {connections: connectionShareFor(service.maxConnections, 1), ranks}, {
 				dialer: service, clock, random: {next: () => 0.5}, log: new RecordingLogger(),
 			});
-			const view = {currentPrimary: {backend, term: 1}, onChange: () => () => undefined} as unknown as ServiceView;
-			const runner = new StatementRunner({clock, failureDomain: 'a', viewOf: () => view});
+			const view = {
+				currentPrimary: {backend, term: 1}, onChange: () => () => undefined, confirmCommit: async () => ({kind: 'confirmed', wasKnown: true}),
+			} as unknown as ServiceView;
+			const runner = new StatementRunner({
+				clock, failureDomain: 'a', log: noopLogger, metrics: noopMetrics, viewOf: () => view,
+			});
 			backend.configure({...entry, isLeaving: true}, {connections: connectionShareFor(service.maxConnections, 1), ranks});
 
 			await advanceTo(clock, leavingPrimaryGraceMs - 1000);
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -43,6 +43,8 @@
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly log: Logger;
+	/** Called after each answer that tells which commits the server has. */
+	readonly onPosition?: () => void;
 };
 
 export type BackendLimits = {readonly connections: ConnectionShare; readonly ranks: readonly RankPolicy[]};
@@ -53,10 +55,15 @@
 	readonly queue: AdmissionQueue;
 	/** Time of the last sign that the server is alive: an answer, an accepted connection, or a refusal at its connection limit. */
 	lastContactMs: number;
+	/** Time since which the entry of this process of the server has been listed. */
+	readonly listedSinceMs: number;
 	private entry: BackendServer;
 	private readonly slotLimit: SlotLimit;
 	private ranks: readonly RankPolicy[];
 	private appliedPosition: LogPosition | undefined;
+	private newestPosition: LogPosition | undefined;
+	/** Time of the last sign that the process of the server may have ended. */
+	private disturbedMs = Number.NEGATIVE_INFINITY;
 	private laggingUntilMs = 0;
 	private lagBackoffMs = initialLagBackoffMs;
 	/** Pause of a congested server after its last answer. Does not apply to the most urgent rank and to open transactions. */
@@ -81,6 +88,7 @@
 		this.entry = entry;
 		this.ranks = limits.ranks;
 		this.lastContactMs = ports.clock.nowMs();
+		this.listedSinceMs = this.lastContactMs;
 		this.updateLeavingSince();
 		this.slotLimit = new SlotLimit(usableSlots(entry, limits));
 		this.pool = new ConnectionPool(entry, limits.connections, {
@@ -91,6 +99,9 @@
 			onDialResult: failure => {
 				this.recordDialResult(failure);
 			},
+			onConnectionLost: () => {
+				this.disturbedMs = ports.clock.nowMs();
+			},
 		});
 		this.queue = new AdmissionQueue(entry.id, {slotLimit: this.slotLimit.value, ranks: limits.ranks}, ports.clock, {
 			mayReserve: moreUrgentRanks => this.ports.clock.nowMs() >= this.pause.startedMs + this.pauseMsForRank(moreUrgentRanks) && this.pool.mayReserve(),
@@ -119,6 +130,19 @@
 		return this.isChecking || this.isDown || this.isReplaced;
 	}
 
+	/**
+	 * Newest position that the server is known to have received. A later promotion may have rolled it back, if it is of an earlier term
+	 * than the log of the new primary.
+	 */
+	get heldPosition(): LogPosition | undefined {
+		return this.newestPosition;
+	}
+
+	/** Time since the last sign that the process of the server may have ended: a connection that it closed, or a host that is not reached. */
+	get undisturbedForMs(): number {
+		return this.ports.clock.nowMs() - this.disturbedMs;
+	}
+
 	/** True if another server answered at the address of this one, which is therefore gone with its log although its entry remains. */
 	get isReplacedAtAddress(): boolean {
 		return this.isReplaced;
@@ -202,6 +226,10 @@
 	 * @throws ConnectionError if the server does not answer in time
 	 */
 	async runControlCommand(command: BackendCommand, timeoutMs: number): Promise<ServerStatus | undefined> {
+		if (this.hasRetired) {
+			return this.runOnNewConnection(command, timeoutMs);
+		}
+
 		this.pool.reserve();
 		const pendingConnection = this.pool.acquire(noParameters);
 		const connection = await this.withConnectionTimeout(pendingConnection, timeoutMs, () => {
@@ -287,6 +315,17 @@
 		return results.some(result => result.status === 'fulfilled' && result.value);
 	}
 
+	/** Runs a control command for work that still runs, while the pool opens no connections any more. */
+	private async runOnNewConnection(command: BackendCommand, timeoutMs: number): Promise<ServerStatus | undefined> {
+		const connection = await this.ports.dialer.dial(this.entry, timeoutMs);
+		try {
+			const answer = await this.withConnectionTimeout(connection.run({command}), timeoutMs, () => undefined);
+			return this.recordStatus(connection.readStatus(answer));
+		} finally {
+			connection.close();
+		}
+	}
+
 	/** Closes all connections of a server whose host is unreachable, so that its work fails at once instead of timing out. */
 	private async checkReachability(): Promise<void> {
 		this.isChecking = true;
@@ -305,6 +344,7 @@
 		}
 
 		this.isDown = true;
+		this.disturbedMs = this.ports.clock.nowMs();
 		this.ports.log.warn({
 			server: this.id, silentMs: Math.round(this.ports.clock.nowMs() - this.lastContactMs), inFlight: this.inFlight,
 		}, 'a silent backend server cannot be reached; its connections are ended');
@@ -315,12 +355,21 @@
 	private recordStatus(status: ServerStatus | undefined): ServerStatus | undefined {
 		this.recordContact();
 		if (status) {
+			this.recordPosition(status.receivedPosition);
 			this.pool.recordServerConnections(status.connections);
 		}
 
 		return status;
 	}
 
+	private recordPosition(position: LogPosition): void {
+		if (!this.newestPosition || comparePositions(position, this.newestPosition) > 0) {
+			this.newestPosition = position;
+		}
+
+		this.ports.onPosition?.();
+	}
+
 	private recordContact(): void {
 		this.lastContactMs = this.ports.clock.nowMs();
 		this.failuresSinceContact = 0;
@@ -344,7 +393,11 @@
 		}
 
 		this.failuresSinceContact++;
-		this.isDown ||= failure.kind === 'refused' || failure.kind === 'unreachable';
+		if (failure.kind === 'refused' || failure.kind === 'unreachable') {
+			this.isDown = true;
+			this.disturbedMs = this.ports.clock.nowMs();
+		}
+
 		if (failure.kind === 'wrongServer' && !this.isReplaced) {
 			this.isReplaced = true;
 			this.ports.log.warn({server: this.id, address: this.entry.address, reason: failure.message}, 'another server answers at the address of a backend server');
@@ -360,6 +413,7 @@
 		this.recordContact();
 		if (answer.position) {
 			this.appliedPosition = answer.position;
+			this.recordPosition(answer.position);
 		}
 
 		if (answer.error?.kind === 'overloaded') {
--- /dev/null
+++ b/packages/proxy/src/commitConfirmation.ts
@@ -0,0 +1,188 @@
+import {type Clock, comparePositions, type LogPosition} from '@crocusloom/model';
+import {type Backend} from './backend.js';
+import {statusTimeoutMs} from './leadershipProver.js';
+import {isTrueWithin} from './withTimeout.js';
+
+/** Time in which a witness usually answers. After it the other witnesses are asked as well. */
+const hedgeDelayMs = 40;
+/** Delay before the witnesses are asked again for a position that they did not have yet. It doubles with each round. */
+const initialRetryDelayMs = 5;
+const maximumRetryDelayMs = 80;
+/** Rounds without an answer of any witness after which a commit is not confirmed. */
+const maximumSilentRounds = 2;
+
+/** Servers that can confirm commits of a service. */
+export type ConfirmationMembership = {
+	/** All listed servers except the primary. */
+	readonly members: readonly Backend[];
+	/** Those of them that each promotion under way has paused before its order, in the order in which they should be asked. */
+	readonly witnesses: readonly Backend[];
+	/** Number of replicas that must receive a commit before it is acknowledged. */
+	readonly syncReplicas: number;
+};
+
+/** Whether a commit is known to be in the log of each server that a promotion may choose. */
+export type CommitConfirmation
+	/** `wasKnown` is true if no server had to be asked. */
+	= | {readonly kind: 'confirmed'; readonly wasKnown: boolean}
+		| {readonly kind: 'unconfirmed'; readonly reason: string};
+
+/** What an answer of a server, or its absence, tells about the commits that it lacks. */
+type ProbeOutcome
+	/** It receives what the primary commits, or is too busy to tell. */
+	= | 'receiving'
+		/** Replication to it is paused for a promotion, or it is a primary itself. */
+		| 'notReceiving'
+		| 'silent';
+
+type Waiter = {readonly position: LogPosition; readonly settle: (confirmation: CommitConfirmation) => void};
+
+const confirmed: CommitConfirmation = {kind: 'confirmed', wasKnown: false};
+
+/**
+ * Confirms that a promotion cannot lose a commit that the primary has acknowledged.
+ *
+ * The primary acknowledges a commit as soon as any replica has it, also one that joined after a promotion had paused the others, and
+ * that may be in no list of servers yet. The promoted log then lacks the commit. A commit is therefore confirmed only once a witness has
+ * it: a server that has been listed for so long that each promotion under way has paused it. If the witness had the commit before that
+ * pause, the promotion chooses a log that has it; after the pause the witness receives nothing. Where no server has been listed for that
+ * long, all of them must have the commit.
+ */
+export class CommitConfirmer {
+	private readonly waiters = new Set<Waiter>();
+	private isProbing = false;
+
+	/**
+	 * @param membership - returns the servers at present
+	 * @param clock - clock for timeouts and delays
+	 */
+	constructor(private readonly membership: () => ConfirmationMembership, private readonly clock: Clock) {}
+
+	/**
+	 * Waits until a commit is confirmed.
+	 * @param position - position of the primary after the commit
+	 * @param timeoutMs - longest wait in milliseconds
+	 */
+	async confirm(position: LogPosition, timeoutMs: number): Promise<CommitConfirmation> {
+		if (this.isHeld(position)) {
+			return {kind: 'confirmed', wasKnown: true};
+		}
+
+		return new Promise(resolve => {
+			const waiter: Waiter = {
+				position,
+				settle: confirmation => {
+					clearTimeout(timer);
+					this.waiters.delete(waiter);
+					resolve(confirmation);
+				},
+			};
+			const timer = setTimeout(() => {
+				waiter.settle({kind: 'unconfirmed', reason: `no witness had it within ${Math.round(timeoutMs)} ms`});
+			}, timeoutMs);
+			this.waiters.add(waiter);
+			void this.probeWhileAwaited();
+		});
+	}
+
+	/** Confirms the commits that the servers are now known to have. Called after each answer of a server with a position. */
+	recordProgress(): void {
+		for (const waiter of this.waiters) {
+			if (this.isHeld(waiter.position)) {
+				waiter.settle(confirmed);
+			}
+		}
+	}
+
+	private isHeld(position: LogPosition): boolean {
+		const {members, witnesses, syncReplicas} = this.membership();
+		if (syncReplicas === 0) {
+			return true;
+		}
+
+		return witnesses.length > 0
+			? witnesses.some(backend => hasCommit(backend, position))
+			: members.length > 0 && members.every(backend => hasCommit(backend, position));
+	}
+
+	/** Asks the servers for their positions until no commit is awaited. One series of rounds serves all commits. */
+	private async probeWhileAwaited(): Promise<void> {
+		if (this.isProbing) {
+			return;
+		}
+
+		this.isProbing = true;
+		let retryDelayMs = initialRetryDelayMs;
+		let silentRounds = 0;
+		let round = 0;
+		while (this.waiters.size > 0) {
+			const awaited = [...this.waiters];
+			const outcomes = await this.probeRound(round);
+			this.recordProgress();
+			silentRounds = outcomes.every(outcome => outcome === 'silent') ? silentRounds + 1 : 0;
+			const reason = reasonToGiveUp(outcomes, silentRounds);
+			if (reason !== undefined) {
+				settleAll(awaited.filter(waiter => this.waiters.has(waiter)), {kind: 'unconfirmed', reason});
+			}
+
+			round++;
+			if (this.waiters.size > 0) {
+				await this.clock.sleep(retryDelayMs);
+				retryDelayMs = Math.min(maximumRetryDelayMs, retryDelayMs * 2);
+			}
+		}
+
+		this.isProbing = false;
+	}
+
+	/**
+	 * Asks one witness, and the others too if it does not answer soon or cannot confirm anything. Successive rounds begin with different
+	 * ones.
+	 */
+	private async probeRound(round: number): Promise<readonly ProbeOutcome[]> {
+		const {members, witnesses} = this.membership();
+		if (witnesses.length === 0) {
+			return Promise.all(members.map(async backend => this.probe(backend)));
+		}
+
+		const first = witnesses[round % witnesses.length]!;
+		const firstOutcome = this.probe(first);
+		if (await isTrueWithin(firstOutcome.then(outcome => outcome === 'receiving'), hedgeDelayMs, this.clock)) {
+			return ['receiving'];
+		}
+
+		const others = witnesses.filter(backend => backend !== first);
+		return Promise.all([firstOutcome, ...others.map(async backend => this.probe(backend))]);
+	}
+
+	private async probe(backend: Backend): Promise<ProbeOutcome> {
+		const startedMs = this.clock.nowMs();
+		try {
+			const status = await backend.runControlCommand({kind: 'status'}, statusTimeoutMs);
+			return status === undefined || (status.role === 'replica' && status.pausedTerm === 0) ? 'receiving' : 'notReceiving';
+		} catch (error) {
+			backend.recordProbeFailure(error);
+			return backend.lastContactMs < startedMs ? 'silent' : 'receiving';
+		}
+	}
+}
+
+/** Checks whether a server is known to have had a commit. A log of another term may lack it, whatever its position. */
+function hasCommit({heldPosition}: Backend, position: LogPosition): boolean {
+	return heldPosition?.term === position.term && comparePositions(heldPosition, position) >= 0;
+}
+
+/** Returns why no further answer can confirm a commit that was awaited before a round, or undefined if one can. */
+function reasonToGiveUp(outcomes: readonly ProbeOutcome[], silentRounds: number): string | undefined {
+	if (outcomes.includes('notReceiving') && !outcomes.includes('receiving')) {
+		return 'replication to the witnesses is paused for a promotion, or ended with one';
+	}
+
+	return silentRounds >= maximumSilentRounds ? 'no witness answers' : undefined;
+}
+
+function settleAll(waiters: readonly Waiter[], confirmation: CommitConfirmation): void {
+	for (const waiter of waiters) {
+		waiter.settle(confirmation);
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/commitWitnesses.ts
@@ -0,0 +1,66 @@
+import {type Clock} from '@crocusloom/model';
+import {type Backend} from './backend.js';
+
+/**
+ * Time for which a server must have been listed without a restart before it counts as a witness. Longer than the time from the last
+ * check of the list of servers by a promotion until the effect of its order, so that each promotion under way has paused the witness.
+ */
+export const witnessAgeMs = 5000;
+/** Age up to which the list of servers counts as current. */
+const currentListAgeMs = 2500;
+/** Age from which on a server that was listed when this process started has been listed for long, also if clocks differ by seconds. */
+const longRunningMs = 20_000;
+
+/** Relative costs of asking a server: it may not answer, may need a new connection, or may be in another failure domain. */
+const suspectedCost = 4;
+const newConnectionCost = 2;
+const otherDomainCost = 1;
+
+export type WitnessPorts = {
+	readonly clock: Clock;
+	/** Failure domain of this process. */
+	readonly failureDomain: string;
+	/** Returns the time since the list of servers was last known to be current. */
+	readonly serverListAgeMs: () => number;
+};
+
+/**
+ * Knows which servers are witnesses: each promotion that is under way has paused them before its order. A server that was listed or
+ * restarted lately may be unknown to a promotion.
+ */
+export class CommitWitnesses {
+	/** Servers that were listed when this process first knew the list, so that it cannot tell since when they are. */
+	private readonly initialBackends = new WeakSet<Backend>();
+
+	constructor(private readonly ports: WitnessPorts) {}
+
+	/** Records a server of the first list that this process knew. */
+	recordInitial(backend: Backend): void {
+		this.initialBackends.add(backend);
+	}
+
+	/** Returns the witnesses among the servers, with those first that are the cheapest to ask. */
+	select(servers: readonly Backend[]): readonly Backend[] {
+		return servers.filter(backend => this.isWitness(backend)).toSorted((a, b) => this.costOf(a) - this.costOf(b));
+	}
+
+	/** While the list of servers may be out of date, a server may have restarted unseen. */
+	private isWitness(backend: Backend): boolean {
+		const isListCurrent = this.ports.serverListAgeMs() <= currentListAgeMs;
+		return this.wasListedLongAgo(backend) && (isListCurrent || backend.undisturbedForMs >= witnessAgeMs);
+	}
+
+	private wasListedLongAgo(backend: Backend): boolean {
+		const {clock} = this.ports;
+		const {listedSinceMs, server: {startedAtMs}} = backend;
+		const isLongRunning = startedAtMs > 0 && clock.wallMs() - startedAtMs >= longRunningMs;
+		return clock.nowMs() - listedSinceMs >= witnessAgeMs || (isLongRunning && this.initialBackends.has(backend));
+	}
+
+	private costOf({isSuspected, pool, server}: Backend): number {
+		const suspicionCost = isSuspected ? suspectedCost : 0;
+		const connectionCost = pool.idleCount === 0 ? newConnectionCost : 0;
+		const distanceCost = server.failureDomain === this.ports.failureDomain ? 0 : otherDomainCost;
+		return suspicionCost + connectionCost + distanceCost;
+	}
+}
--- a/packages/proxy/src/connectionPool.ts
+++ b/packages/proxy/src/connectionPool.ts
@@ -46,6 +46,8 @@
 	readonly onAvailable: () => void;
 	/** Called after each attempt to open a connection, with the failure, or with undefined on success. */
 	readonly onDialResult: (failure: ConnectionFailure | undefined) => void;
+	/** Called when a connection ended that this proxy had not closed. */
+	readonly onConnectionLost: () => void;
 };
 
 /** Pool of the connections from this proxy to one backend server. */
@@ -262,6 +264,9 @@
 		this.failedDials = 0;
 		connection.backendConnection.onClose(() => {
 			this.removeConnection(connection);
+			if (!connection.isClosedHere) {
+				this.ports.onConnectionLost();
+			}
 		});
 		this.ports.onDialResult(undefined);
 		this.makeAvailable(connection);
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,5 +1,7 @@
 export * from './backend.js';
+export * from './commitConfirmation.js';
 export * from './commitEvidence.js';
+export * from './commitWitnesses.js';
 export * from './commitSamples.js';
 export * from './configurationAge.js';
 export * from './connectionShare.js';
--- a/packages/proxy/src/pooledConnection.ts
+++ b/packages/proxy/src/pooledConnection.ts
@@ -13,6 +13,8 @@
 	idleSinceMs = 0;
 	/** True if the last answer left a transaction open, including a failed one. */
 	isInTransaction = false;
+	/** True once this proxy has closed the connection. */
+	isClosedHere = false;
 	private parameters: SessionParameters = noParameters;
 	private readonly preparedNames = new Set<string>();
 
@@ -60,6 +62,7 @@
 	}
 
 	close(): void {
+		this.isClosedHere = true;
 		this.backendConnection.close();
 	}
 
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -1,9 +1,11 @@
 import {type Clock, type Logger, type LogPosition} from '@crocusloom/model';
 import {type RankPolicy} from '@crocusloom/work';
 import {Backend, type BackendPorts} from './backend.js';
+import {type CommitConfirmation, CommitConfirmer, type ConfirmationMembership} from './commitConfirmation.js';
 import {type CommitProof, CommitEvidence} from './commitEvidence.js';
 import {CommitSampler} from './commitSampler.js';
 import {CommitSamples} from './commitSamples.js';
+import {CommitWitnesses, type WitnessPorts} from './commitWitnesses.js';
 import {type ConnectionShare, connectionShareFor} from './connectionShare.js';
 import {type KnownPrimary, LeadershipProver, type ProofOutcome} from './leadershipProver.js';
 import {type PooledConnection} from './pooledConnection.js';
@@ -16,7 +18,7 @@
 
 type Listener = () => void;
 
-export type ViewPorts = BackendPorts & {
+export type ViewPorts = BackendPorts & WitnessPorts & {
 	/** Returns the number of hosts that share the servers' connections. */
 	readonly hostCount: () => number;
 	readonly confirmServers: ConfirmServers;
@@ -33,7 +35,12 @@
 	private readonly retiredBackends = new Set<Backend>();
 	/** Listed servers that are known to have departed, because another server answers at their address. */
 	private readonly replacedBackends = new Set<Backend>();
+	private hasServers = false;
+	/** Members when the service was removed from the configuration; undefined while it is configured. */
+	private lastMembers: readonly Backend[] | undefined;
 	private readonly prover: LeadershipProver;
+	private readonly witnesses: CommitWitnesses;
+	private readonly confirmer: CommitConfirmer;
 	private readonly search: PrimarySearch;
 	private readonly sampler: CommitSampler;
 	private ranks: readonly RankPolicy[] = [];
@@ -44,6 +51,8 @@
 		this.clock = ports.clock;
 		this.log = ports.log;
 		this.search = this.createSearch();
+		this.witnesses = new CommitWitnesses(ports);
+		this.confirmer = new CommitConfirmer(() => this.confirmationMembership(), ports.clock);
 		this.prover = new LeadershipProver(
 			() => this.currentPrimary && {primary: this.currentPrimary, others: this.listMembers().filter(backend => backend !== this.currentPrimary?.backend), syncReplicas: this.spec.syncReplicas},
 			() => this.clock.nowMs(),
@@ -76,6 +85,11 @@
 		return this.listBackends().filter(backend => !backend.isReplacedAtAddress);
 	}
 
+	/** Asks service discovery whether the list has each server that was registered before the call. */
+	async areAllServersListed(): Promise<boolean> {
+		return this.ports.confirmServers();
+	}
+
 	/** Number of replicas that must receive a commit before it is acknowledged. */
 	get syncReplicas(): number {
 		return this.spec.syncReplicas;
@@ -108,6 +122,7 @@
 			this.addOrUpdate(server);
 		}
 
+		this.hasServers = true;
 		this.notifyListeners();
 	}
 
@@ -198,6 +213,15 @@
 		return outcome;
 	}
 
+	/**
+	 * Waits until no promotion can lose a commit that the primary acknowledged.
+	 * @param position - position of the primary after the commit
+	 * @param timeoutMs - longest wait in milliseconds
+	 */
+	async confirmCommit(position: LogPosition, timeoutMs: number): Promise<CommitConfirmation> {
+		return this.confirmer.confirm(position, timeoutMs);
+	}
+
 	/**
 	 * Returns the minimum position for a read with a freshness bound.
 	 * @param arrivedMs - arrival time of the read
@@ -215,6 +239,7 @@
 
 	/** Takes no new work, because the service is no longer configured, and lets running work end by itself. */
 	retire(): void {
+		this.lastMembers = this.listMembers();
 		for (const backend of this.listBackends()) {
 			this.removeBackend(backend);
 		}
@@ -264,6 +289,11 @@
 		});
 	}
 
+	private confirmationMembership(): ConfirmationMembership {
+		const members = (this.lastMembers ?? this.listMembers()).filter(backend => backend !== this.search.lastPrimary?.backend);
+		return {members, witnesses: this.witnesses.select(members), syncReplicas: this.spec.syncReplicas};
+	}
+
 	private limits(): {readonly connections: ConnectionShare; readonly ranks: readonly RankPolicy[]} {
 		return {connections: connectionShareFor(this.spec.maxConnections, this.ports.hostCount()), ranks: this.ranks};
 	}
@@ -325,7 +355,17 @@
 			existing.close();
 		}
 
-		this.backends.set(server.id, new Backend(server, this.limits(), this.ports));
+		const backend = new Backend(server, this.limits(), {
+			...this.ports,
+			onPosition: () => {
+				this.confirmer.recordProgress();
+			},
+		});
+		this.backends.set(server.id, backend);
+		if (!this.hasServers) {
+			this.witnesses.recordInitial(backend);
+		}
+
 		this.log.info({
 			service: this.name, server: server.id, address: server.address, failureDomain: server.failureDomain, role: server.role, leaving: server.isLeaving, restarted: existing !== undefined,
 		}, 'a backend server is listed');
--- a/packages/proxy/src/sessionProxy.ts
+++ b/packages/proxy/src/sessionProxy.ts
@@ -54,6 +54,8 @@
 		this.decisionLog = new DecisionLog(ports.log, ports.metrics, ports.clock);
 		this.runner = new StatementRunner({
 			clock: ports.clock,
+			log: ports.log,
+			metrics: ports.metrics,
 			failureDomain: ports.failureDomain,
 			viewOf: service => this.views.get(service),
 		});
@@ -153,7 +155,12 @@
 
 		for (const spec of configuration.services.values()) {
 			const existingView = this.views.get(spec.name);
-			const view = existingView ?? new ServiceView(spec, {...this.ports, hostCount: () => this.hostCount.recentMaximum});
+			const view = existingView ?? new ServiceView(spec, {
+				...this.ports,
+				hostCount: () => this.hostCount.recentMaximum,
+				// The servers and the configuration come from the same copy of the store.
+				serverListAgeMs: () => this.configurationAge.ageMs,
+			});
 			view.configure(spec, ranksOf(configuration, spec.name));
 			if (!existingView) {
 				this.views.set(spec.name, view);
@@ -163,6 +170,10 @@
 	}
 
 	private assignServers(view: ServiceView): void {
+		if (!this.hasServers) {
+			return;
+		}
+
 		view.setServers(this.servers.filter(server => server.service === view.name));
 	}
 }
--- a/packages/proxy/src/statementRunner.ts
+++ b/packages/proxy/src/statementRunner.ts
@@ -1,6 +1,9 @@
-import {FailureError, errorMessageOf, type NotRunReason} from '@crocusloom/model';
+import {
+	FailureError, errorMessageOf, formatPosition, type Logger, type Metrics, type NotRunReason,
+} from '@crocusloom/model';
 import {type SlotGrant} from '@crocusloom/work';
 import {type Backend} from './backend.js';
+import {type CommitConfirmation} from './commitConfirmation.js';
 import {type KnownPrimary} from './leadershipProver.js';
 import {type PooledConnection} from './pooledConnection.js';
 import {ConnectionError} from './ports.js';
@@ -22,15 +25,19 @@
 const rollbackTimeoutMs = 1000;
 /** Time in which a server must set up a session on a connection. It needs no slot for that, so a longer silence is that of the connection. */
 const setupTimeoutMs = 500;
+/** Time for the confirmation of a commit that was acknowledged just before the deadline of its statement. */
+const minimumConfirmationMs = 200;
 
 /** Refusal reasons of the admission queue after which another server is tried. */
 const retryElsewhereReasons: ReadonlySet<NotRunReason> = new Set(['unreachable', 'leaving']);
 
+export type RunnerPorts = SearchPorts & {readonly log: Logger; readonly metrics: Metrics};
+
 /** Runs statements at backend servers: chooses a server, waits for admission, forwards the statement and retries it if nothing ran. */
 export class StatementRunner {
 	private readonly targetSearch: TargetSearch;
 
-	constructor(private readonly ports: SearchPorts) {
+	constructor(private readonly ports: RunnerPorts) {
 		this.targetSearch = new TargetSearch(ports);
 	}
 
@@ -60,19 +67,23 @@
 		const {backend, connection} = transaction;
 		const execution = this.newExecution(context);
 		execution.target = {backend, primary: undefined, minimumPosition: undefined};
+		execution.view = transaction.view;
 		execution.attemptCount = 1;
 		const isCommit = work.command.kind === 'commit';
 		try {
+			let answerAtPrimary: Answer;
 			const grant = await this.admit(execution, backend, true);
 			try {
 				await this.setUpSession(execution, connection, work.prepared);
 				execution.isWriteSent = isCommit && hasWritten;
 				const answer = await this.runWithDeadline(execution, connection, work.command, work.mode);
 				const isPrimaryProven = isCommit || await this.withDeadline(execution, transaction.isPrimaryProven, () => undefined);
-				return resultOf(execution, isPrimaryProven ? answer : this.abortForReplacedPrimary(connection));
+				answerAtPrimary = isPrimaryProven ? answer : this.abortForReplacedPrimary(connection);
 			} finally {
 				grant.release();
 			}
+
+			return resultOf(execution, execution.isWriteSent ? await this.confirmWrite(execution, answerAtPrimary) : answerAtPrimary);
 		} catch (error) {
 			return resultOf(execution, this.abortAfterError(execution, connection, error));
 		}
@@ -188,7 +199,39 @@
 		const target = await this.targetSearch.findTarget(execution, work.mode === 'write');
 		const {answer, isPrimaryProven} = await this.runAtTarget(execution, target, work);
 		await this.requireProof(execution, target, answer, isPrimaryProven);
-		return answer;
+		return work.mode === 'write' ? this.confirmWrite(execution, answer) : answer;
+	}
+
+	/** Turns a success of a write into "in doubt" if a promotion under way may lose the commit. */
+	private async confirmWrite(execution: StatementExecution, answer: Answer): Promise<Answer> {
+		if (answer.error) {
+			return answer;
+		}
+
+		const {clock, log, metrics} = this.ports;
+		const {route, requestId} = execution.context;
+		const startedMs = clock.nowMs();
+		const confirmation = await this.confirmCommit(execution, answer);
+		metrics.count('commit_confirmations', {outcome: confirmation.kind === 'confirmed' && confirmation.wasKnown ? 'known' : confirmation.kind});
+		if (confirmation.kind === 'confirmed') {
+			return answer;
+		}
+
+		const {reason} = confirmation;
+		const position = answer.position && formatPosition(answer.position);
+		log.warn({
+			requestId, service: route.service, server: execution.target?.backend.id, position, reason, tookMs: Math.round(clock.nowMs() - startedMs),
+		}, 'an acknowledged commit may be lost in a promotion, so that its outcome is unknown');
+		return errorAnswer('inDoubt', `the commit may be lost in a promotion: ${reason}`, 'idle');
+	}
+
+	private async confirmCommit(execution: StatementExecution, {position}: Answer): Promise<CommitConfirmation> {
+		const {view} = execution;
+		if (!view || !position) {
+			return {kind: 'unconfirmed', reason: 'the server gave no position'};
+		}
+
+		return view.confirmCommit(position, Math.max(minimumConfirmationMs, this.remainingMs(execution)));
 	}
 
 	/**
@@ -237,7 +280,9 @@
 					throw new Refusal(answer.error ?? {kind: 'other', message: 'no transaction was begun'});
 				}
 
-				return {backend: target.backend, connection, isPrimaryProven};
+				return {
+					view: execution.view, backend: target.backend, connection, isPrimaryProven,
+				};
 			} catch (error) {
 				connection.close();
 				target.backend.pool.release(connection);
@@ -343,6 +388,7 @@
 			attemptCount: 0,
 			waitedMs: 0,
 			target: undefined,
+			view: undefined,
 			isWriteSent: false,
 		};
 	}
--- a/packages/proxy/src/targetSearch.ts
+++ b/packages/proxy/src/targetSearch.ts
@@ -32,6 +32,8 @@
 	attemptCount: number;
 	waitedMs: number;
 	target: Target | undefined;
+	/** View of the service at the time of the last search; the service may be removed while the statement runs. */
+	view: ServiceView | undefined;
 	/** True if a write may have reached a server. */
 	isWriteSent: boolean;
 };
@@ -58,6 +60,7 @@
 			throw new Refusal({kind: 'overloaded', message: `service ${route.service} is not known`}, true);
 		}
 
+		execution.view = view;
 		const startedMs = this.ports.clock.nowMs();
 		const waitUntilMs = Math.min(execution.deadlineMs, arrivedMs + (route.targetMs * waitFraction));
 		for (;;) {
--- a/packages/proxy/src/work.ts
+++ b/packages/proxy/src/work.ts
@@ -6,6 +6,7 @@
 import {type KnownPrimary} from './leadershipProver.js';
 import {type PooledConnection} from './pooledConnection.js';
 import {type Route} from './ports.js';
+import {type ServiceView} from './serviceView.js';
 import {type SessionParameters} from './sessionParameters.js';
 import {
 	type AccessMode, type Answer, type BackendCommand, type PreparedStatement,
@@ -42,6 +43,7 @@
 
 /** A connection with an open transaction. */
 export type OpenTransaction = {
+	readonly view: ServiceView | undefined;
 	readonly backend: Backend;
 	readonly connection: PooledConnection;
 	/**
