Order a promotion only while the list of servers is current and each pause holds

A pause counted as made if the server answered, also if its status showed that the command had no effect, and nothing looked at the pauses again.

Change: a pause counts only with the term of this promotion. Before each request service discovery confirms the list, no server may have joined since the pauses, and each pause is read again; a server that follows a newer term counts as paused. A former primary steps down before it is paused whatever its term.

The check without pauses let promotions stop instead of losing writes, as the servers then report no pause. Its databases now claim to be paused and receive all the same, so that the check still finds lost writes.

--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -10,6 +10,7 @@
 	type Candidate, pollIntervalMs, PromotionHalt, PromotionOrders, type PromotionPorts, type PromotionTarget,
 } from './promotionOrder.js';
 import {ReplicationPauses, sendControlCommand} from './replicationPauses.js';
+import {findObstacle} from './promotionObstacles.js';
 import {type ServiceView} from './serviceView.js';
 import {type ServerStatus} from './statement.js';
 
@@ -204,7 +205,7 @@
 		const target: PromotionTarget = {backend: candidate.backend, highestPriorTerm};
 		logPauses(this.ports.log, view, pauses, candidate);
 		await this.orders.requestOrResume(view, candidate, {
-			target, pauses, token, signal,
+			target, pauses, token, findObstacle: async () => findObstacle(view, {primary, others, pauses}), signal,
 		});
 		view.recordPromotedLog(candidate.backend, candidate.status.receivedPosition);
 		const newTerm = await this.completePromotion(view, target, term, startedMs);
@@ -314,8 +315,9 @@
 			const status = await probeStatus(backend);
 			const {receivedPosition = promotedPosition, role, pausedTerm} = status ?? {};
 			if (receivedPosition.term === promotedPosition.term && comparePositions(receivedPosition, promotedPosition) > 0) {
+				const positions = {position: formatPosition(receivedPosition), promotedPosition: formatPosition(promotedPosition)};
 				this.ports.log.warn({
-					service: view.name, server: backend.id, role, pausedTerm, position: formatPosition(receivedPosition), promoted: candidate.backend.id, promotedPosition: formatPosition(promotedPosition),
+					service: view.name, server: backend.id, role, pausedTerm, promoted: candidate.backend.id, ...positions,
 				}, 'a server has commits that the promoted log lacks');
 			}
 		}));
--- a/packages/proxy/src/promotionOrder.ts
+++ b/packages/proxy/src/promotionOrder.ts
@@ -42,10 +42,12 @@
 	readonly pauses: ReplicationPauses;
 	/** Fencing token under which the promotion began. Another process may have held the lease before a later one. */
 	readonly token: number;
+	/** Checks before each request whether the promotion is still safe; returns the reason if it is not. */
+	readonly findObstacle: () => Promise<string | undefined>;
 	readonly signal: AbortSignal;
 };
 
-type RequestOutcome = 'accepted' | 'refused' | 'unanswered' | 'not sent, because the duty is no longer held';
+type RequestOutcome = 'accepted' | 'refused' | 'unanswered' | `not sent, because ${string}`;
 
 /** Thrown to abandon a promotion, with the reason as message. */
 export class PromotionHalt extends Error {
@@ -141,13 +143,18 @@
 	}
 
 	/** Requests the promotion while this process holds the promotion lease, and repeats requests without a definite result. */
-	private async requestPromotion(view: ServiceView, {backend, status}: Candidate, {target, token, signal}: PromotionPlan): Promise<RequestOutcome> {
+	private async requestPromotion(view: ServiceView, {backend, status}: Candidate, {target, token, findObstacle, signal}: PromotionPlan): Promise<RequestOutcome> {
 		const {clock, lease, log, promotionService} = this.ports;
 		this.orderCounts.set(view, this.countOrders(view) + 1);
 		for (let attempt = 0; attempt < maximumRequests; attempt++) {
 			const order: PromotionOrder = {
 				service: view.name, server: backend.id, priorTerm: target.highestPriorTerm, isRepeated: attempt > 0 || this.hasPendingRepeats(view),
 			};
+			const obstacle = await findObstacle();
+			if (obstacle !== undefined) {
+				return attempt === 0 ? `not sent, because ${obstacle}` : 'unanswered';
+			}
+
 			if (!await this.recordAndConfirm(order, {token, attempt}, signal)) {
 				return attempt === 0 ? 'not sent, because the duty is no longer held' : 'unanswered';
 			}
--- a/packages/proxy/src/replicationPauses.ts
+++ b/packages/proxy/src/replicationPauses.ts
@@ -45,17 +45,34 @@
 	 */
 	async pause(backend: Backend, term: number, primaryTerm: number): Promise<ServerStatus | undefined> {
 		const status = await this.sendPause(backend, term);
-		if (status?.role !== 'primary' || status.term >= primaryTerm) {
+		if (!status || this.isPausedBy(backend, status)) {
 			return status;
 		}
 
+		const stepDownTerm = Math.max(primaryTerm, status.term + 1);
+		if (status.role !== 'primary' || stepDownTerm >= term) {
+			this.log.warn({
+				server: backend.id, role: status.role, term: status.term, pausedTerm: status.pausedTerm, sentTerm: term,
+			}, 'a server did not pause replication');
+			return undefined;
+		}
+
 		this.log.info({server: backend.id, term: status.term, primaryTerm}, 'a former primary steps down before replication to it is paused');
 		// The term of the known primary is enough. With a higher one, hosts would wait for a primary of that term, also if no promotion follows.
-		await sendControlCommand(backend, {kind: 'stepDown', term: primaryTerm});
+		await sendControlCommand(backend, {kind: 'stepDown', term: stepDownTerm});
 		const laterStatus = await this.sendPause(backend, term);
 		return laterStatus && this.isPausedBy(backend, laterStatus) ? laterStatus : undefined;
 	}
 
+	/**
+	 * Reads all pauses again.
+	 * @returns the servers that are not known to be paused by this promotion any more
+	 */
+	async findEnded(): Promise<readonly Backend[]> {
+		const checks = await Promise.all(this.backends.map(async backend => ({backend, isPaused: await this.isStillPaused(backend)})));
+		return checks.filter(({isPaused}) => !isPaused).map(({backend}) => backend);
+	}
+
 	/** Checks whether a server is paused by this promotion, and not by another one or not at all. */
 	isPausedBy(backend: Backend, {role, pausedTerm}: ServerStatus): boolean {
 		return role === 'replica' && pausedTerm === this.termsByBackend.get(backend);
@@ -74,6 +91,12 @@
 		await Promise.all(this.backends.map(async backend => this.end(backend)));
 	}
 
+	/** Asks twice, as an answer may be lost. A server that follows the new term receives nothing from the old primary either. */
+	private async isStillPaused(backend: Backend): Promise<boolean> {
+		const status = await probeStatus(backend) ?? await probeStatus(backend);
+		return status !== undefined && (this.isPausedBy(backend, status) || status.term >= this.termsByBackend.get(backend)!);
+	}
+
 	private async sendPause(backend: Backend, term: number): Promise<ServerStatus | undefined> {
 		const status = await sendControlCommand(backend, {kind: 'pause', term});
 		if (status) {
--- a/packages/proxy/src/testing/memoryService.ts
+++ b/packages/proxy/src/testing/memoryService.ts
@@ -192,6 +192,8 @@
 	readonly acknowledged: string[] = [];
 	/** Accepted promotions, each with the promoted server and the fencing token. */
 	readonly promotions: Array<{readonly server: string; readonly token: number}> = [];
+	/** If true, servers claim to be paused and receive all the same. */
+	ignoresPauses = false;
 	/** Number of connections that were opened so far. */
 	connectionCount = 0;
 	private readonly waitingCommits = new Set<WaitingCommit>();
@@ -248,7 +250,7 @@
 	 * @returns false if the follower does not receive the log
 	 */
 	replicate(primary: MemoryServer, follower: MemoryServer): boolean {
-		if (!canExchange(primary, follower) || follower.pausedTerm > 0 || follower.term > primary.term || follower.role === 'primary') {
+		if (!canExchange(primary, follower) || (follower.pausedTerm > 0 && !this.ignoresPauses) || follower.term > primary.term || follower.role === 'primary') {
 			return false;
 		}
 
