Require more than one sign that a witness has not restarted since a promotion paused it

Change: a position counts alone only on a connection that is older than any promotion under way. Otherwise another witness must have been unpaused after the commit, or be unable to tell while nothing suggests that the first one restarted. A promotion that pauses that other witness later reads the pauses of all again before its order.

--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -5,6 +5,7 @@
 	AdmissionQueue, type RankPolicy, type SlotGrant, type SlotRequest,
 } from '@crocusloom/work';
 import {ConnectionPool} from './connectionPool.js';
+import {witnessAgeMs} from './commitWitnesses.js';
 import {type ConnectionShare} from './connectionShare.js';
 import {type PooledConnection} from './pooledConnection.js';
 import {
@@ -49,6 +50,14 @@
 
 export type BackendLimits = {readonly connections: ConnectionShare; readonly ranks: readonly RankPolicy[]};
 
+/** How a command ran. */
+type RunRecord = {
+	readonly statementClass: string;
+	readonly startedMs: number;
+	/** Time at which the connection was opened. */
+	readonly openedMs: number;
+};
+
 /** A backend server as this proxy uses it: its admission queue, its connection pool and its observed state. */
 export class Backend {
 	readonly pool: ConnectionPool;
@@ -62,6 +71,8 @@
 	private ranks: readonly RankPolicy[];
 	private appliedPosition: LogPosition | undefined;
 	private newestPosition: LogPosition | undefined;
+	/** Newest position that was reported on a connection which is older than a promotion. */
+	private newestEstablishedPosition: LogPosition | undefined;
 	/** Time of the last sign that the process of the server may have ended. */
 	private disturbedMs = Number.NEGATIVE_INFINITY;
 	private laggingUntilMs = 0;
@@ -138,6 +149,11 @@
 		return this.newestPosition;
 	}
 
+	/** The same, as far as it was reported on a connection that is older than any promotion under way, so that the server has not restarted since. */
+	get establishedPosition(): LogPosition | undefined {
+		return this.newestEstablishedPosition;
+	}
+
 	/** Time since the last sign that the process of the server may have ended: a connection that it closed, or a host that is not reached. */
 	get undisturbedForMs(): number {
 		return this.ports.clock.nowMs() - this.disturbedMs;
@@ -212,7 +228,7 @@
 		try {
 			const answer = await connection.backendConnection.run({command, minimumPosition});
 			connection.isInTransaction = answer.state !== 'idle';
-			this.recordAnswer(answer, command, statementClass, startedMs);
+			this.recordAnswer(answer, command, {statementClass, startedMs, openedMs: connection.openedMs});
 			return answer;
 		} finally {
 			this.inFlight--;
@@ -241,7 +257,7 @@
 			const answer = await this.withConnectionTimeout(connection.backendConnection.run({command}), timeoutMs, () => {
 				connection.close();
 			});
-			return this.recordStatus(connection.backendConnection.readStatus(answer));
+			return this.recordStatus(connection.backendConnection.readStatus(answer), connection.openedMs);
 		} finally {
 			this.pool.release(connection);
 		}
@@ -252,9 +268,9 @@
 	 * connection stays open after a timeout.
 	 * @throws ConnectionError if the server does not answer in time
 	 */
-	async probeStatusOn({backendConnection}: PooledConnection, timeoutMs: number): Promise<ServerStatus | undefined> {
+	async probeStatusOn({backendConnection, openedMs}: PooledConnection, timeoutMs: number): Promise<ServerStatus | undefined> {
 		const answer = await this.withConnectionTimeout(backendConnection.run({command: {kind: 'status'}}), timeoutMs, () => undefined);
-		return this.recordStatus(backendConnection.readStatus(answer));
+		return this.recordStatus(backendConnection.readStatus(answer), openedMs);
 	}
 
 	/** Records that a control command or status probe failed. Only the first failure since the last contact is logged. */
@@ -320,7 +336,7 @@
 		const connection = await this.ports.dialer.dial(this.entry, timeoutMs);
 		try {
 			const answer = await this.withConnectionTimeout(connection.run({command}), timeoutMs, () => undefined);
-			return this.recordStatus(connection.readStatus(answer));
+			return this.recordStatus(connection.readStatus(answer), this.ports.clock.nowMs());
 		} finally {
 			connection.close();
 		}
@@ -352,19 +368,20 @@
 		this.queue.rejectWaiters('unreachable', 'the backend server cannot be reached');
 	}
 
-	private recordStatus(status: ServerStatus | undefined): ServerStatus | undefined {
+	private recordStatus(status: ServerStatus | undefined, openedMs: number): ServerStatus | undefined {
 		this.recordContact();
 		if (status) {
-			this.recordPosition(status.receivedPosition);
+			this.recordPosition(status.receivedPosition, openedMs);
 			this.pool.recordServerConnections(status.connections);
 		}
 
 		return status;
 	}
 
-	private recordPosition(position: LogPosition): void {
-		if (!this.newestPosition || comparePositions(position, this.newestPosition) > 0) {
-			this.newestPosition = position;
+	private recordPosition(position: LogPosition, openedMs: number): void {
+		this.newestPosition = laterPosition(this.newestPosition, position);
+		if (this.ports.clock.nowMs() - openedMs >= witnessAgeMs) {
+			this.newestEstablishedPosition = laterPosition(this.newestEstablishedPosition, position);
 		}
 
 		this.ports.onPosition?.();
@@ -408,12 +425,12 @@
 		this.leavingSinceMs = this.entry.isLeaving ? this.leavingSinceMs ?? this.ports.clock.nowMs() : undefined;
 	}
 
-	private recordAnswer(answer: Answer, command: BackendCommand, statementClass: string, startedMs: number): void {
+	private recordAnswer(answer: Answer, command: BackendCommand, {statementClass, startedMs, openedMs}: RunRecord): void {
 		const nowMs = this.ports.clock.nowMs();
 		this.recordContact();
 		if (answer.position) {
 			this.appliedPosition = answer.position;
-			this.recordPosition(answer.position);
+			this.recordPosition(answer.position, openedMs);
 		}
 
 		if (answer.error?.kind === 'overloaded') {
@@ -460,6 +477,10 @@
 	}
 }
 
+function laterPosition(known: LogPosition | undefined, reported: LogPosition): LogPosition {
+	return known && comparePositions(known, reported) >= 0 ? known : reported;
+}
+
 /** Number of slots that can be in use at a time, because each statement in a slot has a connection. */
 function usableSlots({slots}: BackendServer, {connections}: BackendLimits): number {
 	return Math.max(1, Math.min(slots, connections.serverLimit));
--- a/packages/proxy/src/commitConfirmation.ts
+++ b/packages/proxy/src/commitConfirmation.ts
@@ -1,5 +1,6 @@
 import {type Clock, comparePositions, type LogPosition} from '@crocusloom/model';
 import {type Backend} from './backend.js';
+import {witnessAgeMs} from './commitWitnesses.js';
 import {statusTimeoutMs} from './leadershipProver.js';
 import {isTrueWithin} from './withTimeout.js';
 
@@ -29,13 +30,23 @@
 
 /** What an answer of a server, or its absence, tells about the commits that it lacks. */
 type ProbeOutcome
-	/** It receives what the primary commits, or is too busy to tell. */
+	/** It receives what the primary commits. */
 	= | 'receiving'
 		/** Replication to it is paused for a promotion, or it is a primary itself. */
 		| 'notReceiving'
+		/** It is alive, and could not tell. */
+		| 'busy'
 		| 'silent';
 
-type Waiter = {readonly position: LogPosition; readonly settle: (confirmation: CommitConfirmation) => void};
+type Waiter = {
+	readonly position: LogPosition;
+	/** Time at which the acknowledgement of the primary was known. */
+	readonly sinceMs: number;
+	readonly settle: (confirmation: CommitConfirmation) => void;
+};
+
+/** Last outcome of a probe of a server, and the time at which the probe was sent. */
+type SentProbe = {readonly sentMs: number; readonly outcome: ProbeOutcome};
 
 const confirmed: CommitConfirmation = {kind: 'confirmed', wasKnown: false};
 
@@ -47,9 +58,14 @@
  * it: a server that has been listed for so long that each promotion under way has paused it. If the witness had the commit before that
  * pause, the promotion chooses a log that has it; after the pause the witness receives nothing. Where no server has been listed for that
  * long, all of them must have the commit.
+ *
+ * A witness that restarts loses its pause, and the host may not know yet that it did. What it says counts on a connection that is older
+ * than a promotion, or together with another witness that was not paused after the commit: a promotion that pauses that one later reads
+ * the pauses of all again.
  */
 export class CommitConfirmer {
 	private readonly waiters = new Set<Waiter>();
+	private readonly probes = new WeakMap<Backend, SentProbe>();
 	private isProbing = false;
 
 	/**
@@ -64,13 +80,15 @@
 	 * @param timeoutMs - longest wait in milliseconds
 	 */
 	async confirm(position: LogPosition, timeoutMs: number): Promise<CommitConfirmation> {
-		if (this.isHeld(position)) {
+		const sinceMs = this.clock.nowMs();
+		if (this.isConfirmed({position, sinceMs})) {
 			return {kind: 'confirmed', wasKnown: true};
 		}
 
 		return new Promise(resolve => {
 			const waiter: Waiter = {
 				position,
+				sinceMs,
 				settle: confirmation => {
 					clearTimeout(timer);
 					this.waiters.delete(waiter);
@@ -88,21 +106,34 @@
 	/** Confirms the commits that the servers are now known to have. Called after each answer of a server with a position. */
 	recordProgress(): void {
 		for (const waiter of this.waiters) {
-			if (this.isHeld(waiter.position)) {
+			if (this.isConfirmed(waiter)) {
 				waiter.settle(confirmed);
 			}
 		}
 	}
 
-	private isHeld(position: LogPosition): boolean {
+	private isConfirmed({position, sinceMs}: Pick<Waiter, 'position' | 'sinceMs'>): boolean {
 		const {members, witnesses, syncReplicas} = this.membership();
 		if (syncReplicas === 0) {
 			return true;
 		}
 
-		return witnesses.length > 0
-			? witnesses.some(backend => hasCommit(backend, position))
-			: members.length > 0 && members.every(backend => hasCommit(backend, position));
+		if (witnesses.length === 0) {
+			return members.length > 0 && members.every(({heldPosition}) => hasCommit(heldPosition, position));
+		}
+
+		const holders = witnesses.filter(({heldPosition}) => hasCommit(heldPosition, position));
+		return holders.some(holder => hasCommit(holder.establishedPosition, position) || this.isCorroborated(holder, witnesses, sinceMs));
+	}
+
+	/** Checks whether another witness was not paused after the commit, or cannot tell while nothing suggests that the holder restarted. */
+	private isCorroborated(holder: Backend, witnesses: readonly Backend[], sinceMs: number): boolean {
+		const outcomes = witnesses.filter(backend => backend !== holder).map(backend => {
+			const probe = this.probes.get(backend);
+			return probe && probe.sentMs >= sinceMs ? probe.outcome : undefined;
+		});
+		const cannotTell = outcomes.every(outcome => outcome === 'busy' || outcome === 'silent');
+		return outcomes.includes('receiving') || (cannotTell && holder.undisturbedForMs >= witnessAgeMs);
 	}
 
 	/** Asks the servers for their positions until no commit is awaited. One series of rounds serves all commits. */
@@ -118,7 +149,6 @@
 		while (this.waiters.size > 0) {
 			const awaited = [...this.waiters];
 			const outcomes = await this.probeRound(round);
-			this.recordProgress();
 			silentRounds = outcomes.every(outcome => outcome === 'silent') ? silentRounds + 1 : 0;
 			const reason = reasonToGiveUp(outcomes, silentRounds);
 			if (reason !== undefined) {
@@ -136,8 +166,8 @@
 	}
 
 	/**
-	 * Asks one witness, and the others too if it does not answer soon or cannot confirm anything. Successive rounds begin with different
-	 * ones.
+	 * Asks one witness, and the others too if it does not answer soon, is paused, or has commits that it cannot confirm alone. Successive
+	 * rounds begin with different ones.
 	 */
 	private async probeRound(round: number): Promise<readonly ProbeOutcome[]> {
 		const {members, witnesses} = this.membership();
@@ -147,7 +177,8 @@
 
 		const first = witnesses[round % witnesses.length]!;
 		const firstOutcome = this.probe(first);
-		if (await isTrueWithin(firstOutcome.then(outcome => outcome === 'receiving'), hedgeDelayMs, this.clock)) {
+		const isReceiving = await isTrueWithin(firstOutcome.then(outcome => outcome === 'receiving'), hedgeDelayMs, this.clock);
+		if (isReceiving && !this.hasUncorroborated(first)) {
 			return ['receiving'];
 		}
 
@@ -155,26 +186,41 @@
 		return Promise.all([firstOutcome, ...others.map(async backend => this.probe(backend))]);
 	}
 
+	private hasUncorroborated({heldPosition}: Backend): boolean {
+		return [...this.waiters].some(({position}) => hasCommit(heldPosition, position));
+	}
+
 	private async probe(backend: Backend): Promise<ProbeOutcome> {
-		const startedMs = this.clock.nowMs();
+		const sentMs = this.clock.nowMs();
+		const outcome = await this.askStatus(backend, sentMs);
+		this.probes.set(backend, {sentMs, outcome});
+		this.recordProgress();
+		return outcome;
+	}
+
+	private async askStatus(backend: Backend, sentMs: number): Promise<ProbeOutcome> {
 		try {
 			const status = await backend.runControlCommand({kind: 'status'}, statusTimeoutMs);
-			return status === undefined || (status.role === 'replica' && status.pausedTerm === 0) ? 'receiving' : 'notReceiving';
+			if (status === undefined) {
+				return 'busy';
+			}
+
+			return status.role === 'replica' && status.pausedTerm === 0 ? 'receiving' : 'notReceiving';
 		} catch (error) {
 			backend.recordProbeFailure(error);
-			return backend.lastContactMs < startedMs ? 'silent' : 'receiving';
+			return backend.lastContactMs < sentMs ? 'silent' : 'busy';
 		}
 	}
 }
 
 /** Checks whether a server is known to have had a commit. A log of another term may lack it, whatever its position. */
-function hasCommit({heldPosition}: Backend, position: LogPosition): boolean {
+function hasCommit(heldPosition: LogPosition | undefined, position: LogPosition): boolean {
 	return heldPosition?.term === position.term && comparePositions(heldPosition, position) >= 0;
 }
 
 /** Returns why no further answer can confirm a commit that was awaited before a round, or undefined if one can. */
 function reasonToGiveUp(outcomes: readonly ProbeOutcome[], silentRounds: number): string | undefined {
-	if (outcomes.includes('notReceiving') && !outcomes.includes('receiving')) {
+	if (outcomes.includes('notReceiving') && !outcomes.includes('receiving') && !outcomes.includes('busy')) {
 		return 'replication to the witnesses is paused for a promotion, or ended with one';
 	}
 
--- a/packages/proxy/src/connectionPool.ts
+++ b/packages/proxy/src/connectionPool.ts
@@ -246,7 +246,7 @@
 		try {
 			const connection = await this.ports.dialer.dial(this.server, dialTimeoutMs);
 			this.pendingDials--;
-			this.addConnection(new PooledConnection(connection, this.server.id));
+			this.addConnection(new PooledConnection(connection, this.server.id, this.ports.clock.nowMs()));
 		} catch (error) {
 			this.pendingDials--;
 			this.handleDialFailure(error);
--- a/packages/proxy/src/pooledConnection.ts
+++ b/packages/proxy/src/pooledConnection.ts
@@ -18,7 +18,10 @@
 	private parameters: SessionParameters = noParameters;
 	private readonly preparedNames = new Set<string>();
 
-	constructor(readonly backendConnection: BackendConnection, readonly serverId: string) {}
+	/**
+	 * @param openedMs - monotonic time in milliseconds at which the connection was opened
+	 */
+	constructor(readonly backendConnection: BackendConnection, readonly serverId: string, readonly openedMs: number) {}
 
 	get isOpen(): boolean {
 		return this.backendConnection.isOpen;
