Report an order that takes effect after its promotion was abandoned

Its pauses had ended by then, so that acknowledged commits may be lost. The process that ordered it watches the server for 20 s, logs an error and counts crocusloom_late_promotions. Before, nothing told of it; the new test shows the line and the counter.

--- a/packages/proxy/src/__tests__/departedServer.test.ts
+++ b/packages/proxy/src/__tests__/departedServer.test.ts
@@ -1,4 +1,4 @@
-import {systemClock} from '@crocusloom/model';
+import {noopMetrics, systemClock} from '@crocusloom/model';
 import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {promotionSettleMs} from '../orphanedPauseCleaner.js';
@@ -58,6 +58,7 @@
 		const task = new PromotionTask(() => harness.proxy.services, {
 			clock: systemClock,
 			log: harness.log,
+			metrics: noopMetrics,
 			lease: new MemoryLease('h'),
 			promotionService: createPromotionService(harness.service),
 		});
--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -1,4 +1,4 @@
-import {type Clock, systemClock} from '@crocusloom/model';
+import {type Clock, noopMetrics, systemClock} from '@crocusloom/model';
 import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {PromotionTask} from '../promotion.js';
@@ -68,7 +68,7 @@
 	function startPromotions(promotionService: PromotionService): PromotionTask {
 		const lease = new MemoryLease('h', {fencingToken: () => token});
 		const task = new PromotionTask(() => harness.proxy.services, {
-			clock: systemClock, log: harness.log, lease, promotionService,
+			clock: systemClock, log: harness.log, metrics: noopMetrics, lease, promotionService,
 		});
 		task.run(lifetime.signal).catch(() => undefined);
 		return task;
@@ -166,7 +166,7 @@
 			},
 		});
 		new PromotionTask(() => harness.proxy.services, {
-			clock: systemClock, log: harness.log, lease, promotionService: createPromotionService(harness.service),
+			clock: systemClock, log: harness.log, metrics: noopMetrics, lease, promotionService: createPromotionService(harness.service),
 		}).run(lifetime.signal).catch(() => undefined);
 		harness.service.server('a').isUnresponsive = true;
 		await waitUntil(() => harness.log.withMessage('a promotion was not made').length > 0);
@@ -181,7 +181,7 @@
 		const [primary, ...replicas] = service.servers as [MemoryServer, ...MemoryServer[]];
 		const lease = new MemoryLease('h', {confirm: async () => false});
 		const task = new PromotionTask(() => harness.proxy.services, {
-			clock: systemClock, log: harness.log, lease, promotionService: createPromotionService(service),
+			clock: systemClock, log: harness.log, metrics: noopMetrics, lease, promotionService: createPromotionService(service),
 		});
 		task.run(lifetime.signal).catch(() => undefined);
 		const pausedTerms = new Set<number>();
--- a/packages/proxy/src/__tests__/promotionOrder.test.ts
+++ b/packages/proxy/src/__tests__/promotionOrder.test.ts
@@ -1,4 +1,4 @@
-import {systemClock} from '@crocusloom/model';
+import {type Metrics, noopMetrics, systemClock} from '@crocusloom/model';
 import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {type PromotionOrder, type PromotionService} from '../ports.js';
@@ -36,7 +36,7 @@
 
 	function start(lease: MemoryLease, promotionService: PromotionService = createPromotionService(harness.service)): void {
 		const task = new PromotionTask(() => harness.proxy.services, {
-			clock, log: harness.log, lease, promotionService,
+			clock, log: harness.log, metrics: noopMetrics, lease, promotionService,
 		});
 		task.run(lifetime.signal).catch(() => undefined);
 	}
@@ -153,9 +153,14 @@
 	let harness: Harness;
 	let lifetime: AbortController;
 	let clock: ReturnType<typeof advanceableClock>;
+	let counts: string[];
+	const countMetric: Metrics['count'] = name => {
+		counts.push(name);
+	};
 
 	beforeEach(async () => {
 		clock = advanceableClock();
+		counts = [];
 		harness = await startProxy(undefined, clock);
 		lifetime = new AbortController();
 	});
@@ -167,12 +172,14 @@
 
 	function start(lease: MemoryLease, promotionService: PromotionService = createPromotionService(harness.service)): void {
 		const task = new PromotionTask(() => harness.proxy.services, {
-			clock, log: harness.log, lease, promotionService,
+			clock, log: harness.log, metrics: {...noopMetrics, count: countMetric}, lease, promotionService,
 		});
 		task.run(lifetime.signal).catch(() => undefined);
 		harness.service.server('a').isUnresponsive = true;
 	}
 
+	const lateEffects = () => harness.log.withMessage('an order of an abandoned promotion took effect, so that acknowledged commits may be lost');
+	const orderedServer = () => String(harness.log.withMessage('a promotion was ordered')[0]!.fields.server);
 	const halts = () => harness.log.withMessage('a promotion was not made');
 
 	/** Cases in which the lease may have been passed on when the order would be sent. Each is called with each confirmation of the lease. */
@@ -246,6 +253,24 @@
 		expect(lease.orders[0]).to.include({service: 'ledger', priorTerm: 1});
 	});
 
+	it('is reported if it takes effect after its promotion was abandoned (guards against lost commits that nobody hears of)', async () => {
+		let requestCount = 0;
+		start(new MemoryLease('h'), {
+			async requestPromotion() {
+				requestCount++;
+				return requestCount === 1 ? 'retry' : 'notRunning';
+			},
+		});
+		await waitUntil(() => requestCount > 0);
+		harness.service.server('a').isUnresponsive = false;
+		await waitUntil(() => halts().length > 0, 2 * promotionTimeoutMs);
+		expect(lateEffects()).to.deep.equal([]);
+		harness.service.promote(orderedServer(), 7);
+		await waitUntil(() => lateEffects().length > 0);
+		expect(lateEffects()[0]!.fields).to.include({service: 'ledger', token: 7});
+		expect(counts).to.deep.equal(['late_promotions']);
+	});
+
 	it('is cleared once it can no longer take effect (guards against records that delay the next holder)', async () => {
 		const lease = new MemoryLease('h');
 		start(lease);
--- a/packages/proxy/src/promotionOrder.ts
+++ b/packages/proxy/src/promotionOrder.ts
@@ -1,4 +1,6 @@
-import {type Clock, formatPosition, type Logger} from '@crocusloom/model';
+import {
+	type Clock, formatPosition, type Logger, type Metrics,
+} from '@crocusloom/model';
 import {type Backend} from './backend.js';
 import {probeStatus} from './leadershipProver.js';
 import {promotionSettleMs} from './orphanedPauseCleaner.js';
@@ -22,12 +24,16 @@
  * `maximumConfirmationAgeMs` later, and is given up within the request timeout.
  */
 export const orderSettleMs = promotionRequestTimeoutMs + promotionSettleMs;
+/** Time for which a server is watched whose promotion was abandoned after requests without an answer. */
+const lateEffectWatchMs = 20_000;
+const lateEffectPollIntervalMs = 500;
 /** Maximum number of promotion requests for one candidate before the promotion is abandoned and starts over. */
 const maximumRequests = 6;
 
 export type PromotionPorts = {
 	readonly clock: Clock;
 	readonly log: Logger;
+	readonly metrics: Metrics;
 	readonly lease: PromotionLease;
 	readonly promotionService: PromotionService;
 };
@@ -119,6 +125,10 @@
 		}
 
 		await pauses.endAll();
+		if (outcome === 'unanswered') {
+			void this.watchForLateEffect(view, plan);
+		}
+
 		throw new PromotionHalt(`the promotion request for ${candidate.backend.id} was ${outcome}`);
 	}
 
@@ -206,6 +216,32 @@
 		}
 	}
 
+	/**
+	 * Reports an order that takes effect although its promotion was abandoned. Commits that were acknowledged after its pauses had ended may be lost.
+	 * The watch ends with a further order, and with the lease, because another one may then promote the same server.
+	 */
+	private async watchForLateEffect(view: ServiceView, {target: {backend, highestPriorTerm}, token, signal}: PromotionPlan): Promise<void> {
+		const {clock, lease, log, metrics} = this.ports;
+		const count = this.countOrders(view);
+		const startedMs = clock.nowMs();
+		while (!signal.aborted && clock.nowMs() - startedMs < lateEffectWatchMs) {
+			const status = await probeStatus(backend);
+			if (this.countOrders(view) !== count || lease.fencingToken() !== token) {
+				return;
+			}
+
+			if (status?.role === 'primary' && status.term > highestPriorTerm) {
+				metrics.count('late_promotions', {service: view.name});
+				log.error({
+					service: view.name, server: backend.id, token, term: status.term, lateMs: Math.round(clock.nowMs() - startedMs),
+				}, 'an order of an abandoned promotion took effect, so that acknowledged commits may be lost');
+				return;
+			}
+
+			await clock.sleep(lateEffectPollIntervalMs, signal).catch(() => undefined);
+		}
+	}
+
 	private countOrders(view: ServiceView): number {
 		return this.orderCounts.get(view) ?? 0;
 	}
