Confirm the promotion lease before an orphaned pause is ended

A host whose lease the store has ended early does not know of it for up to 1.7 s. Within that time it could end a pause of the next holder, whose promotion then lacks what the server receives. One read for each orphaned pause.

--- a/packages/proxy/src/orphanedPauseCleaner.ts
+++ b/packages/proxy/src/orphanedPauseCleaner.ts
@@ -28,8 +28,11 @@
 	 */
 	constructor(private readonly view: ServiceView, private readonly clock: Clock, private readonly log: Logger) {}
 
-	/** Checks for orphaned pauses if a check is due. Called while the service needs no promotion. */
-	async check(): Promise<void> {
+	/**
+	 * Checks for orphaned pauses if a check is due. Called while the service needs no promotion.
+	 * @param confirmLease - confirms the promotion lease. Without it, a pause may be of the next holder.
+	 */
+	async check(confirmLease: () => Promise<boolean>): Promise<void> {
 		const primary = this.view.currentPrimary?.backend;
 		const nowMs = this.clock.nowMs();
 		if (!primary || primary.noContactForMs > 0 || nowMs - this.lastCheckMs < checkIntervalMs) {
@@ -41,12 +44,12 @@
 		await Promise.all(others.map(async backend => {
 			const status = await probeStatus(backend);
 			if (status) {
-				await this.endExpiredPause(backend, status);
+				await this.endExpiredPause(backend, status, confirmLease);
 			}
 		}));
 	}
 
-	private async endExpiredPause(backend: Backend, {role, pausedTerm}: ServerStatus): Promise<void> {
+	private async endExpiredPause(backend: Backend, {role, pausedTerm}: ServerStatus, confirmLease: () => Promise<boolean>): Promise<void> {
 		if (role !== 'replica' || pausedTerm === 0) {
 			this.seenPauses.delete(backend);
 			return;
@@ -59,7 +62,7 @@
 			return;
 		}
 
-		if (nowMs - seenPause.sinceMs >= promotionSettleMs) {
+		if (nowMs - seenPause.sinceMs >= promotionSettleMs && await confirmLease()) {
 			this.log.warn({service: this.view.name, server: backend.id, pausedTerm}, 'a pause that was left behind is ended');
 			await sendControlCommand(backend, {kind: 'resume'});
 		}
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -126,7 +126,7 @@
 			}
 
 			if (need.kind === 'none') {
-				await pauseCleaner.check();
+				await pauseCleaner.check(async () => this.ports.lease.confirm(signal));
 			} else if (!this.isStopping && this.mayTry(view, need)) {
 				this.runningPromotions++;
 				await this.promote(view, need, signal).finally(() => {
