Keep pauses for the time in which an unanswered order may arrive and take effect

Pauses ended 2.5 s after the last request without a definite result. The request may arrive until its timeout of 1.5 s, though, and take effect up to 2.5 s later, with a log that lacks what was acknowledged after the pauses. Both times now count, as for orders of earlier holders, also before a leaving primary is replaced after repeated requests.

--- a/packages/proxy/src/promotionOrder.ts
+++ b/packages/proxy/src/promotionOrder.ts
@@ -20,8 +20,8 @@
 /** Time in which a promotion request is answered or given up, from the start of its connection. It is not sent later. */
 export const promotionRequestTimeoutMs = 1500;
 /**
- * Time for which an order of an earlier holder may take effect, from the time when its record was found. Its request was sent at most
- * `maximumConfirmationAgeMs` later, and is given up within the request timeout.
+ * Time for which an order without a definite result may take effect. Its request may arrive until its timeout. The order of an earlier holder
+ * was sent at most `maximumConfirmationAgeMs` after the lease was acquired, and its effect is expected within the time left.
  */
 export const orderSettleMs = promotionRequestTimeoutMs + promotionSettleMs;
 /** Time for which a server is watched whose promotion was abandoned after requests without an answer. */
@@ -120,7 +120,7 @@
 			return;
 		}
 
-		if (outcome === 'unanswered' && await this.waitForNewTerm(target, promotionSettleMs)) {
+		if (outcome === 'unanswered' && await this.waitForNewTerm(target, orderSettleMs)) {
 			return;
 		}
 
@@ -163,7 +163,7 @@
 			}
 
 			if (attempt > 0) {
-				this.repeatsPendingUntilMs.set(view, clock.nowMs() + promotionSettleMs);
+				this.repeatsPendingUntilMs.set(view, clock.nowMs() + orderSettleMs);
 			}
 
 			const result = await promotionService.requestPromotion(view.name, backend.id, {holder: lease.holder, token}, signal);
