Play random schedules in which servers join, leave, restart and are lost

Servers join (listed at once, late or never), leave with their log or hand it to a server at their address, are lost for good, and restart with and without their log. A failure domain is cut off with the primary while a server joins in it, and a host keeps an outdated list of servers.

Checked is what callers were told. At most one log is lost in a schedule, because with one replica per commit two may lose a commit whatever the hosts do. After a primary is gone for good the service may wait for operators (docs/guarantees.md), so that availability is not checked then.

--- a/packages/proxy/src/testing/memoryService.ts
+++ b/packages/proxy/src/testing/memoryService.ts
@@ -55,6 +55,8 @@
 	isListed = true;
 	/** If true, another server answers at the address. */
 	isReplaced = false;
+	/** If true, the server is gone for good, with its log. */
+	hasDeparted = false;
 	/** Start time; a server that restarts has another one. */
 	startedAtMs = 1;
 	/** If true, the server refuses connections as if it were at its connection limit. */
@@ -81,6 +83,10 @@
 
 	constructor(readonly id: string, readonly service: MemoryService) {}
 
+	get isRunning(): boolean {
+		return !this.isUnresponsive && !this.hasDeparted;
+	}
+
 	get receivedPosition(): LogPosition {
 		return this.log.at(-1)?.position ?? initialPosition;
 	}
@@ -154,8 +160,11 @@
 	/** Starts again under the same id, with its log. */
 	restart(): void {
 		this.startedAtMs++;
-		this.role = 'replica';
 		this.pausedTerm = 0;
+		this.closeConnections();
+	}
+
+	closeConnections(): void {
 		for (const connection of this.connections) {
 			connection.close();
 		}
@@ -164,6 +173,7 @@
 	/** Starts again under the same id, without a log. */
 	restartEmpty(): void {
 		this.restart();
+		this.role = 'replica';
 		this.log.length = 0;
 		this.appliedCount = 0;
 	}
@@ -195,6 +205,7 @@
 	/** Number of connections that were opened so far. */
 	connectionCount = 0;
 	private readonly waitingCommits = new Set<WaitingCommit>();
+	private readonly departedServers: MemoryServer[] = [];
 
 	constructor(readonly name: string, readonly ids: readonly string[], readonly syncReplicas = 1, readonly maxConnections = 20) {
 		this.servers = ids.map(id => new MemoryServer(id, this));
@@ -202,7 +213,7 @@
 	}
 
 	server(id: string): MemoryServer {
-		return this.servers.find(server => server.id === id)!;
+		return [...this.servers, ...this.departedServers].find(server => server.id === id)!;
 	}
 
 	listings(): readonly BackendServer[] {
@@ -220,6 +231,29 @@
 		return server;
 	}
 
+	/**
+	 * Removes a server for good.
+	 * @param successorId - id of the server that takes over its log and its address; without it the log is gone
+	 */
+	depart(server: MemoryServer, successorId?: string): MemoryServer | undefined {
+		this.servers.splice(this.servers.indexOf(server), 1);
+		this.departedServers.push(server);
+		server.hasDeparted = true;
+		server.isReplaced = successorId !== undefined;
+		server.closeConnections();
+		if (successorId === undefined) {
+			return undefined;
+		}
+
+		const successor = this.join(successorId, true);
+		successor.term = server.term;
+		for (const entry of server.log) {
+			successor.receive(entry);
+		}
+
+		return successor;
+	}
+
 	/**
 	 * Makes a server the primary of a new term, with the log that it has received. The pauses of the replicas that it reaches end, and they
 	 * follow it.
@@ -232,7 +266,7 @@
 		}
 
 		promoted.role = 'primary';
-		promoted.term = Math.max(...this.servers.map(({term, pausedTerm}) => Math.max(term, pausedTerm)), promoted.term + 1);
+		promoted.term = Math.max(...[...this.servers, ...this.departedServers].map(({term, pausedTerm}) => Math.max(term, pausedTerm)), promoted.term + 1);
 		promoted.pausedTerm = 0;
 		promoted.catchUp();
 		for (const follower of this.servers) {
@@ -278,7 +312,7 @@
 		const target = this.server(server.id);
 		target.dialCount++;
 		await sleep(1);
-		if (target.isUnresponsive) {
+		if (!target.isRunning && !target.isReplaced) {
 			throw new ConnectionError({kind: 'unreachable', message: 'unresponsive'}, 'connect', server.id);
 		}
 
@@ -298,7 +332,7 @@
 
 	async isReachable(server: BackendServer): Promise<boolean> {
 		await sleep(1);
-		return !this.server(server.id).isUnresponsive;
+		return this.server(server.id).isRunning;
 	}
 
 	private acknowledgeWaitingCommits(primary: MemoryServer): void {
