--- /dev/null
+++ b/packages/proxy/src/promotionOrder.ts
@@ -0,0 +1,223 @@
+import {type Clock, formatPosition, type Logger} from '@crocusloom/model';
+import {type Backend} from './backend.js';
+import {probeStatus} from './leadershipProver.js';
+import {promotionSettleMs} from './orphanedPauseCleaner.js';
+import {
+	type PriorOrder, type PromotionLease, type PromotionOrder, type PromotionService,
+} from './ports.js';
+import {type ReplicationPauses} from './replicationPauses.js';
+import {type ServiceView} from './serviceView.js';
+import {type ServerStatus} from './statement.js';
+
+/** Interval of status polls while a promotion waits for a server. */
+export const pollIntervalMs = 40;
+/** Delay before a promotion request without a definite result is repeated. */
+const requestRetryDelayMs = 150;
+/** Longest time between the confirmation of the lease and a promotion request. A holder may have been suspended between the two. */
+const maximumConfirmationAgeMs = 1200;
+/** Time in which a promotion request is answered or given up, from the start of its connection. It is not sent later. */
+export const promotionRequestTimeoutMs = 1500;
+/**
+ * Time for which an order of an earlier holder may take effect, from the time when its record was found. Its request was sent at most
+ * `maximumConfirmationAgeMs` later, and is given up within the request timeout.
+ */
+export const orderSettleMs = promotionRequestTimeoutMs + promotionSettleMs;
+/** Maximum number of promotion requests for one candidate before the promotion is abandoned and starts over. */
+const maximumRequests = 6;
+
+export type PromotionPorts = {
+	readonly clock: Clock;
+	readonly log: Logger;
+	readonly lease: PromotionLease;
+	readonly promotionService: PromotionService;
+};
+
+export type Candidate = {readonly backend: Backend; readonly status: ServerStatus};
+
+/** The server to be promoted, and the highest term before the promotion. */
+export type PromotionTarget = {readonly backend: Backend; readonly highestPriorTerm: number};
+
+export type PromotionPlan = {
+	readonly target: PromotionTarget;
+	readonly pauses: ReplicationPauses;
+	/** Fencing token under which the promotion began. Another process may have held the lease before a later one. */
+	readonly token: number;
+	readonly signal: AbortSignal;
+};
+
+type RequestOutcome = 'accepted' | 'refused' | 'unanswered' | 'not sent, because the duty is no longer held';
+
+/** Thrown to abandon a promotion, with the reason as message. */
+export class PromotionHalt extends Error {
+	override readonly name = 'PromotionHalt';
+
+	/**
+	 * @param retryDelayMs - time after which the promotion may be tried again
+	 */
+	constructor(message: string, readonly retryDelayMs = 0) {
+		super(message);
+	}
+}
+
+/** Requests promotions, and knows which requests may still take effect. */
+export class PromotionOrders {
+	/** Times until which repeated requests may still take effect. */
+	private readonly repeatsPendingUntilMs = new Map<ServiceView, number>();
+
+	/** Number of orders of each service, to tell the last one. */
+	private readonly orderCounts = new Map<ServiceView, number>();
+
+	constructor(private readonly ports: PromotionPorts) {}
+
+	/**
+	 * Checks whether an order of an earlier holder may still take effect. Until then, this process must neither promote or step down a
+	 * server of the service nor end a pause.
+	 * @returns false once the order has taken effect, or its time has passed
+	 */
+	async isPriorOrderPending(view: ServiceView, signal: AbortSignal): Promise<boolean> {
+		const {lease, clock, log} = this.ports;
+		const priorOrder = lease.priorOrder(view.name);
+		if (!priorOrder) {
+			return false;
+		}
+
+		const waitedMs = clock.nowMs() - priorOrder.foundMs;
+		const hasTakenEffect = await hasTakenFinalEffect(view, priorOrder);
+		if (waitedMs < orderSettleMs && !hasTakenEffect) {
+			return true;
+		}
+
+		log.info({
+			service: view.name, server: priorOrder.order?.server, hasTakenEffect, waitedMs: Math.round(waitedMs),
+		}, 'the order of an earlier holder of the promotion lease is settled');
+		void lease.clearOrder(view.name, signal);
+		return false;
+	}
+
+	/**
+	 * Checks whether a repeated request may still take effect. It would promote a server again that has stepped down for its successor,
+	 * so a leaving primary is replaced later.
+	 */
+	hasPendingRepeats(view: ServiceView): boolean {
+		return this.ports.clock.nowMs() < (this.repeatsPendingUntilMs.get(view) ?? 0);
+	}
+
+	/**
+	 * Requests the promotion. If no request is accepted, resumes replication, but only when no request can take effect any more.
+	 * Otherwise the candidate could be promoted without a commit that was acknowledged after replication had resumed.
+	 */
+	async requestOrResume(view: ServiceView, candidate: Candidate, plan: PromotionPlan): Promise<void> {
+		const {target, pauses, signal} = plan;
+		const outcome = await this.requestPromotion(view, candidate, plan);
+		void this.clearWhenSettled(view, plan.token, signal);
+		if (outcome === 'accepted') {
+			return;
+		}
+
+		if (outcome === 'unanswered' && await this.waitForNewTerm(target, promotionSettleMs)) {
+			return;
+		}
+
+		await pauses.endAll();
+		throw new PromotionHalt(`the promotion request for ${candidate.backend.id} was ${outcome}`);
+	}
+
+	/**
+	 * Waits until the promoted server is the primary of a new term. A former primary that has not stepped down also claims to
+	 * be the primary, but in a term that was known before the request.
+	 */
+	async waitForNewTerm({backend, highestPriorTerm}: PromotionTarget, timeoutMs: number): Promise<ServerStatus | undefined> {
+		const deadlineMs = this.ports.clock.nowMs() + timeoutMs;
+		while (this.ports.clock.nowMs() < deadlineMs) {
+			const status = await probeStatus(backend);
+			if (status?.role === 'primary' && status.term > highestPriorTerm) {
+				return status;
+			}
+
+			await this.ports.clock.sleep(pollIntervalMs);
+		}
+
+		return undefined;
+	}
+
+	/** Requests the promotion while this process holds the promotion lease, and repeats requests without a definite result. */
+	private async requestPromotion(view: ServiceView, {backend, status}: Candidate, {target, token, signal}: PromotionPlan): Promise<RequestOutcome> {
+		const {clock, lease, log, promotionService} = this.ports;
+		this.orderCounts.set(view, this.countOrders(view) + 1);
+		for (let attempt = 0; attempt < maximumRequests; attempt++) {
+			const order: PromotionOrder = {
+				service: view.name, server: backend.id, priorTerm: target.highestPriorTerm, isRepeated: attempt > 0 || this.hasPendingRepeats(view),
+			};
+			if (!await this.recordAndConfirm(order, {token, attempt}, signal)) {
+				return attempt === 0 ? 'not sent, because the duty is no longer held' : 'unanswered';
+			}
+
+			if (attempt > 0) {
+				this.repeatsPendingUntilMs.set(view, clock.nowMs() + promotionSettleMs);
+			}
+
+			const result = await promotionService.requestPromotion(view.name, backend.id, {holder: lease.holder, token}, signal);
+			log.info({
+				service: view.name, server: backend.id, token, result, position: formatPosition(status.receivedPosition), attempt,
+			}, 'a promotion was ordered');
+			if (result === 'accepted') {
+				return result;
+			}
+
+			if (result === 'notRunning') {
+				// Earlier requests without an answer may still take effect once the server runs again.
+				return attempt === 0 ? 'refused' : 'unanswered';
+			}
+
+			await clock.sleep(requestRetryDelayMs, signal);
+		}
+
+		return 'unanswered';
+	}
+
+	/**
+	 * Records the order before the first and the second request, and confirms the lease before each further one, which changes nothing in the record.
+	 * @returns false if the lease is not certainly held now, under the token
+	 */
+	private async recordAndConfirm(order: PromotionOrder, {token, attempt}: {readonly token: number; readonly attempt: number}, signal: AbortSignal): Promise<boolean> {
+		const {clock, lease} = this.ports;
+		if (lease.fencingToken() !== token) {
+			return false;
+		}
+
+		const startedMs = clock.nowMs();
+		const isHeld = attempt < 2 ? await lease.recordOrder(order, signal) : await lease.confirm(signal);
+		return isHeld && lease.fencingToken() === token && clock.nowMs() - startedMs <= maximumConfirmationAgeMs;
+	}
+
+	/** Removes the record of the last order once no request can take effect any more. Otherwise a later holder would wait for it. */
+	private async clearWhenSettled(view: ServiceView, token: number, signal: AbortSignal): Promise<void> {
+		const {clock, lease} = this.ports;
+		const count = this.countOrders(view);
+		try {
+			await clock.sleep(orderSettleMs, signal);
+		} catch {
+			// The process stops, and the next holder settles the record.
+			return;
+		}
+
+		if (this.countOrders(view) === count && lease.fencingToken() === token) {
+			await lease.clearOrder(view.name, signal);
+		}
+	}
+
+	private countOrders(view: ServiceView): number {
+		return this.orderCounts.get(view) ?? 0;
+	}
+}
+
+/** Checks whether an order has taken effect, and cannot do so again. */
+async function hasTakenFinalEffect(view: ServiceView, {order}: PriorOrder): Promise<boolean> {
+	const backend = view.listBackends().find(({id}) => id === order?.server);
+	if (!order || order.isRepeated || !backend) {
+		return false;
+	}
+
+	const status = await probeStatus(backend);
+	return status?.role === 'primary' && status.term > order.priorTerm;
+}
--- a/packages/proxy/src/testing/index.ts
+++ b/packages/proxy/src/testing/index.ts
@@ -1,2 +1,3 @@
 export * from './hostDialer.js';
+export * from './memoryLease.js';
 export * from './memoryService.js';
