--- a/packages/proxy/src/__tests__/joiningServer.test.ts
+++ b/packages/proxy/src/__tests__/joiningServer.test.ts
@@ -3,7 +3,9 @@
 import {expect} from 'chai';
 import {type PromotionResult, type PromotionService} from '../ports.js';
 import {PromotionTask} from '../promotion.js';
-import {HostDialer, type MemoryServer, MemoryService} from '../testing/index.js';
+import {
+	HostDialer, MemoryLease, type MemoryServer, MemoryService,
+} from '../testing/index.js';
 import {
 	advanceableClock, type Harness, run as runStatement, startProxy,
 } from './proxyHarness.js';
@@ -186,7 +188,7 @@
 
 		const [, {proxy, log}] = hosts as [Harness, Harness];
 		new PromotionTask(() => proxy.services, {
-			clock: systemClock, log, lease: {holder: 'h', fencingToken: () => 7, confirm}, promotionService,
+			clock: systemClock, log, lease: new MemoryLease('h', {confirm}), promotionService,
 		}).run(lifetime.signal).catch(() => undefined);
 	}
 
