Date commit samples across a suspension of the process

Callers with a freshness bound could see data older than the bound by the length of a suspension: the age of a sample of the commit position was taken from the monotonic clock, which does not count a suspension. ClockContinuity compares the wall clock with the monotonic clock at each read and at each maintenance, and tells from which time on durations can be measured. Samples from before are dropped and taken anew. A step of the wall clock in either direction is treated alike and costs one proof. The age of the configuration, which operators see, counts a suspension as well. Not detected: a suspension of up to 30 ms, which the safety margin of the bound covers, and one that a step of the wall clock makes up for within one maintenance interval. The harness' clock now advances both clocks.

--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -1,4 +1,5 @@
 export * from './childSignal.js';
+export * from './clockContinuity.js';
 export * from './deferred.js';
 export * from './failure.js';
 export * from './ports.js';
--- a/packages/proxy/src/__tests__/configurationAge.test.ts
+++ b/packages/proxy/src/__tests__/configurationAge.test.ts
@@ -1,4 +1,4 @@
-import {type Metrics, noopMetrics} from '@crocusloom/model';
+import {ClockContinuity, type Metrics, noopMetrics} from '@crocusloom/model';
 import {FakeClock, RecordingLogger} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {ConfigurationAge} from '../configurationAge.js';
@@ -36,7 +36,9 @@
 					gauges.push(value);
 				},
 			};
-			const age = new ConfigurationAge(maximumAgeMs, {clock, log, metrics});
+			const age = new ConfigurationAge(maximumAgeMs, {
+				clock, log, metrics, continuity: new ClockContinuity(clock, 0),
+			});
 			for (let atMs = checkIntervalMs; atMs <= 8000; atMs += checkIntervalMs) {
 				await clock.runUntil(atMs);
 				if (confirmedAtMs.includes(atMs)) {
@@ -51,4 +53,19 @@
 			expect(gauges.at(-1)).to.equal(8000 - (confirmedAtMs.at(-1) ?? 0));
 		});
 	}
+
+	it('counts the time of a suspension (guards against an outdated configuration that seems to be confirmed)', () => {
+		const times = {monotonicMs: 0, wallMs: 1_000_000};
+		const clock = {nowMs: () => times.monotonicMs, wallMs: () => times.wallMs, sleep: async () => undefined};
+		const age = new ConfigurationAge(maximumAgeMs, {
+			clock, log: new RecordingLogger(), metrics: noopMetrics, continuity: new ClockContinuity(clock, 0),
+		});
+		times.wallMs += 5000;
+		expect(age.ageMs).to.equal(5000);
+		age.confirm();
+		expect(age.ageMs).to.equal(0);
+		times.wallMs -= 5000;
+		times.monotonicMs += 200;
+		expect(age.ageMs).to.equal(200);
+	});
 });
--- a/packages/proxy/src/__tests__/proxyHarness.ts
+++ b/packages/proxy/src/__tests__/proxyHarness.ts
@@ -115,6 +115,9 @@
 		nowMs() {
 			return systemClock.nowMs() + this.offsetMs;
 		},
+		wallMs() {
+			return systemClock.wallMs() + this.offsetMs;
+		},
 	};
 }
 
--- a/packages/proxy/src/commitSampler.ts
+++ b/packages/proxy/src/commitSampler.ts
@@ -1,4 +1,6 @@
-import {type Clock, comparePositions, type LogPosition} from '@crocusloom/model';
+import {
+	type Clock, type ClockContinuity, comparePositions, type LogPosition,
+} from '@crocusloom/model';
 import {type Backend} from './backend.js';
 import {type CommitProof} from './commitEvidence.js';
 import {freshnessMarginMs, type CommitSamples} from './commitSamples.js';
@@ -25,6 +27,7 @@
 	readonly checkCommits: (position: LogPosition) => CommitProof;
 	readonly confirmServers: ConfirmServers;
 	readonly clock: Clock;
+	readonly continuity: ClockContinuity;
 };
 
 /** Takes samples of the commit position of a service when reads with a freshness bound need them. */
@@ -45,6 +48,7 @@
 	 * @returns undefined if no position can be determined at present
 	 */
 	async minimumPositionFor(arrivedMs: number, maxAgeMs: number): Promise<LogPosition | undefined> {
+		this.dropSamplesOfUnknownAge();
 		const oldestMs = arrivedMs - maxAgeMs + freshnessMarginMs;
 		if (this.samples.newestSampleMs < arrivedMs - (maxAgeMs * refreshFraction)) {
 			void this.refresh();
@@ -56,9 +60,15 @@
 		}
 
 		await this.refresh();
+		this.dropSamplesOfUnknownAge();
 		return this.samples.oldestSampleSince(oldestMs)?.position;
 	}
 
+	/** Drops the samples from before a suspension of the process, which are older than the monotonic clock says. Called at regular intervals, too. */
+	dropSamplesOfUnknownAge(): void {
+		this.samples.dropBefore(this.ports.continuity.sinceMs());
+	}
+
 	/** Takes a sample, or joins the one that is being taken. */
 	async refresh(): Promise<void> {
 		this.runningRefresh ??= this.takeSample().finally(() => {
--- a/packages/proxy/src/commitSamples.ts
+++ b/packages/proxy/src/commitSamples.ts
@@ -59,6 +59,13 @@
 		return oldestSample;
 	}
 
+	/** Drops the samples that were taken before a time. */
+	dropBefore(timeMs: number): void {
+		while (this.samples.length > 0 && this.samples[0]!.takenMs < timeMs) {
+			this.samples.shift();
+		}
+	}
+
 	/** Drops the samples of terms before `term`, because a promotion may have discarded their positions. */
 	dropTermsBefore(term: number): void {
 		while (this.samples.length > 0 && this.samples[0]!.position.term < term) {
--- a/packages/proxy/src/configurationAge.ts
+++ b/packages/proxy/src/configurationAge.ts
@@ -1,9 +1,12 @@
-import {type Clock, type Logger, type Metrics} from '@crocusloom/model';
+import {
+	type Clock, type ClockContinuity, type Logger, type Metrics,
+} from '@crocusloom/model';
 
 export type ConfigurationAgePorts = {
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: Metrics;
+	readonly continuity: ClockContinuity;
 };
 
 /**
@@ -12,6 +15,7 @@
  */
 export class ConfigurationAge {
 	private confirmedMs: number;
+	private confirmedWallMs: number;
 	private isOverdue = false;
 
 	/**
@@ -19,11 +23,14 @@
 	 */
 	constructor(private maximumAgeMs: number, private readonly ports: ConfigurationAgePorts) {
 		this.confirmedMs = ports.clock.nowMs();
+		this.confirmedWallMs = ports.clock.wallMs();
 	}
 
-	/** Time since the last confirmation, or since the start if there was none. */
+	/** Time since the last confirmation, or since the start if there was none. Includes the time of a suspension, or of a step of the wall clock, which looks the same. */
 	get ageMs(): number {
-		return this.ports.clock.nowMs() - this.confirmedMs;
+		const {clock, continuity} = this.ports;
+		const countedMs = clock.nowMs() - this.confirmedMs;
+		return this.confirmedMs <= continuity.sinceMs() ? Math.max(countedMs, clock.wallMs() - this.confirmedWallMs) : countedMs;
 	}
 
 	/** Changes the age in milliseconds above which a confirmed change may be missing. */
@@ -39,6 +46,7 @@
 		}
 
 		this.confirmedMs = this.ports.clock.nowMs();
+		this.confirmedWallMs = this.ports.clock.wallMs();
 	}
 
 	/** Updates the metric and reports an overdue confirmation once; called at regular intervals. */
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -1,4 +1,6 @@
-import {type Clock, type Logger, type LogPosition} from '@crocusloom/model';
+import {
+	type Clock, type ClockContinuity, type Logger, type LogPosition,
+} from '@crocusloom/model';
 import {type RankPolicy} from '@crocusloom/work';
 import {Backend, type BackendPorts} from './backend.js';
 import {type CommitProof, CommitEvidence} from './commitEvidence.js';
@@ -20,6 +22,7 @@
 	/** Returns the number of hosts that share the servers' connections. */
 	readonly hostCount: () => number;
 	readonly confirmServers: ConfirmServers;
+	readonly continuity: ClockContinuity;
 };
 
 /** View of one service in this proxy: its servers, its primary and samples of its commit position. */
@@ -118,6 +121,7 @@
 		}
 
 		this.maintainRetired();
+		this.sampler.dropSamplesOfUnknownAge();
 		this.sampleAfterDepartures();
 		if (!this.search.primary) {
 			void this.findPrimary();
@@ -261,6 +265,7 @@
 			checkCommits: position => this.checkCommits(position),
 			confirmServers: this.ports.confirmServers,
 			clock: this.clock,
+			continuity: this.ports.continuity,
 		});
 	}
 
--- a/packages/proxy/src/sessionProxy.ts
+++ b/packages/proxy/src/sessionProxy.ts
@@ -1,6 +1,7 @@
 import {
-	type Clock, type Logger, type Metrics, type RandomSource,
+	type Clock, ClockContinuity, type Logger, type Metrics, type RandomSource,
 } from '@crocusloom/model';
+import {freshnessMarginMs} from './commitSamples.js';
 import {ConfigurationAge} from './configurationAge.js';
 import {DecisionLog} from './decisionLog.js';
 import {HostCount} from './connectionShare.js';
@@ -16,6 +17,8 @@
 const maintenanceIntervalMs = 100;
 /** Time that a starting proxy waits for all primaries to be found. A primary that is still missing then has probably failed. */
 const primarySearchTimeoutMs = 300;
+/** Uncounted time of a suspension up to which ages count as measured correctly; within the safety margin of a freshness bound. */
+const continuityToleranceMs = freshnessMarginMs / 2;
 
 export type SessionProxyPorts = {
 	readonly clock: Clock;
@@ -34,6 +37,7 @@
 export class SessionProxy {
 	readonly routes: RouteTable;
 	readonly configurationAge: ConfigurationAge;
+	private readonly continuity: ClockContinuity;
 	private readonly views = new Map<string, ServiceView>();
 	/** Views of services that are no longer configured and still run statements. */
 	private readonly retiredViews = new Set<ServiceView>();
@@ -49,7 +53,8 @@
 
 	constructor(private readonly ports: SessionProxyPorts) {
 		this.routes = new RouteTable(ports.log);
-		this.configurationAge = new ConfigurationAge(ports.configurationBoundMs, ports);
+		this.continuity = new ClockContinuity(ports.clock, continuityToleranceMs);
+		this.configurationAge = new ConfigurationAge(ports.configurationBoundMs, {...ports, continuity: this.continuity});
 		this.hostCount = new HostCount(ports.clock);
 		this.decisionLog = new DecisionLog(ports.log, ports.metrics, ports.clock);
 		this.runner = new StatementRunner({
@@ -153,7 +158,7 @@
 
 		for (const spec of configuration.services.values()) {
 			const existingView = this.views.get(spec.name);
-			const view = existingView ?? new ServiceView(spec, {...this.ports, hostCount: () => this.hostCount.recentMaximum});
+			const view = existingView ?? new ServiceView(spec, {...this.ports, continuity: this.continuity, hostCount: () => this.hostCount.recentMaximum});
 			view.configure(spec, ranksOf(configuration, spec.name));
 			if (!existingView) {
 				this.views.set(spec.name, view);
