Compare the clocks for the promotion lease with the same module as for samples

A holder that was suspended after its wall clock had been set back by as much still returned its fencing token, although its lease had ended in the store: the difference of the clocks was compared with that of the last renewal only, and both changes cancelled out.

--- a/packages/model/src/clockContinuity.ts
+++ b/packages/model/src/clockContinuity.ts
@@ -38,6 +38,12 @@
 		return this.continuousSinceMs;
 	}
 
+	/** Compares the clocks and returns the monotonic time in milliseconds, as the start of a duration. */
+	nowMs(): number {
+		this.sinceMs();
+		return this.clock.nowMs();
+	}
+
 	/** Reads the wall clock minus the monotonic clock. The shortest of several readings counts, as the process may have had to wait during the others. */
 	private readOffsetMs(): number {
 		let shortestMs = Number.POSITIVE_INFINITY;
