Do not promote the only listed server if no primary was ever known

A host that was started after two of three servers had been lost promoted the remaining replica 1.5 s later, although commits may have been acknowledged by the other two alone. Nothing is gained by it: a primary without a replica acknowledges no commit, and it cannot be proved to lead. Such a host now waits for the primary or a further server, and logs why. A lone server that says that it is the primary stays unserved. docs/guarantees.md gives the argument: after the loss of its successor and of the successor's replica it cannot be told from a primary that was never replaced.

--- a/packages/proxy/src/__tests__/leadershipProver.test.ts
+++ b/packages/proxy/src/__tests__/leadershipProver.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
-import {MemoryService} from '../testing/index.js';
-import {type Harness, startProxy} from './proxyHarness.js';
+import {type MemoryServer, MemoryService} from '../testing/index.js';
+import {errorOf, type Harness, startProxy} from './proxyHarness.js';
 
 describe('leadership prover', () => {
 	let harness: Harness;
@@ -62,6 +62,23 @@
 			outcome: 'unproven',
 		},
 	];
+	it('refuses reads at a former primary whose successor and all others are gone for good (guards against stale reads by hosts that were started later)', async () => {
+		const service = new MemoryService('ledger', ['a', 'b', 'c']);
+		const [former, successor, follower] = service.servers as [MemoryServer, MemoryServer, MemoryServer];
+		former.partitionedFrom.add(successor).add(follower);
+		service.promote(successor.id, 1);
+		successor.receive({position: {term: successor.term, offsetBytes: 1}, writeId: 'acknowledged'});
+		service.replicate(successor, follower);
+		successor.isUnresponsive = true;
+		follower.isUnresponsive = true;
+		harness = await startProxy(service, undefined, undefined, [former.listing()]);
+		const proof = await harness.view.prove(harness.view.currentPrimary!);
+		expect(proof.kind).to.equal('unproven');
+		for (const route of ['strict', 'bounded', 'own']) {
+			expect(await errorOf(harness.proxy.openSession(route, 'u'), 'READ a'), route).to.equal('overloaded');
+		}
+	});
+
 	async function check({injectFault, outcome, setUp, ids = ['a', 'b', 'c']}: Case): Promise<void> {
 		const service = new MemoryService('ledger', ids);
 		setUp?.(service);
--- a/packages/proxy/src/__tests__/proxyHarness.ts
+++ b/packages/proxy/src/__tests__/proxyHarness.ts
@@ -2,7 +2,7 @@
 import {RecordingLogger, waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {
-	type ConfirmServers, type FreshnessRule, type PromotionService, type ProxyConfiguration, type Route,
+	type BackendServer, type ConfirmServers, type FreshnessRule, type PromotionService, type ProxyConfiguration, type Route,
 } from '../ports.js';
 import {type ServiceView} from '../serviceView.js';
 import {type Session} from '../session.js';
@@ -25,8 +25,23 @@
 	readonly stop: () => void;
 };
 
-/** Starts a proxy in front of an in-memory service and waits until the primary is known. */
-export async function startProxy(service = new MemoryService('ledger', ['a', 'b', 'c']), clock: Clock = systemClock, confirmServers: ConfirmServers = async () => true): Promise<Harness> {
+/**
+ * Starts a proxy in front of an in-memory service and waits until the primary is known.
+ * @param servers - servers that service discovery lists, by default all of them
+ */
+export async function startProxy(
+	service = new MemoryService('ledger', ['a', 'b', 'c']),
+	clock: Clock = systemClock,
+	confirmServers: ConfirmServers = async () => true,
+	servers = service.listings(),
+): Promise<Harness> {
+	const harness = createProxy(service, servers, clock, confirmServers);
+	await waitUntil(() => harness.view.currentPrimary !== undefined);
+	return harness;
+}
+
+/** Starts a proxy in front of an in-memory service, which may lack a primary. */
+export function createProxy(service: MemoryService, servers: readonly BackendServer[], clock: Clock = systemClock, confirmServers: ConfirmServers = async () => true): Harness {
 	const log = new RecordingLogger();
 	const lifetime = new AbortController();
 	const proxy = new SessionProxy({
@@ -46,10 +61,9 @@
 	};
 
 	configure(1, Object.keys(freshnessRules));
-	proxy.setServers(service.listings());
+	proxy.setServers(servers);
 	proxy.run(lifetime.signal).catch(() => undefined);
 	const view = proxy.services[0]!;
-	await waitUntil(() => view.currentPrimary !== undefined);
 	return {
 		service,
 		proxy,
--- a/packages/proxy/src/commitEvidence.ts
+++ b/packages/proxy/src/commitEvidence.ts
@@ -7,7 +7,9 @@
 		/** The log ends before a position that departed servers may have acknowledged. */
 		| {readonly kind: 'incomplete'; readonly requiredPosition: LogPosition}
 		/** The commit position after the departure of these servers is not known. */
-		| {readonly kind: 'unknown'; readonly departedServers: readonly string[]};
+		| {readonly kind: 'unknown'; readonly departedServers: readonly string[]}
+		/** No primary was ever known, and so few servers are listed that others may have acknowledged commits without them. */
+		| {readonly kind: 'tooFew'; readonly serverCount: number};
 
 /**
  * Evidence of which acknowledged commits the remaining servers of a service may lack.
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -74,6 +74,7 @@
 const unprovenReasons: {readonly [K in UnprovenKind]: (proof: ProofOf<K>, position: LogPosition) => string} = {
 	incomplete: ({requiredPosition}, position) => `position ${formatPosition(requiredPosition)} is required and ${formatPosition(position)} was found`,
 	unknown: ({departedServers}) => `the commit position after the departure of ${departedServers.join(', ')} is not known`,
+	tooFew: ({serverCount}) => `no primary was known, and servers beside the ${serverCount} listed may have acknowledged commits`,
 };
 
 /** Thrown to abandon a promotion, with the reason as message. */
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -182,6 +182,11 @@
 	/** Checks whether a log that ends at a position holds each acknowledged commit that a departed server may have taken with it. */
 	checkCommits(position: LogPosition): CommitProof {
 		this.recordReplacedServers();
+		const serverCount = this.listMembers().length;
+		if (!this.search.lastPrimary && serverCount <= this.spec.syncReplicas) {
+			return {kind: 'tooFew', serverCount};
+		}
+
 		return this.spec.syncReplicas === 0 ? {kind: 'proven'} : this.evidence.check(position);
 	}
 
