Check each field of the records in heartbeats

What was seen: a host that got one heartbeat with a very deeply nested field sent no heartbeats any more, so that its peers took it for dead; a record with a number that is too large hid a live host from its receiver and from those to which it was forwarded. Cause: records were stored as received. The loop that sends heartbeats failed on the stored record before it came to the removal of old ones, and failed again after each restart of the task; an incarnation or a counter above all others let no later record of that host win. Change: each field is checked for its type and range, and a record that fails is left out and counted (membership_invalid_records_total). Encoding and decoding move to a module of their own.

--- a/packages/membership/src/__tests__/membership.test.ts
+++ b/packages/membership/src/__tests__/membership.test.ts
@@ -25,6 +25,7 @@
 	readonly random = seededRandom(20_261_204);
 	/** Total size of the heartbeats as framed by the transport. */
 	heartbeatBytes = 0;
+	failedDeliveries = 0;
 	readonly partition = {separates: (_from: string, _to: string): boolean => false};
 	private readonly handlers = new Map<string, (parameters: unknown) => unknown>();
 	private readonly closeController = new AbortController();
@@ -39,6 +40,15 @@
 		this.closeController.abort();
 	}
 
+	/** Delivers a message to a host; as in the transport, an error of the handler ends nothing else. */
+	deliver(to: string, parameters: unknown): void {
+		try {
+			this.handlers.get(`${to} membership.heartbeat`)?.(parameters);
+		} catch {
+			this.failedDeliveries++;
+		}
+	}
+
 	private startHost(name: string, failureDomain: string, index: number): void {
 		const service: MembershipService = new MembershipService({
 			self: {
@@ -80,6 +90,34 @@
 	return host.service.members().filter(member => member.state !== 'dead').map(member => member.host).toSorted();
 }
 
+function nestedLists(depth: number): unknown {
+	let value: unknown = [];
+	for (let level = 0; level < depth; level++) {
+		value = [value];
+	}
+
+	return value;
+}
+
+const deepList = nestedLists(100_000);
+/** Record of a host that does not exist, with one or more fields replaced. */
+function recordWith(replacedFields: Readonly<Record<number, unknown>>): readonly unknown[] {
+	return Object.assign(['odd', 1, 1, 'a', '127.0.0.1', 3000, 3001, 3002, false, 0], replacedFields);
+}
+
+const oddHeartbeats: ReadonlyArray<{readonly name: string; readonly parameters: unknown}> = [
+	{name: 'no parameters', parameters: null},
+	{name: 'no records', parameters: {}},
+	{name: 'a record that is null', parameters: {r: [null]}},
+	{name: 'a record that is too short', parameters: {r: [['odd', 1]]}},
+	{name: 'a port out of range', parameters: {r: [recordWith({5: 70_000, 6: 70_000})]}},
+	{name: 'a host name that is no text', parameters: {r: [recordWith({0: {}})]}},
+	{name: 'a very deep host name', parameters: {r: [recordWith({0: deepList})]}},
+	{name: 'a very deep incarnation', parameters: {r: [recordWith({1: deepList})]}},
+	{name: 'an incarnation of a live host that is too large', parameters: {r: [recordWith({0: 'a2', 1: 1e300})]}},
+	{name: 'a counter of a live host that is too large', parameters: {r: [['a2', 1, 1e300]]}},
+];
+
 describe('MembershipService', () => {
 	let deployment: FakeDeployment;
 
@@ -164,4 +202,22 @@
 			}
 		}
 	});
+
+	async function assertMembersBeside(parameters: unknown): Promise<void> {
+		deployment = new FakeDeployment(['a1', 'a2', 'a3'], ['a']);
+		await deployment.clock.advance(5000);
+		deployment.deliver('a1', parameters);
+		for (let elapsedMs = 0; elapsedMs < 5000; elapsedMs += 100) {
+			await deployment.clock.advance(100);
+			for (const host of deployment.hosts) {
+				assert.deepEqual(liveHostsSeenBy(host), ['a1', 'a2', 'a3']);
+			}
+		}
+
+		assert.equal(deployment.failedDeliveries, 0);
+	}
+
+	for (const {name, parameters} of oddHeartbeats) {
+		it(`guards against an odd heartbeat that ends the heartbeats of its receiver or hides live hosts: ${name}`, async () => assertMembersBeside(parameters));
+	}
 });
--- a/packages/membership/src/membershipService.ts
+++ b/packages/membership/src/membershipService.ts
@@ -1,6 +1,7 @@
 import {
 	type Clock, type Logger, type Member, type Membership, type Metrics, type PeerRpc, type RandomSource,
 } from '@crocusloom/model';
+import {decodeRecord, encodeRecord} from './memberRecords.js';
 import {MemberTable, type MemberRecord} from './memberTable.js';
 import {type PeerAddress} from './peerConnection.js';
 import {rendezvousFirst} from './rendezvous.js';
@@ -28,19 +29,9 @@
 
 const heartbeatMethod = 'membership.heartbeat';
 
-/**
- * A heartbeat. Records are encoded as arrays in the order of `recordFields`, because field names would take most of the bytes. A
- * compact record has only the first `compactFieldCount` fields; its receiver takes the others from the full record that it has.
- */
+/** A heartbeat: the record of the sender, and records that it forwards. */
 type Heartbeat = {readonly r: ReadonlyArray<readonly unknown[]>};
 
-const recordFields = [
-	'host', 'incarnation', 'counter', 'failureDomain', 'address', 'peerPort', 'workPort', 'operatorPort', 'leaving', 'configurationRevision',
-] as const satisfies ReadonlyArray<keyof MemberRecord>;
-
-/** Number of fields in a compact record: host, incarnation and counter. */
-const compactFieldCount = 3;
-
 export type MembershipOptions = {
 	readonly self: Omit<MemberRecord, 'counter' | 'leaving' | 'configurationRevision'>;
 	/** Addresses of peers that receive the first heartbeats, for a start at which the host list does not respond. */
@@ -84,7 +75,7 @@
 		}
 
 		options.peers.handle(heartbeatMethod, parameters => {
-			this.receiveHeartbeat(parameters as Heartbeat);
+			this.receiveHeartbeat(parameters);
 		});
 	}
 
@@ -224,12 +215,13 @@
 		return areSeedsDue ? [...neighbours, ...silentSeeds] : neighbours;
 	}
 
-	private receiveHeartbeat(heartbeat: Heartbeat): void {
-		const decodedRecords = heartbeat.r.map(fields => this.decodeRecord(fields)).filter(record => record !== undefined);
-		const records = decodedRecords.filter(record => record.host !== this.options.self.host);
+	private receiveHeartbeat(parameters: unknown): void {
+		const encodedRecords = (parameters as Partial<Heartbeat> | null)?.r;
+		const [ownRecord, ...forwardedRecords] = this.decodeRecords(Array.isArray(encodedRecords) ? encodedRecords : [undefined]);
+		const sender = ownRecord?.host;
+		const records = [ownRecord, ...forwardedRecords].filter(record => record !== undefined);
 		let hasChanges = false;
-		const sender = heartbeat.r[0]?.[0];
-		for (const record of records) {
+		for (const record of records.filter(({host}) => host !== this.options.self.host)) {
 			const isChange = this.table.merge(record, record.host === sender);
 			hasChanges ||= isChange;
 		}
@@ -239,15 +231,15 @@
 		}
 	}
 
-	/** @returns undefined for a compact record of a host whose full record is not known */
-	private decodeRecord(fields: readonly unknown[]): MemberRecord | undefined {
-		if (fields.length > compactFieldCount) {
-			return decodeFullRecord(fields);
+	/** Decodes the records of a heartbeat; one that cannot be used is undefined. */
+	private decodeRecords(encodedRecords: readonly unknown[]): ReadonlyArray<MemberRecord | undefined> {
+		const results = encodedRecords.map(fields => decodeRecord(fields, host => this.table.recordOf(host)));
+		const invalidCount = results.filter(result => result === 'invalid').length;
+		if (invalidCount > 0) {
+			this.options.metrics.count('membership_invalid_records_total', undefined, invalidCount);
 		}
 
-		const [host, incarnation, counter] = fields as [string, number, number];
-		const knownRecord = this.table.recordOf(host);
-		return knownRecord?.incarnation === incarnation ? {...knownRecord, counter} : undefined;
+		return results.map(result => typeof result === 'object' ? result : undefined);
 	}
 
 	/** Notifies listeners of changes that no heartbeat reports, such as members that have become silent. */
@@ -293,12 +285,3 @@
 
 	return pickedItems;
 }
-
-function encodeRecord(record: MemberRecord, isFull: boolean): unknown[] {
-	const fields = isFull ? recordFields : recordFields.slice(0, compactFieldCount);
-	return fields.map(field => record[field]);
-}
-
-function decodeFullRecord(fields: readonly unknown[]): MemberRecord {
-	return Object.fromEntries(recordFields.map((field, index) => [field, fields[index]])) as unknown as MemberRecord;
-}
