Check the host lists that peers send

What was seen: after a message hostList.changed without a list, with null in it or with another type, a host had no list or one that it could not read: currentHosts() was undefined, or the listeners that mark leaving servers failed. Cause: the list was taken as sent and stored before its first use. Change: a list of a peer is checked field by field, and one with an invalid entry is not applied; the host then reads the list from the platform itself, as if it had not heard the reader. Counted as host_list_invalid_messages_total.

--- a/packages/membership/src/__tests__/hostListReader.test.ts
+++ b/packages/membership/src/__tests__/hostListReader.test.ts
@@ -75,6 +75,11 @@
 		return this.readers.every(reader => reader.currentHosts().some(({state}) => state === 'leaving'));
 	}
 
+	/** Sends a message from one host to another, as a peer of another release may. */
+	async send(from: string, to: string, method: string, parameters: unknown): Promise<void> {
+		await this.handlers.get(to)!.get(method)!(parameters, from, this.abortController.signal);
+	}
+
 	private async list(): Promise<readonly ListedHost[]> {
 		if (this.clock.nowMs() <= this.readsLostUntilMs) {
 			await this.clock.sleep(callTimeoutMs);
@@ -139,6 +144,16 @@
 	},
 ];
 
+const oddMessages: ReadonlyArray<{readonly name: string; readonly method: string; readonly parameters: unknown}> = [
+	{name: 'a list without parameters', method: 'hostList.changed', parameters: null},
+	{name: 'a list without hosts', method: 'hostList.changed', parameters: {}},
+	{name: 'hosts that are no list', method: 'hostList.changed', parameters: {hosts: {}}},
+	{name: 'a host that is null', method: 'hostList.changed', parameters: {hosts: [null]}},
+	{name: 'a port out of range', method: 'hostList.changed', parameters: {hosts: [{...listedBackend('live'), port: 70_000}]}},
+	{name: 'an unknown state', method: 'hostList.changed', parameters: {hosts: [{...listedBackend('live'), state: 'gone'}]}},
+	{name: 'a digest without parameters', method: 'hostList.digest', parameters: null},
+];
+
 describe('host list reader', () => {
 	it('tells all hosts within the bound that a backend server leaves, by the sum of all waits (guards against constants that do not add up to the bound)', () => {
 		expect(longestHostListNoticeMs()).to.be.below(leavingBoundMs);
@@ -175,4 +190,23 @@
 			}
 		});
 	}
+
+	for (const {name, method, parameters} of oddMessages) {
+		it(`keeps its list and follows the next change after an odd message of a peer, ${name} (guards against a message that ends the reader or empties its list)`, async () => {
+			const domain = new FakeDomain(0.5);
+			domain.start();
+			await domain.clock.runUntil(5000);
+			for (const host of hostNames) {
+				const otherHost = hostNames.find(name => name !== host)!;
+				await domain.send(otherHost, host, method, parameters);
+			}
+
+			expect(domain.readers.map(reader => reader.currentHosts())).to.deep.equal(hostNames.map(() => domain.hosts));
+			domain.hosts = [listedBackend('leaving')];
+			const changedMs = domain.clock.nowMs();
+			await domain.clock.runUntil(changedMs + 60_000, () => domain.isKnown);
+			domain.stop();
+			expect(domain.clock.nowMs() - changedMs).to.be.at.most(leavingBoundMs);
+		});
+	}
 });
--- a/packages/membership/src/hostListReader.ts
+++ b/packages/membership/src/hostListReader.ts
@@ -2,6 +2,9 @@
 import {
 	type Clock, errorMessageOf, type HostList, type ListedHost, type Logger, type Member, type Membership, type Metrics, type PeerRpc, type RandomSource, withTimeout,
 } from '@crocusloom/model';
+import {
+	decodeDigest, decodeHosts, type DigestMessage, type HostsMessage,
+} from './hostListMessages.js';
 import {rendezvousFirst} from './rendezvous.js';
 
 /** Mean interval between the starts of reads of the host list by the reader of a failure domain. */
@@ -30,8 +33,6 @@
 const hostListDigestMethod = 'hostList.digest';
 const hostListCurrentMethod = 'hostList.current';
 
-type HostsMessage = {readonly hosts: readonly ListedHost[]};
-
 export type HostListReaderOptions = {
 	readonly hostList: HostList;
 	readonly membership: Membership;
@@ -58,14 +59,14 @@
 
 	constructor(private readonly options: HostListReaderOptions) {
 		options.peers.handle(hostListChangedMethod, parameters => {
-			this.applyHosts((parameters as HostsMessage).hosts);
-			this.postponeRead();
+			this.applyReaderHosts(parameters);
 		});
-		options.peers.handle(hostListCurrentMethod, () => ({hosts: this.listedHosts}));
+		options.peers.handle(hostListCurrentMethod, (): HostsMessage => ({hosts: this.listedHosts}));
 		options.peers.handle(hostListDigestMethod, (parameters, callerHost) => {
-			if ((parameters as {readonly digest: string}).digest === this.digest()) {
+			const digest = decodeDigest(parameters);
+			if (digest === this.digest()) {
 				this.postponeRead();
-			} else if (this.runSignal) {
+			} else if (digest !== undefined && this.runSignal) {
 				void this.pullFrom(callerHost, this.runSignal);
 			}
 		});
@@ -135,9 +136,9 @@
 			const hasChanged = this.applyHosts(hosts);
 			for (const {host} of this.localPeers()) {
 				if (hasChanged) {
-					peers.notify(host, hostListChangedMethod, {hosts});
+					peers.notify(host, hostListChangedMethod, {hosts} satisfies HostsMessage);
 				} else {
-					peers.notify(host, hostListDigestMethod, {digest: this.digest()});
+					peers.notify(host, hostListDigestMethod, {digest: this.digest()} satisfies DigestMessage);
 				}
 			}
 		} catch (error) {
@@ -168,9 +169,8 @@
 	private async pullFrom(host: string, signal: AbortSignal): Promise<void> {
 		const {clock, log, peers} = this.options;
 		try {
-			const {hosts} = await withTimeout(clock, readTimeoutMs, signal, async callSignal => peers.call<HostsMessage>(host, hostListCurrentMethod, {}, callSignal));
-			this.applyHosts(hosts);
-			this.postponeRead();
+			const message = await withTimeout(clock, readTimeoutMs, signal, async callSignal => peers.call<unknown>(host, hostListCurrentMethod, {}, callSignal));
+			this.applyReaderHosts(message);
 		} catch (error) {
 			if (!signal.aborted) {
 				log.warn({reader: host, reason: errorMessageOf(error)}, 'the host list could not be pulled; the next digest causes another attempt');
@@ -182,6 +182,18 @@
 		return createHash('sha1').update(JSON.stringify(this.listedHosts)).digest('base64');
 	}
 
+	/** Applies the list of the reader. After an invalid one, this host reads the list itself, as if it had not heard the reader. */
+	private applyReaderHosts(message: unknown): void {
+		const hosts = decodeHosts(message);
+		if (!hosts) {
+			this.options.metrics.count('host_list_invalid_messages_total');
+			return;
+		}
+
+		this.applyHosts(hosts);
+		this.postponeRead();
+	}
+
 	private applyHosts(hosts: readonly ListedHost[]): boolean {
 		if (JSON.stringify(hosts) === JSON.stringify(this.listedHosts)) {
 			return false;
