Close a connection whose request cannot be answered

What was seen: a message [null] on the port for peers, or a request with a very deeply nested id, was an unhandled rejection. The process logs these and goes on once it serves callers; one that is starting has no handler yet (daemon/src/main.ts) and Node.js ends it. Cause: the response to a request was computed in a task of its own whose errors nothing handled. Change: the connection is closed, the error logged and counted as peer_invalid_requests_total.

--- a/packages/membership/src/__tests__/peerTransport.test.ts
+++ b/packages/membership/src/__tests__/peerTransport.test.ts
@@ -1,5 +1,9 @@
+import {once} from 'node:events';
+import {
+	type AddressInfo, connect, createServer, type Server,
+} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
-import {noopLogger, noopMetrics} from '@crocusloom/model';
+import {FailureError, noopLogger, noopMetrics} from '@crocusloom/model';
 import {FakeClock} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {memberDeadTimeoutMs} from '../memberTable.js';
@@ -15,6 +19,39 @@
 /** Longest time from the death of a connection until the next message arrives, so that no live partner is taken for dead. */
 const heartbeatLossBoundMs = memberDeadTimeoutMs - heartbeatIntervalMs;
 
+const deepLists = `${'['.repeat(100_000)}${']'.repeat(100_000)}`;
+/** Messages that no peer of this release sends. */
+const oddTexts: ReadonlyArray<{readonly name: string; readonly text: string}> = [
+	{name: 'no JSON', text: '{'},
+	{name: 'null', text: 'null'},
+	{name: 'a number', text: '5'},
+	{name: 'an empty list', text: '[]'},
+	{name: 'a list with null', text: '[null]'},
+	{name: 'deeply nested lists', text: deepLists},
+	{name: 'a deeply nested id', text: `{"jsonrpc":"2.0","method":"news","id":${deepLists}}`},
+	{name: 'a hello without a name', text: '{"jsonrpc":"2.0","method":"peer.hello"}'},
+	{name: 'a name that is an object', text: '{"jsonrpc":"2.0","method":"peer.hello","params":{"host":{"toString":1}}}'},
+	{name: 'the name of an inherited property as the method', text: '{"jsonrpc":"2.0","method":"constructor","id":1}'},
+	{name: 'an answer to no request', text: '{"jsonrpc":"2.0","id":7,"result":1}'},
+];
+
+/** Frames a text as a message. */
+function frameOf(text: string): Buffer {
+	const header = Buffer.alloc(4);
+	header.writeUInt32BE(Buffer.byteLength(text));
+	return Buffer.concat([header, Buffer.from(text)]);
+}
+
+/** Sends bytes on a connection of their own. */
+async function sendOnce(port: number, bytes: Buffer): Promise<void> {
+	const socket = connect({host: loopback, port});
+	socket.on('error', () => undefined);
+	socket.resume();
+	socket.write(bytes);
+	await Promise.race([once(socket, 'close'), delay(50)]);
+	socket.destroy();
+}
+
 /** Two hosts; the connections of one to the other lead through a forwarder. */
 class PeerPair {
 	static async start(): Promise<PeerPair> {
@@ -71,6 +108,18 @@
 	}
 }
 
+/** Starts a server that sends bytes on each connection. */
+async function serveBytes(bytes: Buffer): Promise<Server> {
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.resume();
+		socket.write(bytes);
+	});
+	server.listen(0, loopback);
+	await once(server, 'listening');
+	return server;
+}
+
 type LossCase = {readonly title: string; readonly verifyAfterMs: number | undefined; readonly boundMs: number};
 
 const cases: readonly LossCase[] = [
@@ -79,6 +128,23 @@
 ];
 
 describe('peer transport', () => {
+	const unhandledErrors: unknown[] = [];
+	const recordUnhandled = (error: unknown) => {
+		unhandledErrors.push(error);
+	};
+
+	before(() => {
+		process.on('unhandledRejection', recordUnhandled);
+	});
+
+	beforeEach(() => {
+		unhandledErrors.length = 0;
+	});
+
+	after(() => {
+		process.off('unhandledRejection', recordUnhandled);
+	});
+
 	it('loses heartbeats for less than the time after which a partner is dead, by the sum of all waits (guards against constants that do not add up)', () => {
 		expect(longestMessageLossMs(heartbeatVerificationMs, heartbeatIntervalMs)).to.be.at.most(heartbeatLossBoundMs);
 	});
@@ -123,4 +189,30 @@
 		expect(pair.receivedCount).to.equal(1);
 		pair.stop();
 	});
+
+	for (const {name, text} of oddTexts) {
+		it(`goes on after a message that is ${name} (guards against a malformed message that ends the process)`, async () => {
+			const pair = await PeerPair.start();
+			await sendOnce(pair.forwarder.port, frameOf(text));
+			await pair.sender.call('b', 'news', {}, AbortSignal.timeout(1500));
+			expect(pair.receivedCount).to.be.above(0);
+			expect(unhandledErrors).to.deep.equal([]);
+			pair.stop();
+		});
+
+		it(`fails a call as one to a peer if the answer is ${name} (guards against a malformed answer that ends the process)`, async () => {
+			const server = await serveBytes(frameOf(text));
+			const {port} = server.address() as AddressInfo;
+			const abortController = new AbortController();
+			const transport = new PeerTransport({
+				self: 'a', listen: {address: loopback, port: 0}, resolveAddress: () => ({address: loopback, port}), clock: new FakeClock(), log: noopLogger, metrics: noopMetrics,
+			});
+			await transport.listen(abortController.signal);
+			const error: unknown = await transport.call('b', 'news', {}, AbortSignal.timeout(200)).catch((error: unknown) => error);
+			expect(error instanceof FailureError || (error as Error).name === 'TimeoutError', String(error)).to.equal(true);
+			expect(unhandledErrors).to.deep.equal([]);
+			abortController.abort(new Error('the test ends'));
+			server.close();
+		});
+	}
 });
--- a/packages/membership/src/peerTransport.ts
+++ b/packages/membership/src/peerTransport.ts
@@ -2,7 +2,7 @@
 import net from 'node:net';
 import {JSONRPCServer, type JSONRPCRequest} from 'json-rpc-2.0';
 import {
-	childSignal, fail, type Clock, type Logger, type Metrics, type NotifyOptions, type PeerRpc,
+	childSignal, errorMessageOf, fail, type Clock, type Logger, type Metrics, type NotifyOptions, type PeerRpc,
 } from '@crocusloom/model';
 import {decodeMessages, encodeMessage} from './jsonFrames.js';
 import {
@@ -128,12 +128,19 @@
 		}
 	}
 
+	/** Responds to a request. A connection with a request that cannot be read or answered is closed. */
 	private async respond(socket: net.Socket, request: JSONRPCRequest, callerHost: string, signal: AbortSignal): Promise<void> {
-		const response = await this.rpcServer.receive(request, {callerHost, signal});
-		if (response && !socket.destroyed) {
-			const frame = encodeMessage(response);
-			this.options.metrics.count('peer_sent_bytes_total', undefined, frame.length);
-			socket.write(frame);
+		try {
+			const response = await this.rpcServer.receive(request, {callerHost, signal});
+			if (response && !socket.destroyed) {
+				const frame = encodeMessage(response);
+				this.options.metrics.count('peer_sent_bytes_total', undefined, frame.length);
+				socket.write(frame);
+			}
+		} catch (error) {
+			this.options.metrics.count('peer_invalid_requests_total');
+			this.options.log.warn({peer: callerHost, reason: errorMessageOf(error)}, 'a connection of a peer is closed, because a request could not be answered');
+			socket.destroy();
 		}
 	}
 }
