Confirm a write whose route is removed or moved while it runs

What callers saw: a write that had committed was answered 3D000 with outcome=not_run if the configuration removed its route in the meantime, so that a caller that follows the detail runs it again. If the route was moved to another group, the session token got the position of the commit in a group that never had it. Cause: the response looked up the route again to record the position in the session token. Change: the group of a unit of work is the one with which it was dispatched. Evidence: before the change the 3 new tests failed, 2 with 3D000 and 1 with the token g1=1:0,g2=1:10; now 10 of 10 of the file pass.

--- a/packages/callers/src/__tests__/session.test.ts
+++ b/packages/callers/src/__tests__/session.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {sqlStates} from '@crocusloom/model';
+import {fakeConfiguration} from './fakeBackend.js';
 import {HarnessScope, queryFirstColumn, rejectionOf} from './harness.js';
 
 describe('caller sessions', () => {
@@ -54,4 +55,40 @@
 		const error = await rejectionOf(scope.harness.connect({database: 'other'}));
 		expect(error.code).to.equal(sqlStates.invalidCatalogName);
 	});
+
+	for (const {name, setUp} of [{name: 'without a key', setUp: []}, {name: 'with an idempotency key', setUp: ['SET crocusloom.idempotency_key = \'k\'']}]) {
+		it(`confirms a write ${name} whose route is removed while it runs (guards against "not run" for a write that ran)`, async () => {
+			scope.close();
+			let configuration = fakeConfiguration;
+			await scope.start({configuration: {current: () => configuration, onChange: () => undefined}});
+			const client = await scope.harness.connect();
+			for (const text of setUp) {
+				await client.query(text);
+			}
+
+			const {fakeBackend} = scope.harness;
+			fakeBackend.findFault = frames => {
+				configuration = frames.includes(setUp.length === 0 ? 'INSERT' : 'COMMIT') ? {...fakeConfiguration, routes: new Map()} : configuration;
+				return undefined;
+			};
+
+			const {rowCount} = await client.query('INSERT INTO t VALUES (\'x\')');
+			expect(rowCount).to.equal(1);
+			expect(fakeBackend.rows).to.deep.equal(['x']);
+		});
+	}
+
+	it('records the position of a transaction in the group in which it began (guards against a session token of a group that never had the commit)', async () => {
+		scope.close();
+		let configuration = fakeConfiguration;
+		await scope.start({configuration: {current: () => configuration, onChange: () => undefined}});
+		const client = await scope.harness.connect();
+		await client.query('BEGIN');
+		await client.query('INSERT INTO t VALUES (\'x\')');
+		const movedRoute = fakeConfiguration.routes.get('all')!;
+		configuration = {...fakeConfiguration, routes: new Map([['all', {...movedRoute, spec: {...movedRoute.spec, group: 'g2'}}]])};
+		await client.query('COMMIT');
+		const [token] = await queryFirstColumn(client, 'SHOW crocusloom.session');
+		expect(token).to.match(/^g1=1:[0-9a-f]+$/v);
+	});
 });
--- a/packages/callers/src/exchangeRunner.ts
+++ b/packages/callers/src/exchangeRunner.ts
@@ -25,6 +25,8 @@
 	private parametersBeforeTransaction: ReadonlyMap<string, string> | undefined;
 	/** Server parameters applied on the connection of the open transaction. */
 	private appliedParameters: ReadonlyMap<string, string> | undefined;
+	/** Group of the latest unit of work. The route may name another group by the time at which the work ends, or be gone. */
+	private workGroup: string | undefined;
 	private cachedRoute: {readonly configuration: Configuration; readonly key: string; readonly route: Route} | undefined;
 
 	constructor(private readonly sessionContext: SessionContext, private readonly unitOfWork: SessionUnitOfWork, private readonly statements: SessionStatements) {}
@@ -167,6 +169,7 @@
 	private createIntent(exchange: PlannedExchange, traceparent: string | undefined): WorkIntent {
 		const {settings} = this.sessionContext;
 		const route = this.resolveRoute();
+		this.workGroup = route.group;
 		return {
 			group: route.group,
 			mode: exchange.mode,
@@ -214,10 +217,10 @@
 		}
 	}
 
-	/** Advances the session token to the position of the result. Returns the ParameterStatus that reports the token if it changed. */
+	/** Advances the session token to the position of the result, in the group in which the work ran. Returns the ParameterStatus that reports the token if it changed. */
 	private recordPosition(result: ExchangeResult): readonly Buffer[] {
 		const {settings} = this.sessionContext;
-		const hasAdvanced = result.position && settings.advancePosition(this.resolveRoute().group, result.position);
+		const hasAdvanced = result.position && this.workGroup !== undefined && settings.advancePosition(this.workGroup, result.position);
 		return hasAdvanced ? [parameterStatus('crocusloom.session', settings.show('crocusloom.session')!)] : [];
 	}
 
