Report a keyed write as unknown if a later attempt is refused

What callers saw: a write with an idempotency key whose COMMIT was lost after it had taken effect was answered with the error of the next attempt and outcome=not_run if the server refused that attempt, for example with 53100. Cause: the unknown outcome of an earlier attempt replaced only errors of the kind notRun of a later one. Change: it replaces every error of a later attempt. Evidence: the new test failed before (53100 instead of 08007, with the row in the table); now 14 of 14 of the file pass.

--- a/packages/callers/src/__tests__/fakeBackend.ts
+++ b/packages/callers/src/__tests__/fakeBackend.ts
@@ -208,6 +208,10 @@
 			throw sqlError('25P02', 'current transaction is aborted');
 		}
 
+		if (this.server.failingText !== undefined && text.includes(this.server.failingText)) {
+			throw sqlError('53100', 'disk full');
+		}
+
 		if (text.includes('fail()')) {
 			throw sqlError('22012', 'division by zero');
 		}
@@ -282,6 +286,8 @@
 	openUnitCount = 0;
 	/** Called before each exchange. If it returns a failure, the failure is thrown before the exchange runs, or afterwards if `isAfterExchange`. */
 	findFault: ((frames: Buffer) => {readonly failure: Failure; readonly isAfterExchange: boolean} | undefined) | undefined;
+	/** Statements that contain this text fail with 53100. */
+	failingText: string | undefined;
 	/** Exchanges wait for this promise before they run. */
 	gate: Promise<void> | undefined;
 	offsetBytes = 0;
--- a/packages/callers/src/__tests__/idempotency.test.ts
+++ b/packages/callers/src/__tests__/idempotency.test.ts
@@ -64,6 +64,23 @@
 		expect(scope.harness.fakeBackend.rows).to.deep.equal([]);
 	});
 
+	it('reports an unknown outcome if a later attempt is refused by the server (guards against "not run" for a write that an earlier attempt committed)', async () => {
+		const client = await scope.harness.connect();
+		const {fakeBackend} = scope.harness;
+		await client.query('SET crocusloom.idempotency_key = \'k\'');
+		fakeBackend.findFault = frames => {
+			if (!frames.includes('COMMIT')) {
+				return undefined;
+			}
+
+			fakeBackend.failingText = 'INSERT INTO crocusloom_idempotency';
+			return {failure: unknownFailure, isAfterExchange: true};
+		};
+
+		expect(await rejectionOf(client.query('INSERT INTO t VALUES (\'x\')'))).to.include({code: '08007', detail: 'outcome=unknown; step=acknowledge; peer=db-a'});
+		expect(fakeBackend.rows).to.deep.equal(['x']);
+	});
+
 	it('refuses a write before COMMIT if its response is too large to record; guards against a committed write without a recorded response', async () => {
 		const client = await scope.harness.connect();
 		await client.query('SET crocusloom.idempotency_key = \'k\'');
--- a/packages/callers/src/idempotency.ts
+++ b/packages/callers/src/idempotency.ts
@@ -73,8 +73,8 @@
 			unknownFailure ??= failure.kind === 'unknown' ? new FailureError(failure) : undefined;
 			const isLastAttempt = attempt === maximumAttempts || context.clock.nowMs() - startMs >= limitMs || context.signal.aborted;
 			if (failure.kind !== 'unknown' || isLastAttempt) {
-				// An earlier attempt may have committed, so the outcome is unknown even if this attempt did not run.
-				throw unknownFailure && failure.kind === 'notRun' ? unknownFailure : error;
+				// An earlier attempt may have committed, so the outcome is unknown even if this attempt did not run or was refused.
+				throw unknownFailure ?? error;
 			}
 		}
 	}
