Report a statement that runs at the end of a drain as unknown

What callers saw: a write or a COMMIT that was still running when the drain deadline of a stop passed was answered 57P01 with outcome=not_run, and could take effect afterwards. Cause: a session that is shut down always sent the answer of an idle one.

--- a/packages/callers/src/__tests__/connections.test.ts
+++ b/packages/callers/src/__tests__/connections.test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'chai';
 import type pg from 'pg';
 import {
-	type Clock, type Member, type Membership, type PeerRpc,
+	deferred, systemClock, type Clock, type Member, type Membership, type PeerRpc,
 } from '@crocusloom/model';
 import {FrameReader, readErrorField, frontendTypes} from '@crocusloom/wire';
 import {
@@ -236,6 +236,30 @@
 		expect(scope.harness.fakeBackend.openUnitCount).to.equal(0);
 	});
 
+	for (const {name, texts} of [{name: 'a single write', texts: ['INSERT INTO t VALUES (\'x\')']}, {name: 'a commit', texts: ['BEGIN', 'INSERT INTO t VALUES (\'x\')', 'COMMIT']}]) {
+		it(`reports an unknown outcome for ${name} that runs at the drain deadline (guards against "not run" for a write that ran)`, async () => {
+			await scope.start();
+			const client = await scope.harness.connect();
+			for (const text of texts.slice(0, -1)) {
+				await client.query(text);
+			}
+
+			const {fakeBackend} = scope.harness;
+			const gate = deferred<void>();
+			fakeBackend.gate = gate.promise;
+			const lastText = texts.at(-1)!;
+			const rejection = rejectionOf(client.query(lastText));
+			await systemClock.sleep(20);
+			const drained = scope.harness.server.drain(1);
+			const error = await rejection;
+			expect(error).to.include({code: '08007', severity: 'FATAL'});
+			expect(error.detail).to.match(/^outcome=unknown; step=drain; /v);
+			gate.resolve();
+			await drained;
+			await waitUntil(() => fakeBackend.executedStatements.some(({text}) => text === lastText));
+		});
+	}
+
 	it('forwards a cancel request to the proxy that owns the connection; guards against cancel requests that are lost because they reach another proxy', async () => {
 		const member = (host: string): Member => ({
 			host, incarnation: 1, failureDomain: 'a', address: '', peerPort: 0, workPort: 0, operatorPort: 0, state: 'alive', leaving: false, configurationRevision: 0, silentMs: 0,
--- a/packages/callers/src/errors.ts
+++ b/packages/callers/src/errors.ts
@@ -30,6 +30,13 @@
 	};
 }
 
+/** Returns the failure reported to a caller whose connection is closed at the drain deadline while one of its statements runs. */
+export function interruptedFailure(peer: string): Failure {
+	return {
+		kind: 'unknown', step: 'drain', peer, message: 'terminating connection because the proxy is shutting down; the statement may have run',
+	};
+}
+
 /** Returns the failure reported to a caller that has canceled a statement before it was sent to a backend server. */
 export function canceledFailure(peer: string): Failure {
 	return {
--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -6,7 +6,7 @@
 import {ExchangeCollector, type CollectedExchange} from './collector.js';
 import {CommandRunner} from './commandRunner.js';
 import {
-	buildFailureResponse, callerSqlStates, canceledFailure, protocolError, shutdownFailure, toCallerFailure,
+	buildFailureResponse, callerSqlStates, canceledFailure, interruptedFailure, protocolError, shutdownFailure, toCallerFailure,
 } from './errors.js';
 import {
 	hasBegin, isTransactionEnd, responseEndTypes, type PlannedExchange,
@@ -45,6 +45,7 @@
 	private readonly plannerContext: ExtendedPlannerContext;
 	private isDraining = false;
 	private isShutDown = false;
+	private isServingExchange = false;
 
 	constructor(private readonly sessionContext: SessionContext) {
 		const {options, limits, channel, settings} = sessionContext;
@@ -90,11 +91,13 @@
 		}
 	}
 
-	/** Closes the connection immediately. */
+	/** Closes the connection immediately. An open transaction is rolled back, but an exchange that runs may commit. */
 	shutDown(): void {
+		const {channel} = this.sessionContext;
+		const failure = this.isServingExchange ? interruptedFailure(channel.peer) : shutdownFailure(channel.peer);
 		this.isShutDown = true;
 		this.unitOfWork.release();
-		this.sessionContext.channel.end(buildFailureResponse(shutdownFailure(this.sessionContext.channel.peer), 'FATAL'));
+		channel.end(buildFailureResponse(failure, 'FATAL'));
 	}
 
 	/** Cancels the running statement. */
@@ -104,10 +107,13 @@
 
 	private async serveExchange(exchange: Exclude<CollectedExchange, {kind: 'end'}>): Promise<void> {
 		const isFlush = exchange.kind === 'extended' && exchange.isFlush;
+		this.isServingExchange = true;
 		try {
 			await this.executeExchange(exchange, isFlush);
 		} catch (error) {
 			await this.respondWithFailure(error, isFlush);
+		} finally {
+			this.isServingExchange = false;
 		}
 
 		if (this.unitOfWork.status === 'I') {
