Refuse a statement without a route as not run

What callers saw: a statement of a session whose route had been removed was answered 08007 with outcome=unknown, although no server got it. Cause: the route was looked up inside the part whose errors count as unknown because bytes may have been sent. Change: it is looked up before that part, and the answer is 3D000 with outcome=not_run.

--- a/packages/callers/src/__tests__/session.test.ts
+++ b/packages/callers/src/__tests__/session.test.ts
@@ -78,6 +78,21 @@
 		});
 	}
 
+	for (const text of ['INSERT INTO t VALUES (\'x\')', 'SELECT 1', 'BEGIN']) {
+		it(`refuses ${text} as not run after its route was removed (guards against an unknown outcome of a statement that no server got)`, async () => {
+			scope.close();
+			let configuration = fakeConfiguration;
+			await scope.start({configuration: {current: () => configuration, onChange: () => undefined}});
+			const client = await scope.harness.connect();
+			await queryFirstColumn(client, 'SELECT 1');
+			configuration = {...fakeConfiguration, routes: new Map()};
+			const error = await rejectionOf(client.query(text));
+			expect(error).to.include({code: sqlStates.invalidCatalogName});
+			expect(error.detail).to.match(/^outcome=not_run; step=route; /v);
+			expect(scope.harness.fakeBackend.intents.length).to.equal(1);
+		});
+	}
+
 	it('records the position of a transaction in the group in which it began (guards against a session token of a group that never had the commit)', async () => {
 		scope.close();
 		let configuration = fakeConfiguration;
--- a/packages/callers/src/sessionUnitOfWork.ts
+++ b/packages/callers/src/sessionUnitOfWork.ts
@@ -3,6 +3,8 @@
 } from '@crocusloom/model';
 import {type TransactionStatus} from './types.js';
 
+type SessionExchangeOptions = Pick<ExchangeOptions, 'preparedStatements' | 'mayCommit' | 'signal'>;
+
 /** Open unit of work of a session, if there is one, and the transaction status that the caller sees. */
 export class SessionUnitOfWork {
 	status: TransactionStatus = 'I';
@@ -33,12 +35,14 @@
 
 	/**
 	 * Runs one exchange in the open unit of work or in a new one. The unit of work ends when no transaction is open any more.
-	 * @throws FailureError `notRun` or `unknown`, after which no unit of work is open. Every error other than `notRun` counts as `unknown`
+	 * @throws FailureError `notRun` or `unknown`, after which no unit of work is open. Every error other than `notRun` counts as `unknown`,
+	 * apart from those of `createIntent`, which is called before anything is sent
 	 */
-	async run(frames: Buffer, sink: FrameSink, options: Pick<ExchangeOptions, 'preparedStatements' | 'mayCommit' | 'signal'>, createIntent: () => WorkIntent): Promise<ExchangeResult> {
+	async run(frames: Buffer, sink: FrameSink, options: SessionExchangeOptions, createIntent: () => WorkIntent): Promise<ExchangeResult> {
 		this.isCancelRequested = false;
+		const runExchange = this.prepareExchange(frames, sink, options, createIntent);
 		try {
-			const result = this.openUnit ? await this.runOnOpenUnit(this.openUnit, frames, sink, options) : await this.dispatchFirst(frames, sink, options, createIntent());
+			const result = await runExchange();
 			this.status = result.transactionStatus;
 			if (this.status === 'I') {
 				this.release();
@@ -94,6 +98,17 @@
 		openUnit?.release();
 	}
 
+	/** Chooses the unit of work for an exchange. Sends nothing before the returned function is called. */
+	private prepareExchange(frames: Buffer, sink: FrameSink, options: SessionExchangeOptions, createIntent: () => WorkIntent): () => Promise<ExchangeResult> {
+		const {openUnit} = this;
+		if (openUnit) {
+			return async () => this.runOnOpenUnit(openUnit, frames, sink, options);
+		}
+
+		const intent = createIntent();
+		return async () => this.dispatchFirst(frames, sink, options, intent);
+	}
+
 	private async runOnOpenUnit(unit: UnitOfWork, frames: Buffer, sink: FrameSink, options: ExchangeOptions): Promise<ExchangeResult> {
 		this.runningExchange = 'later';
 		return unit.exchange(frames, sink, options);
