Test a drain of the proxy under load

30 callers write without a pause while the proxy drains: each write is confirmed and in the table, or answered 57P01 and not in it.

--- a/packages/callers/src/__tests__/connections.test.ts
+++ b/packages/callers/src/__tests__/connections.test.ts
@@ -224,6 +224,34 @@
 		expect(scope.harness.server.callerCount).to.equal(0);
 	});
 
+	it('answers each statement that it has received during a drain under load (guards against requests that are cut off without an answer, or said not to have run)', async () => {
+		await scope.start();
+		const {fakeBackend, server} = scope.harness;
+		const clients = await Promise.all(Array.from({length: 30}, async () => scope.harness.connect()));
+		const confirmed: string[] = [];
+		const rejected = new Map<string, string | undefined>();
+		const loops = clients.map(async (client, index) => {
+			for (let count = 0; rejected.size < clients.length; count++) {
+				const value = `${index}x${count}`;
+				try {
+					await client.query(`INSERT INTO t VALUES ('${value}')`);
+					confirmed.push(value);
+				} catch (error) {
+					rejected.set(value, (error as pg.DatabaseError).code);
+					return;
+				}
+			}
+		});
+		await waitUntil(() => confirmed.length > 300);
+		await server.drain(5000);
+		await Promise.all(loops);
+		const rows = new Set(fakeBackend.rows);
+		expect(confirmed.filter(value => !rows.has(value)), 'confirmed and not run').to.deep.equal([]);
+		expect([...rejected.keys()].filter(value => rows.has(value)), 'rejected and run').to.deep.equal([]);
+		expect([...new Set(rejected.values())]).to.deep.equal(['57P01']);
+		expect(rows.size).to.equal(fakeBackend.rows.length);
+	});
+
 	it('closes the remaining connections at the drain deadline; guards against a shutdown that never ends', async () => {
 		await scope.start();
 		const busyClient = await scope.harness.connect();
