Take the first host list from a peer while the platform does not answer

What was seen: a proxy that starts while the host list cannot be read knows no server as leaving, and gives new work to one that its peers keep away from, until the platform answers again. Cause: the configuration is taken from peers at such a start, the host list was not. The reader of a failure domain sends nothing while it cannot read. Change: a process that has no list since its start asks up to 3 live peers for theirs, at its start, after each change of the membership and after each failed read. Once it has a list it takes none in this way, as that of a peer may be older.

--- a/packages/membership/src/__tests__/hostListReader.test.ts
+++ b/packages/membership/src/__tests__/hostListReader.test.ts
@@ -38,26 +38,8 @@
 	private readonly abortController = new AbortController();
 
 	/** @param draw - every random number, from 0 to 1 */
-	constructor(draw: number) {
-		this.readers = hostNames.map(host => new HostListReader({
-			hostList: {list: async () => this.list()},
-			membership: {
-				self: createMember(host), members: () => hostNames.map(name => createMember(name)), holderOf: createMember, reportUnreachable: () => undefined, onChange: () => undefined,
-			},
-			peers: this.peersOf(host),
-			clock: this.clock,
-			random: {next: () => draw},
-			log: {
-				...noopLogger,
-				info: (_fields, message) => {
-					this.messages.push(message);
-				},
-				warn: (_fields, message) => {
-					this.messages.push(message);
-				},
-			},
-			metrics: noopMetrics,
-		}));
+	constructor(private readonly draw: number) {
+		this.readers = hostNames.map(host => this.createReader(host));
 	}
 
 	start(): void {
@@ -70,6 +52,13 @@
 		this.abortController.abort(new Error('the test ends'));
 	}
 
+	/** Starts a new process of a host, which takes the place of the earlier one. */
+	restart(host: string): HostListReader {
+		const reader = this.createReader(host);
+		reader.run(this.abortController.signal).catch(() => undefined);
+		return reader;
+	}
+
 	/** Returns true if all hosts know that the backend server leaves. */
 	get isKnown(): boolean {
 		return this.readers.every(reader => reader.currentHosts().some(({state}) => state === 'leaving'));
@@ -89,6 +78,28 @@
 		return this.hosts;
 	}
 
+	private createReader(host: string): HostListReader {
+		return new HostListReader({
+			hostList: {list: async () => this.list()},
+			membership: {
+				self: createMember(host), members: () => hostNames.map(name => createMember(name)), holderOf: createMember, reportUnreachable: () => undefined, onChange: () => undefined,
+			},
+			peers: this.peersOf(host),
+			clock: this.clock,
+			random: {next: () => this.draw},
+			log: {
+				...noopLogger,
+				info: (_fields, message) => {
+					this.messages.push(message);
+				},
+				warn: (_fields, message) => {
+					this.messages.push(message);
+				},
+			},
+			metrics: noopMetrics,
+		});
+	}
+
 	private peersOf(self: string): PeerRpc {
 		const ownHandlers = new Map<string, Handler>();
 		this.handlers.set(self, ownHandlers);
@@ -209,4 +220,33 @@
 			expect(domain.clock.nowMs() - changedMs).to.be.at.most(leavingBoundMs);
 		});
 	}
+
+	for (const restartedHost of hostNames) {
+		it(`learns from peers which servers leave if it starts while the host list is unavailable, on ${restartedHost} (guards against new work at a leaving server after a restart)`, async () => {
+			const domain = new FakeDomain(0.5);
+			domain.hosts = [listedBackend('leaving')];
+			domain.start();
+			await domain.clock.runUntil(5000);
+			domain.readsLostUntilMs = Number.POSITIVE_INFINITY;
+			const restarted = domain.restart(restartedHost);
+			await domain.clock.runUntil(5000 + leavingBoundMs);
+			domain.stop();
+			expect(restarted.currentHosts()).to.deep.equal(domain.hosts);
+		});
+	}
+
+	it('keeps its list while the host list is unavailable (guards against an older list of a peer that replaces it)', async () => {
+		const domain = new FakeDomain(0.5);
+		domain.start();
+		await domain.clock.runUntil(5000);
+		domain.areNotificationsLost = true;
+		const olderList = domain.hosts;
+		domain.hosts = [listedBackend('leaving')];
+		await domain.clock.runUntil(10_000);
+		domain.readsLostUntilMs = Number.POSITIVE_INFINITY;
+		await domain.send('h2', 'h1', 'hostList.changed', {hosts: olderList});
+		await domain.clock.runUntil(20_000);
+		domain.stop();
+		expect(domain.readers.slice(1).map(reader => reader.currentHosts())).to.deep.equal([domain.hosts, domain.hosts]);
+	});
 });
--- a/packages/membership/src/hostListReader.ts
+++ b/packages/membership/src/hostListReader.ts
@@ -28,6 +28,9 @@
 	return Math.max(2 * longestReadIntervalMs, maximumReaderSilenceMs + readTimeoutMs);
 }
 
+/** Maximum number of peers that a starting host asks for the list in one round. */
+const maximumFirstListPeers = 3;
+
 const hostListChangedMethod = 'hostList.changed';
 /** Tells which list the reader has, so that a host whose notification was lost can ask for it. */
 const hostListDigestMethod = 'hostList.digest';
@@ -56,6 +59,9 @@
 	private nextReadMs = Number.NEGATIVE_INFINITY;
 	/** Start of the first of a series of failed reads; undefined while the list is current. */
 	private failingSinceMs: number | undefined;
+	/** False until this process has read the list or got it from a peer. */
+	private hasList = false;
+	private isPullingFirstList = false;
 
 	constructor(private readonly options: HostListReaderOptions) {
 		options.peers.handle(hostListChangedMethod, parameters => {
@@ -86,8 +92,12 @@
 
 	/** Reads the list, on the reader periodically and on other hosts when the reader is silent, until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock} = this.options;
+		const {clock, membership} = this.options;
 		this.runSignal = signal;
+		membership.onChange(() => {
+			void this.pullFirstList(signal);
+		}, signal);
+		void this.pullFirstList(signal);
 		while (!signal.aborted) {
 			const nowMs = clock.nowMs();
 			if (nowMs < this.nextReadMs) {
@@ -144,6 +154,7 @@
 		} catch (error) {
 			if (!signal.aborted) {
 				this.recordReadFailure(startedMs, error);
+				void this.pullFirstList(signal);
 			}
 		}
 	}
@@ -166,15 +177,59 @@
 		}
 	}
 
+	/** Pulls the list of a peer that has a newer one than this host. */
 	private async pullFrom(host: string, signal: AbortSignal): Promise<void> {
+		const message = await this.requestHosts(host, signal);
+		if (message !== undefined) {
+			this.applyReaderHosts(message);
+		}
+	}
+
+	/**
+	 * Pulls the list of a peer if this process has none since its start, because it would otherwise use servers that leave while the
+	 * platform does not answer. Later lists of peers are not pulled in this way, as they may be older than the own one.
+	 */
+	private async pullFirstList(signal: AbortSignal): Promise<void> {
+		if (this.hasList || this.isPullingFirstList) {
+			return;
+		}
+
+		this.isPullingFirstList = true;
+		for (const host of this.firstListPeers()) {
+			const hosts = decodeHosts(await this.requestHosts(host, signal)) ?? [];
+			if (!this.hasList && hosts.length > 0) {
+				this.options.log.info({peer: host, hosts: hosts.length}, 'the first host list was taken from a peer');
+				this.applyHosts(hosts);
+			}
+
+			if (this.hasList) {
+				break;
+			}
+		}
+
+		this.isPullingFirstList = false;
+	}
+
+	/** Returns live peers, those of the own failure domain first. */
+	private firstListPeers(): readonly string[] {
+		const {self} = this.options.membership;
+		const livePeers = this.options.membership.members().filter(({host, state}) => host !== self.host && state !== 'dead');
+		const localPeers = livePeers.filter(({failureDomain}) => failureDomain === self.failureDomain);
+		const remotePeers = livePeers.filter(({failureDomain}) => failureDomain !== self.failureDomain);
+		return [...localPeers, ...remotePeers].slice(0, maximumFirstListPeers).map(({host}) => host);
+	}
+
+	/** @returns the response as received, or undefined if there was none */
+	private async requestHosts(host: string, signal: AbortSignal): Promise<unknown> {
 		const {clock, log, peers} = this.options;
 		try {
-			const message = await withTimeout(clock, readTimeoutMs, signal, async callSignal => peers.call<unknown>(host, hostListCurrentMethod, {}, callSignal));
-			this.applyReaderHosts(message);
+			return await withTimeout(clock, readTimeoutMs, signal, async callSignal => peers.call<unknown>(host, hostListCurrentMethod, {}, callSignal));
 		} catch (error) {
 			if (!signal.aborted) {
-				log.warn({reader: host, reason: errorMessageOf(error)}, 'the host list could not be pulled; the next digest causes another attempt');
+				log.warn({peer: host, reason: errorMessageOf(error)}, 'the host list could not be pulled from a peer');
 			}
+
+			return undefined;
 		}
 	}
 
@@ -195,6 +250,7 @@
 	}
 
 	private applyHosts(hosts: readonly ListedHost[]): boolean {
+		this.hasList = true;
 		if (JSON.stringify(hosts) === JSON.stringify(this.listedHosts)) {
 			return false;
 		}
