Start the tasks that follow the configuration again after an error

What was seen: after one unexpected error, such as a member that cannot be read, a host of the PostgreSQL side no longer followed the platform nor pulled from peers, and logged only that the configuration is no longer kept up to date. The conditions that operators see were no longer evaluated either. Cause: these three tasks ended with their first error; the other tasks of the process are supervised. Change: they run under runSupervised, which moves from daemon to model so that control can use it. Each run has its own signal, which removes its listeners.

--- a/packages/control/src/__tests__/configurationStore.test.ts
+++ b/packages/control/src/__tests__/configurationStore.test.ts
@@ -28,6 +28,9 @@
 	return counts;
 }
 
+/** Time within which an accepted change must be in force on each host. */
+const changeBoundMs = 7000;
+
 describe('ConfigurationStore', () => {
 	let deployment: FakeDeployment;
 
@@ -277,6 +280,26 @@
 		expect(deployment.platform.watchingHosts.size, 'another host replaces a dead watcher').to.equal(4);
 	});
 
+	it('follows the platform again after an unexpected error of its tasks (guards against a host that never learns of a change any more)', async () => {
+		const hosts = ['a', 'b', 'c', 'd'];
+		for (const host of hosts) {
+			await startHost(host);
+		}
+
+		const {members} = deployment;
+		const memberValues = members.values.bind(members);
+		members.values = () => {
+			throw new TypeError('a member cannot be read');
+		};
+
+		await deployment.clock.advance(10_000);
+		members.values = memberValues;
+		await deployment.clock.advance(10_000);
+		deployment.platform.put('crocusloom/test/ranks/first', JSON.stringify({spec: rankSpec(0.1)}));
+		await deployment.clock.advance(changeBoundMs);
+		expect(hosts.filter(host => !deployment.hosts.get(host)!.store.current().ranks.has('first'))).to.deep.equal([]);
+	});
+
 	it('guards against a restarted host that serves an older configuration than it has reported', async () => {
 		const {store: peer} = await startHost('b');
 		await accept(createRank('first', 'c1'), 'b');
--- a/packages/control/src/configurationStore.ts
+++ b/packages/control/src/configurationStore.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, type Configuration, type ConfigurationSource, type KeyValueStore, type Logger, type Membership, type PeerRpc, type RandomSource, withTimeout,
+	childSignal, runSupervised, type Clock, type Configuration, type ConfigurationSource, type KeyValueStore, type Logger, type Membership, type PeerRpc, type RandomSource, withTimeout,
 } from '@crocusloom/model';
 import {backoffMs} from './backoff.js';
 import {ChangeAcceptor, type ChangeOutcome, type ConfigurationChange} from './changeAcceptor.js';
@@ -142,8 +142,8 @@
 	 */
 	async start(signal: AbortSignal): Promise<void> {
 		await this.loadInitialConfiguration(signal);
-		void this.logUnexpectedFailure(this.follower.run(signal), signal);
-		void this.logUnexpectedFailure(this.propagation.run(signal), signal);
+		void this.supervise('configuration watch', async runSignal => this.follower.run(runSignal), signal);
+		void this.supervise('configuration propagation', async runSignal => this.propagation.run(runSignal), signal);
 	}
 
 	/**
@@ -173,13 +173,16 @@
 		}
 	}
 
-	private async logUnexpectedFailure(backgroundTask: Promise<void>, signal: AbortSignal): Promise<void> {
-		try {
-			await backgroundTask;
-		} catch (error) {
-			if (!signal.aborted) {
-				this.options.log.error({error: String(error)}, 'the configuration is no longer kept up to date');
+	/** Runs a task until the signal aborts. Each run has a signal of its own, so that the listeners of a failed one are removed. */
+	private async supervise(task: string, run: (runSignal: AbortSignal) => Promise<void>, signal: AbortSignal): Promise<void> {
+		await runSupervised(task, async () => {
+			const runController = childSignal(signal);
+			try {
+				await run(runController.signal);
+			} finally {
+				runController.abort();
+				runController.release();
 			}
-		}
+		}, this.options, signal);
 	}
 }
--- a/packages/control/src/resourceApi.ts
+++ b/packages/control/src/resourceApi.ts
@@ -2,7 +2,7 @@
 import fastify, {type FastifyInstance} from 'fastify';
 import {z} from 'zod';
 import {
-	FailureError, type Clock, type GroupDirectory, type Logger, deferred,
+	FailureError, type Clock, type GroupDirectory, type Logger, deferred, runSupervised,
 } from '@crocusloom/model';
 import {registerResourceRoutes, createRequestSignal, type ResourceStore} from './resourceRoutes.js';
 import {StatusReporter, type StatusReporterOptions} from './statusReporter.js';
@@ -60,7 +60,7 @@
 	registerReportRoutes(server, options, reporter, signal);
 	await server.listen({host: options.address, port: options.port});
 	const address = server.addresses()[0] as AddressInfo;
-	void runStatusReporter(reporter, options.log, signal);
+	void runSupervised('status reporter', async () => reporter.run(signal), options, signal);
 	return {address: address.address, port: address.port, closed: closeOnAbort(server, signal)};
 }
 
@@ -105,16 +105,6 @@
 	});
 }
 
-async function runStatusReporter(reporter: StatusReporter, log: Logger, signal: AbortSignal): Promise<void> {
-	try {
-		await reporter.run(signal);
-	} catch (error) {
-		if (!signal.aborted) {
-			log.error({error: String(error)}, 'conditions are no longer evaluated');
-		}
-	}
-}
-
 async function closeOnAbort(server: FastifyInstance, signal: AbortSignal): Promise<void> {
 	if (!signal.aborted) {
 		const aborted = deferred<void>();
--- a/packages/daemon/src/__tests__/unexpectedErrors.test.ts
+++ b/packages/daemon/src/__tests__/unexpectedErrors.test.ts
@@ -1,8 +1,7 @@
-import {systemClock} from '@crocusloom/model';
+import {runSupervised, systemClock, taskRestartDelayMs} from '@crocusloom/model';
 import {RecordingLogger} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {PromMetrics} from '../metrics.js';
-import {runSupervised, taskRestartDelayMs} from '../supervisedTask.js';
 import {type ErrorSource, reportUnexpectedErrors} from '../unexpectedErrors.js';
 
 /** Source of errors that the test raises itself. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,13 +4,12 @@
 import {GroupStateDirectory, GroupMonitors} from '@crocusloom/group';
 import {HostListReader, MembershipService, PeerTransport} from '@crocusloom/membership';
 import {
-	parseSessionToken, zeroPosition, type Clock, type ConfigurationSource, type Logger, type RoutingExplanation,
+	parseSessionToken, runSupervised, zeroPosition, type Clock, type ConfigurationSource, type Logger, type RoutingExplanation,
 } from '@crocusloom/model';
 import {classify, loadClassifier} from '@crocusloom/wire';
 import {Holder, WorkDispatcher, WorkServer} from '@crocusloom/work';
 import {type PromMetrics} from './metrics.js';
 import {type Settings} from './settings.js';
-import {runSupervised} from './supervisedTask.js';
 import {tokens} from './tokens.js';
 
 /**
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -2,5 +2,4 @@
 export * from './settings.js';
 export * from './tracing.js';
 export * from './metrics.js';
-export * from './supervisedTask.js';
 export * from './unexpectedErrors.js';
--- a/packages/membership/src/hostListReader.ts
+++ b/packages/membership/src/hostListReader.ts
@@ -93,10 +93,13 @@
 	/** Reads the list, on the reader periodically and on other hosts when the reader is silent, until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, membership} = this.options;
+		if (!this.runSignal) {
+			membership.onChange(() => {
+				void this.pullFirstList(signal);
+			}, signal);
+		}
+
 		this.runSignal = signal;
-		membership.onChange(() => {
-			void this.pullFirstList(signal);
-		}, signal);
 		void this.pullFirstList(signal);
 		while (!signal.aborted) {
 			const nowMs = clock.nowMs();
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -7,3 +7,4 @@
 export * from './system.js';
 export * from './timeout.js';
 export * from './types.js';
+export * from './supervisedTask.js';
--- a/packages/daemon/src/supervisedTask.ts
+++ b/packages/model/src/supervisedTask.ts
@@ -1,4 +1,5 @@
-import {type Clock, errorStackOf, type Logger} from '@crocusloom/model';
+import {errorStackOf} from './failure.js';
+import {type Clock, type Logger} from './ports.js';
 
 /** Delay before a task that ended with an error is started again. */
 export const taskRestartDelayMs = 500;
