--- a/packages/membership/src/__tests__/hostListReader.test.ts
+++ b/packages/membership/src/__tests__/hostListReader.test.ts
@@ -38,26 +38,8 @@
 	private readonly abortController = new AbortController();
 
 	/** @param draw - every random number, from 0 to 1 */
-	constructor(draw: number) {
-		this.readers = hostNames.map(host => new HostListReader({
-			hostList: {list: async () => this.list()},
-			membership: {
-				self: createMember(host), members: () => hostNames.map(name => createMember(name)), holderOf: createMember, reportUnreachable: () => undefined, onChange: () => undefined,
-			},
-			peers: this.peersOf(host),
-			clock: this.clock,
-			random: {next: () => draw},
-			log: {
-				...noopLogger,
-				info: (_fields, message) => {
-					this.messages.push(message);
-				},
-				warn: (_fields, message) => {
-					this.messages.push(message);
-				},
-			},
-			metrics: noopMetrics,
-		}));
+	constructor(private readonly draw: number) {
+		this.readers = hostNames.map(host => this.createReader(host));
 	}
 
 	start(): void {
@@ -70,11 +52,23 @@
 		this.abortController.abort(new Error('the test ends'));
 	}
 
+	/** Starts a new process of a host, which takes the place of the earlier one. */
+	restart(host: string): HostListReader {
+		const reader = this.createReader(host);
+		reader.run(this.abortController.signal).catch(() => undefined);
+		return reader;
+	}
+
 	/** Returns true if all hosts know that the backend server leaves. */
 	get isKnown(): boolean {
 		return this.readers.every(reader => reader.currentHosts().some(({state}) => state === 'leaving'));
 	}
 
+	/** Sends a message from one host to another, as a peer of another release may. */
+	async send(from: string, to: string, method: string, parameters: unknown): Promise<void> {
+		await this.handlers.get(to)!.get(method)!(parameters, from, this.abortController.signal);
+	}
+
 	private async list(): Promise<readonly ListedHost[]> {
 		if (this.clock.nowMs() <= this.readsLostUntilMs) {
 			await this.clock.sleep(callTimeoutMs);
@@ -84,6 +78,28 @@
 		return this.hosts;
 	}
 
+	private createReader(host: string): HostListReader {
+		return new HostListReader({
+			hostList: {list: async () => this.list()},
+			membership: {
+				self: createMember(host), members: () => hostNames.map(name => createMember(name)), holderOf: createMember, reportUnreachable: () => undefined, onChange: () => undefined,
+			},
+			peers: this.peersOf(host),
+			clock: this.clock,
+			random: {next: () => this.draw},
+			log: {
+				...noopLogger,
+				info: (_fields, message) => {
+					this.messages.push(message);
+				},
+				warn: (_fields, message) => {
+					this.messages.push(message);
+				},
+			},
+			metrics: noopMetrics,
+		});
+	}
+
 	private peersOf(self: string): PeerRpc {
 		const ownHandlers = new Map<string, Handler>();
 		this.handlers.set(self, ownHandlers);
@@ -139,6 +155,16 @@
 	},
 ];
 
+const oddMessages: ReadonlyArray<{readonly name: string; readonly method: string; readonly parameters: unknown}> = [
+	{name: 'a list without parameters', method: 'hostList.changed', parameters: null},
+	{name: 'a list without hosts', method: 'hostList.changed', parameters: {}},
+	{name: 'hosts that are no list', method: 'hostList.changed', parameters: {hosts: {}}},
+	{name: 'a host that is null', method: 'hostList.changed', parameters: {hosts: [null]}},
+	{name: 'a port out of range', method: 'hostList.changed', parameters: {hosts: [{...listedBackend('live'), port: 70_000}]}},
+	{name: 'an unknown state', method: 'hostList.changed', parameters: {hosts: [{...listedBackend('live'), state: 'gone'}]}},
+	{name: 'a digest without parameters', method: 'hostList.digest', parameters: null},
+];
+
 describe('host list reader', () => {
 	it('tells all hosts within the bound that a backend server leaves, by the sum of all waits (guards against constants that do not add up to the bound)', () => {
 		expect(longestHostListNoticeMs()).to.be.below(leavingBoundMs);
@@ -175,4 +201,52 @@
 			}
 		});
 	}
+
+	for (const {name, method, parameters} of oddMessages) {
+		it(`keeps its list and follows the next change after an odd message of a peer, ${name} (guards against a message that ends the reader or empties its list)`, async () => {
+			const domain = new FakeDomain(0.5);
+			domain.start();
+			await domain.clock.runUntil(5000);
+			for (const host of hostNames) {
+				const otherHost = hostNames.find(name => name !== host)!;
+				await domain.send(otherHost, host, method, parameters);
+			}
+
+			expect(domain.readers.map(reader => reader.currentHosts())).to.deep.equal(hostNames.map(() => domain.hosts));
+			domain.hosts = [listedBackend('leaving')];
+			const changedMs = domain.clock.nowMs();
+			await domain.clock.runUntil(changedMs + 60_000, () => domain.isKnown);
+			domain.stop();
+			expect(domain.clock.nowMs() - changedMs).to.be.at.most(leavingBoundMs);
+		});
+	}
+
+	for (const restartedHost of hostNames) {
+		it(`learns from peers which servers leave if it starts while the host list is unavailable, on ${restartedHost} (guards against new work at a leaving server after a restart)`, async () => {
+			const domain = new FakeDomain(0.5);
+			domain.hosts = [listedBackend('leaving')];
+			domain.start();
+			await domain.clock.runUntil(5000);
+			domain.readsLostUntilMs = Number.POSITIVE_INFINITY;
+			const restarted = domain.restart(restartedHost);
+			await domain.clock.runUntil(5000 + leavingBoundMs);
+			domain.stop();
+			expect(restarted.currentHosts()).to.deep.equal(domain.hosts);
+		});
+	}
+
+	it('keeps its list while the host list is unavailable (guards against an older list of a peer that replaces it)', async () => {
+		const domain = new FakeDomain(0.5);
+		domain.start();
+		await domain.clock.runUntil(5000);
+		domain.areNotificationsLost = true;
+		const olderList = domain.hosts;
+		domain.hosts = [listedBackend('leaving')];
+		await domain.clock.runUntil(10_000);
+		domain.readsLostUntilMs = Number.POSITIVE_INFINITY;
+		await domain.send('h2', 'h1', 'hostList.changed', {hosts: olderList});
+		await domain.clock.runUntil(20_000);
+		domain.stop();
+		expect(domain.readers.slice(1).map(reader => reader.currentHosts())).to.deep.equal([domain.hosts, domain.hosts]);
+	});
 });
