Show that a change of a group's databases loses acknowledged commits

An operator may replace the databases of a group at will, and a majority is one of the databases that a host's configuration names at the moment. Callers lose commits that they were told are kept.

Seen on the code before any mending: with a change from {a, b, c} to {a, d, c} (d a former member) and one to {c} a commit that a and b held is lost; with a host that still has the list of two changes ago, both sides of a partition acknowledge writes and one side's are lost.

--- a/packages/group/src/__tests__/fakeDeployment.ts
+++ b/packages/group/src/__tests__/fakeDeployment.ts
@@ -10,30 +10,67 @@
 type AcknowledgedWrite = {readonly value: string; readonly term: number; readonly database: string; readonly startedAtMs: number; readonly acknowledgedAtMs: number};
 type CompletedRead = {readonly log: readonly LogRecord[]; readonly requiredValues: readonly string[]; readonly kind: 'strict' | 'bounded'};
 
+/** The databases of the group in the configuration. */
+export type DatabaseList = {readonly revision: number; readonly names: readonly string[]};
+
 /** A proxy process with a monitor and a promoter, which can be paused. */
 export class FakeProxy {
 	readonly gate = new Gate();
-	readonly monitor: GroupMonitor;
+	/** True while the proxy receives no changes of the configuration. */
+	isCutFromStore = false;
+	private list: DatabaseList;
+	private currentMonitor: GroupMonitor;
+
+	constructor(readonly name: string, private readonly promotionRank: number, private readonly deployment: FakeDeployment) {
+		this.list = deployment.list;
+		this.currentMonitor = this.startMonitor();
+	}
+
+	get monitor(): GroupMonitor {
+		return this.currentMonitor;
+	}
+
+	get view(): GroupView {
+		return this.currentMonitor;
+	}
+
+	get listedNames(): readonly string[] {
+		return this.list.names;
+	}
 
-	constructor(readonly name: string, promotionRank: number, deployment: FakeDeployment, mechanisms?: SafetyMechanisms) {
-		const clock = pausableClock(deployment.clock, this.gate);
-		this.monitor = new GroupMonitor({
-			group: 'g', host: name, clock, controls: deployment.group.databases.map(database => deployment.group.control(name, database.name, this.gate)),
-			spec: () => deployment.spec, mechanisms,
+	get hasNewestList(): boolean {
+		return this.list.revision === this.deployment.list.revision;
+	}
+
+	/** Replaces the monitor if the databases in the configuration have changed. */
+	async learnDatabases(): Promise<void> {
+		await this.gate.waitUntilOpen();
+		if (this.isCutFromStore || this.hasNewestList) {
+			return;
+		}
+
+		this.list = this.deployment.list;
+		this.currentMonitor.close();
+		this.currentMonitor = this.startMonitor();
+	}
+
+	private startMonitor(): GroupMonitor {
+		const {deployment, gate, list, name, promotionRank} = this;
+		const monitor = new GroupMonitor({
+			group: 'g', host: name, clock: pausableClock(deployment.clock, gate), controls: list.names.map(database => deployment.group.control(name, database, gate)),
+			spec: () => deployment.specOf(list.names), mechanisms: deployment.options.mechanisms,
 		});
-		this.monitor.start();
+		monitor.start();
 		const promoter = new Promoter({
-			monitor: this.monitor, random: deployment.random, owner: name, promotionRank: () => promotionRank, isReachableElsewhere: () => false, onRecord() {
+			monitor, random: deployment.random, owner: `${name}.${list.revision}`, promotionRank: () => promotionRank, isReachableElsewhere: () => false, onRecord() {
 				deployment.attemptCount++;
 			},
 		});
 		if (promotionRank >= 0) {
 			void promoter.run();
 		}
-	}
 
-	get view(): GroupView {
-		return this.monitor;
+		return monitor;
 	}
 }
 
@@ -45,6 +82,8 @@
 	readonly promoteChecks?: boolean;
 	/** False for a group that starts without a primary. */
 	readonly hasPrimary?: boolean;
+	/** Names of databases that run and are not in the configuration at first. */
+	readonly spareNames?: readonly string[];
 };
 
 /** Several proxies with one fake group. Records what the callers of the proxies observe. */
@@ -56,24 +95,65 @@
 	readonly acknowledgedWrites: AcknowledgedWrite[] = [];
 	readonly completedReads: CompletedRead[] = [];
 	attemptCount = 0;
-	spec: DatabaseGroupSpec;
+	list: DatabaseList = {revision: 1, names: initialNames};
+	private leavingDatabase?: string;
 	private writeCount = 0;
 
-	constructor(options: FakeDeploymentOptions = {}) {
+	constructor(readonly options: FakeDeploymentOptions = {}) {
 		this.random = seededRandom(options.seed ?? 1);
-		this.group = new FakeGroup({clock: this.clock, random: this.random, promoteChecks: options.promoteChecks});
-		this.spec = {
-			databases: this.group.databases.map(({name}) => ({
-				name, address: name, port: 1, failureDomain: name, leaving: false,
+		this.group = new FakeGroup({
+			clock: this.clock, random: this.random, promoteChecks: options.promoteChecks, names: [...initialNames, ...options.spareNames ?? []],
+		});
+		if (options.hasPrimary !== false) {
+			this.group.startWithPrimary('a', initialNames);
+		}
+
+		void this.group.replicate();
+		this.proxies = (options.promotionRanks ?? [0, 1]).map((promotionRank, index) => new FakeProxy(`p${index}`, promotionRank, this));
+	}
+
+	/** Names of the databases that the configuration or a proxy lists. */
+	get listedNames(): readonly string[] {
+		return [...new Set([...this.list.names, ...this.proxies.flatMap(proxy => proxy.listedNames)])];
+	}
+
+	/** Returns the resource of the group with these databases. */
+	specOf(names: readonly string[]): DatabaseGroupSpec {
+		return {
+			databases: names.map(name => ({
+				name, address: name, port: 1, failureDomain: name, leaving: name === this.leavingDatabase,
 			})),
 			slotsPerDatabase: 3, connectionsPerDatabase: 20, acknowledgement: 'majority',
 		};
-		if (options.hasPrimary !== false) {
-			this.group.startWithPrimary('a');
+	}
+
+	/**
+	 * Changes the databases in the configuration, as an operator does. The proxies learn of the change after a delay.
+	 * @returns false if the change is refused
+	 */
+	changeDatabases(names: readonly string[]): boolean {
+		this.list = {revision: this.list.revision + 1, names};
+		this.announceList();
+		return true;
+	}
+
+	/** Repeats a change of the databases while it is refused, and returns whether it was accepted within the limit. */
+	async changesDatabasesWithin(names: readonly string[], timeoutMs: number): Promise<boolean> {
+		const endMs = this.clock.nowMs() + timeoutMs;
+		let isAccepted = this.changeDatabases(names);
+		while (!isAccepted && this.clock.nowMs() < endMs) {
+			await this.run(100);
+			isAccepted = this.changeDatabases(names);
 		}
 
-		void this.group.replicate();
-		this.proxies = (options.promotionRanks ?? [0, 1]).map((promotionRank, index) => new FakeProxy(`p${index}`, promotionRank, this, options.mechanisms));
+		return isAccepted;
+	}
+
+	/** Makes the list in the configuration known to all proxies that are connected to the store. */
+	announceList(): void {
+		for (const proxy of this.proxies.filter(({hasNewestList}) => !hasNewestList)) {
+			void this.learnAfterDelay(proxy);
+		}
 	}
 
 	get primaries(): string[] {
@@ -106,7 +186,7 @@
 
 	/** Marks one database as leaving, and all others as not leaving. */
 	markLeaving(database: string): void {
-		this.spec = {...this.spec, databases: this.spec.databases.map(spec => ({...spec, leaving: spec.name === database}))};
+		this.leavingDatabase = database;
 	}
 
 	/** Advances the clock until a call of a caller ends, and returns whether it succeeded within the limit. */
@@ -208,6 +288,17 @@
 		];
 	}
 
+	/** Ends all faults. */
+	heal(): void {
+		this.group.heal();
+		for (const proxy of this.proxies) {
+			proxy.gate.open();
+			proxy.isCutFromStore = false;
+		}
+
+		this.announceList();
+	}
+
 	stop(): void {
 		this.group.stop();
 		for (const {monitor} of this.proxies) {
@@ -215,6 +306,11 @@
 		}
 	}
 
+	private async learnAfterDelay(proxy: FakeProxy): Promise<void> {
+		await this.clock.sleep(this.random.next() * maximumLearnDelayMs);
+		await proxy.learnDatabases();
+	}
+
 	private async runRead(proxy: FakeProxy, database: string, read: Omit<CompletedRead, 'log'>): Promise<boolean> {
 		const {log, position} = await this.group.call({
 			proxy: proxy.name, database, kind: 'work', signal: proxy.monitor.signal,
@@ -253,5 +349,8 @@
 	return requiredValues.every(value => values.has(value));
 }
 
+const initialNames: readonly string[] = ['a', 'b', 'c'];
+/** Maximum time until a proxy that is connected to the store learns of a change of the databases. */
+const maximumLearnDelayMs = 400;
 /** Maximum time for which a read or write of a caller waits for a position. */
 const waitLimitMs = 300;
--- a/packages/group/src/__tests__/fakeGroup.ts
+++ b/packages/group/src/__tests__/fakeGroup.ts
@@ -118,16 +118,17 @@
 		return this.databases.find(database => database.name === name)!;
 	}
 
-	/** Makes a database the primary of term 1 and the others its replicas. */
-	startWithPrimary(name: string): void {
-		for (const database of this.databases) {
+	/** Makes a database the primary of term 1 and the other members its replicas. */
+	startWithPrimary(name: string, memberNames: readonly string[] = this.databases.map(database => database.name)): void {
+		const members = memberNames.map(memberName => this.get(memberName));
+		for (const database of members) {
 			database.isEmpty = false;
 			database.fence(1, 'start');
 			database.follow(1, name);
 		}
 
 		this.promote(this.get(name), 1, 'start');
-		for (const database of this.databases) {
+		for (const database of members) {
 			database.log = [...this.get(name).log];
 		}
 	}
--- a/packages/group/src/__tests__/schedules.test.ts
+++ b/packages/group/src/__tests__/schedules.test.ts
@@ -5,6 +5,8 @@
 const scheduleCount = Number(process.env.CROCUSLOOM_SCHEDULES ?? 300);
 const seed = Number(process.env.CROCUSLOOM_SEED ?? 20_251);
 const loadDurationMs = 3000;
+/** Load of the schedules with changes of the databases, each of which takes some time to be in force. */
+const changeLoadDurationMs = 6000;
 /** Upper bound for a change of primary, from section 7 of `docs/design.md`. */
 const recoveryLimitMs = 13_000;
 const databases = ['a', 'b', 'c'] as const;
@@ -29,7 +31,19 @@
 	fc.record({kind: fc.constant('leave' as const), database: databaseArbitrary}),
 	fc.record({kind: fc.constant('heal' as const)}),
 );
-type Fault = typeof faultArbitrary extends fc.Arbitrary<infer F> ? F : never;
+const allDatabases = [...databases, 'd', 'e'] as const;
+const anyDatabaseArbitrary = fc.constantFrom(...allDatabases);
+/** Faults of the schedules in which operators change the databases. */
+const changeFaultArbitrary = fc.oneof(
+	{weight: 2, arbitrary: faultArbitrary},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('addDatabase' as const), name: anyDatabaseArbitrary})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('removeDatabase' as const), name: anyDatabaseArbitrary})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('replaceDatabase' as const), name: anyDatabaseArbitrary, other: anyDatabaseArbitrary})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('cutStore' as const), proxy: proxyArbitrary})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('lagAny' as const), name: anyDatabaseArbitrary})},
+);
+type Fault = typeof changeFaultArbitrary extends fc.Arbitrary<infer F> ? F : never;
+type ScheduledFault = {readonly afterMs: number; readonly fault: Fault};
 
 const faultInjectors: {readonly [K in Fault['kind']]: (deployment: FakeDeployment, fault: Extract<Fault, {kind: K}>) => void} = {
 	kill(deployment, {database: name}) {
@@ -40,7 +54,7 @@
 	},
 	restartEmpty(deployment, {database: name}) {
 		// At most one of the three databases may be without its state, because only a minority may lose it at a time.
-		if (deployment.group.databases.every(other => other.name === name || !other.isEmpty)) {
+		if (deployment.listedNames.every(other => other === name || !deployment.group.get(other).isEmpty)) {
 			deployment.group.get(name).isDown = false;
 			deployment.group.get(name).loseState();
 		}
@@ -83,8 +97,32 @@
 	heal(deployment) {
 		deployment.group.heal();
 	},
+	addDatabase(deployment, {name}) {
+		deployment.changeDatabases([...new Set([...deployment.list.names, name])]);
+	},
+	removeDatabase(deployment, {name}) {
+		changeIfAnyRemains(deployment, deployment.list.names.filter(other => other !== name));
+	},
+	replaceDatabase(deployment, {name, other}) {
+		changeIfAnyRemains(deployment, [...new Set([...deployment.list.names.filter(listed => listed !== name), other])]);
+	},
+	cutStore(deployment, {proxy: index}) {
+		const proxy = deployment.proxies[index];
+		if (proxy) {
+			proxy.isCutFromStore = true;
+		}
+	},
+	lagAny(deployment, {name}) {
+		deployment.group.get(name).recordsPerStep = 0;
+	},
 };
 
+function changeIfAnyRemains(deployment: FakeDeployment, names: readonly string[]): void {
+	if (names.length > 0) {
+		deployment.changeDatabases(names);
+	}
+}
+
 async function ignoreFailure(call: Promise<unknown>): Promise<void> {
 	try {
 		await call;
@@ -94,9 +132,10 @@
 }
 
 /** Runs the callers of one proxy. They start writes, mostly at the primary, and strict and bounded reads at random times. */
-async function runCallers(deployment: FakeDeployment, entryProxy: FakeProxy): Promise<void> {
-	while (deployment.clock.nowMs() < loadDurationMs) {
-		const randomDatabase = databases[Math.floor(deployment.random.next() * databases.length)]!;
+async function runCallers(deployment: FakeDeployment, entryProxy: FakeProxy, durationMs: number): Promise<void> {
+	while (deployment.clock.nowMs() < durationMs) {
+		const {listedNames} = entryProxy;
+		const randomDatabase = listedNames[Math.floor(deployment.random.next() * listedNames.length)]!;
 		const primary = entryProxy.view.state().primary ?? randomDatabase;
 		void ignoreFailure(deployment.write(entryProxy, deployment.random.next() < 0.8 ? primary : randomDatabase));
 		void ignoreFailure(deployment.random.next() < 0.5
@@ -106,10 +145,10 @@
 	}
 }
 
-async function runFaults(deployment: FakeDeployment, faults: ReadonlyArray<{readonly afterMs: number; readonly fault: Fault}>): Promise<void> {
+async function runFaults(deployment: FakeDeployment, faults: readonly ScheduledFault[], durationMs: number): Promise<void> {
 	for (const {afterMs, fault: scheduledFault} of faults) {
 		await deployment.clock.sleep(afterMs);
-		if (deployment.clock.nowMs() >= loadDurationMs) {
+		if (deployment.clock.nowMs() >= durationMs) {
 			return;
 		}
 
@@ -119,11 +158,7 @@
 }
 
 async function waitForRecovery(deployment: FakeDeployment): Promise<boolean> {
-	deployment.group.heal();
-	for (const {gate} of deployment.proxies) {
-		gate.open();
-	}
-
+	deployment.heal();
 	const acknowledgedBefore = deployment.acknowledgedWrites.length;
 	// A primary that restarted without its state has no log for the comparison until another database is promoted.
 	const isRecovered = () => deployment.isNewestPromotionInEffect() && deployment.acknowledgedWrites.length > acknowledgedBefore;
@@ -141,34 +176,58 @@
 	return JSON.stringify([group.databases.map(database => database.status()), proxies.map(({view}) => [view.state().primary, view.promotions().slice(-2)])]);
 }
 
+type ScheduleTotals = {writes: number; reads: number; promotions: number; changes: number};
+
+async function runSchedule(deployment: FakeDeployment, schedule: readonly ScheduledFault[], durationMs: number, totals: ScheduleTotals): Promise<void> {
+	try {
+		for (const entryProxy of deployment.proxies) {
+			void runCallers(deployment, entryProxy, durationMs);
+		}
+
+		void runFaults(deployment, schedule, durationMs);
+		await deployment.run(durationMs);
+		const isRecovered = await waitForRecovery(deployment);
+		expect(deployment.violations()).to.deep.equal([]);
+		expect(isRecovered, `a write succeeds within the bound after the faults end: ${describeDeployment(deployment)}`).to.equal(true);
+		totals.writes += deployment.acknowledgedWrites.length;
+		totals.reads += deployment.completedReads.length;
+		totals.promotions += deployment.group.promotions.length - 1;
+		totals.changes += deployment.list.revision - 1;
+	} finally {
+		deployment.stop();
+	}
+}
+
+const runParameters = {
+	seed, numRuns: scheduleCount, path: process.env.CROCUSLOOM_PATH, endOnFailure: process.env.CROCUSLOOM_SHRINK === undefined,
+};
+
 describe('random fault schedules', function () {
 	this.timeout(0);
 
 	it(`keep all guarantees in ${scheduleCount} schedules (guards against lost writes, two primaries and stale reads)`, async () => {
-		const totals = {writes: 0, reads: 0, promotions: 0};
+		const totals = {
+			writes: 0, reads: 0, promotions: 0, changes: 0,
+		};
 		const faults = fc.array(fc.record({afterMs: fc.nat({max: 600}), fault: faultArbitrary}), {minLength: 1, maxLength: 8});
 		await fc.assert(fc.asyncProperty(fc.nat(), fc.constantFrom(2, 3), faults, async (runSeed, proxyCount, schedule) => {
 			const deployment = new FakeDeployment({seed: runSeed, promotionRanks: [0, 1, 2].slice(0, proxyCount)});
-			try {
-				for (const entryProxy of deployment.proxies) {
-					void runCallers(deployment, entryProxy);
-				}
-
-				void runFaults(deployment, schedule);
-				await deployment.run(loadDurationMs);
-				const isRecovered = await waitForRecovery(deployment);
-				expect(deployment.violations()).to.deep.equal([]);
-				expect(isRecovered, `a write succeeds within the bound after the faults end: ${describeDeployment(deployment)}`).to.equal(true);
-				totals.writes += deployment.acknowledgedWrites.length;
-				totals.reads += deployment.completedReads.length;
-				totals.promotions += deployment.group.promotions.length - 1;
-			} finally {
-				deployment.stop();
-			}
-		}), {
-			seed, numRuns: scheduleCount, path: process.env.CROCUSLOOM_PATH, endOnFailure: process.env.CROCUSLOOM_SHRINK === undefined,
-		});
+			await runSchedule(deployment, schedule, loadDurationMs, totals);
+		}), runParameters);
 		console.log(`      ${totals.writes} writes acknowledged, ${totals.reads} reads answered, ${totals.promotions} promotions`);
 		expect(Math.min(totals.writes, totals.reads, totals.promotions)).to.be.greaterThan(0);
 	});
+
+	it(`keep all guarantees in ${scheduleCount} schedules with changes of the databases (guards against majorities of two lists that do not intersect)`, async () => {
+		const totals = {
+			writes: 0, reads: 0, promotions: 0, changes: 0,
+		};
+		const faults = fc.array(fc.record({afterMs: fc.nat({max: 800}), fault: changeFaultArbitrary}), {minLength: 2, maxLength: 14});
+		await fc.assert(fc.asyncProperty(fc.nat(), fc.constantFrom(2, 3), faults, async (runSeed, proxyCount, schedule) => {
+			const deployment = new FakeDeployment({seed: runSeed, promotionRanks: [0, 1, 2].slice(0, proxyCount), spareNames: ['d', 'e']});
+			await runSchedule(deployment, schedule, changeLoadDurationMs, totals);
+		}), runParameters);
+		console.log(`      ${totals.writes} writes acknowledged, ${totals.reads} reads answered, ${totals.promotions} promotions, ${totals.changes} changes of the configuration`);
+		expect(Math.min(totals.writes, totals.reads, totals.promotions, totals.changes)).to.be.greaterThan(0);
+	});
 });
