--- a/packages/control/src/__tests__/conditions.test.ts
+++ b/packages/control/src/__tests__/conditions.test.ts
@@ -61,6 +61,13 @@
 	members: [fakeMember('a', {configurationRevision: 5}), fakeMember('b', {configurationRevision: 4})],
 	heldForMsOf: () => heldForMs,
 });
+const withListChange = (fields: Partial<ConditionInput> = {}): Partial<ConditionInput> => ({
+	configuration: {
+		...configuration,
+		databaseGroups: new Map([['g', {...configuration.databaseGroups.get('g')!, databaseList: {generation: 1, previousDatabases: databases.slice(0, 2)}}]]),
+	},
+	...fields,
+});
 const withConfiguration = (fields: Partial<Configuration>): Partial<ConditionInput> => ({configuration: {...configuration, ...fields}});
 
 /** Expected conditions have the form `severity type resource`. Each warning precedes the failure that it announces. */
@@ -74,6 +81,17 @@
 	{name: 'no proven age of the primary, which is not a replica', input: withGroupState({}, {db1: {provenAgeMs: Infinity}}), expected: []},
 	{name: 'only a majority reachable, before a promotion is impossible', input: withGroupState({}, {db3: {reachable: false}}), expected: ['warning PromotionAtRisk databaseGroups/g']},
 	{name: 'no majority reachable', input: withGroupState({}, {db2: {reachable: false}, db3: {reachable: false}}), expected: ['critical PromotionAtRisk databaseGroups/g']},
+	{name: 'databases change', input: withListChange(), expected: ['info DatabasesChanging databaseGroups/g', 'info PromotionAtRisk databaseGroups/g']},
+	{
+		name: 'databases have been changing for 30 s',
+		input: withListChange({heldForMsOf: () => 30_000}),
+		expected: ['warning DatabasesChanging databaseGroups/g', 'info PromotionAtRisk databaseGroups/g'],
+	},
+	{
+		name: 'no majority of the databases before a change',
+		input: withListChange(withGroupState({}, {db2: {reachable: false}})),
+		expected: ['critical PromotionAtRisk databaseGroups/g', 'info DatabasesChanging databaseGroups/g'],
+	},
 	{name: 'no primary', input: withGroupState({primary: undefined}), expected: ['critical NoPrimary databaseGroups/g']},
 	{name: 'term not confirmed', input: withGroupState({confirmedAgeMs: 601}), expected: ['warning TermUnconfirmed databaseGroups/g']},
 	{name: 'no monitor', input: {groups: []}, expected: ['warning GroupNotMonitored databaseGroups/g']},
--- a/packages/control/src/changeAcceptor.ts
+++ b/packages/control/src/changeAcceptor.ts
@@ -1,5 +1,6 @@
 import {
-	FailureError, resourceNameSchema, type Clock, type FieldProblem, type KeyValueEntry, type KeyValueStore, type RandomSource, type Resource, type ResourceKind, errorMessageOf, withTimeout,
+	checkListChange, FailureError, nextListState, resourceNameSchema, type Clock, type DatabaseGroupSpec, type DatabaseList,
+	type FieldProblem, type KeyValueEntry, type KeyValueStore, type RandomSource, type Resource, type ResourceKind, errorMessageOf, withTimeout,
 } from '@crocusloom/model';
 import {backoffMs, type BackoffLimits} from './backoff.js';
 import {
@@ -19,7 +20,11 @@
 			readonly changeId: string;
 			readonly expectedRevision: number;
 		}
-		| {readonly action: 'delete'; readonly kind: ResourceKind; readonly name: string; readonly changeId: string; readonly expectedRevision: number};
+		| {readonly action: 'delete'; readonly kind: ResourceKind; readonly name: string; readonly changeId: string; readonly expectedRevision: number}
+		/** Records that the change of a group's databases to a generation is in force. Proxies make it, not operators. */
+		| {readonly action: 'settle'; readonly kind: 'databaseGroups'; readonly name: string; readonly changeId: string; readonly generation: number};
+
+type PutChange = Extract<ConfigurationChange, {action: 'create' | 'replace'}>;
 
 export type ChangeOutcome
 	= | {readonly type: 'accepted'; readonly revision: number; readonly resource?: Resource}
@@ -92,6 +97,13 @@
 
 	private checkPreconditions(change: ConfigurationChange, entry: ConfigurationEntry | undefined): ChangeOutcome | undefined {
 		const currentRevision = entry && parseEntry(entry).type !== 'deleted' ? entry.revision : 0;
+		if (change.action === 'settle') {
+			const databaseList = entry && parseResource(entry)?.databaseList;
+			return databaseList?.previousDatabases && databaseList.generation === change.generation
+				? undefined
+				: {type: 'conflict', currentRevision, current: entry && parseResource(entry)};
+		}
+
 		const expectedRevision = change.action === 'create' ? 0 : change.expectedRevision;
 		if (currentRevision !== expectedRevision || (change.action !== 'create' && currentRevision === 0)) {
 			return {type: 'conflict', currentRevision, current: entry && parseResource(entry)};
@@ -99,8 +111,8 @@
 
 		const {configuration} = this.options.replica;
 		const problems = change.action === 'delete'
-			? checkDelete(configuration, change.kind, change.name)
-			: checkPut(configuration, change.kind, change.name, validatedSpecOf(change)!);
+			? [...checkDelete(configuration, change.kind, change.name), ...checkListDeletion(change, entry)]
+			: [...checkPut(configuration, change.kind, change.name, validatedSpecOf(change)!), ...checkList(change, entry)];
 		return problems.length > 0 ? {type: 'invalid', problems} : undefined;
 	}
 
@@ -205,18 +217,60 @@
 function encodeStoredValue(change: ConfigurationChange, previous: ConfigurationEntry | undefined): string {
 	const earlierChanges = (parseStoredValue(previous?.value)?.changes ?? []).map(({id, revision}) => ({id, revision: revision ?? previous?.revision}));
 	const changes = [{id: change.changeId}, ...earlierChanges].slice(0, maximumStoredChanges);
-	const value: Partial<StoredValue> = change.action === 'delete' ? {deleted: true, changes} : {spec: validatedSpecOf(change), changes};
-	return JSON.stringify(value);
+	return JSON.stringify({...valueEncoders[change.action](change as never, previous), changes});
+}
+
+const valueEncoders: {readonly [A in ConfigurationChange['action']]: (change: Extract<ConfigurationChange, {action: A}>, previous: ConfigurationEntry | undefined) => Partial<StoredValue>} = {
+	create: encodePut,
+	replace: encodePut,
+	delete(_change, previous) {
+		const list = databaseListOf(previous);
+		return {deleted: true, ...(list && {databaseList: {generation: list.state.generation, deletedDatabases: [...list.databases]}})};
+	},
+	settle: ({generation}, previous) => ({spec: parseStoredValue(previous?.value)?.spec, databaseList: {generation}}),
+};
+
+function encodePut(change: PutChange, previous: ConfigurationEntry | undefined): Partial<StoredValue> {
+	const spec = validatedSpecOf(change);
+	const databaseList = change.kind === 'databaseGroups' ? nextListState(databaseListOf(previous), (spec as DatabaseGroupSpec).databases) : undefined;
+	return {spec, ...(databaseList && {databaseList: databaseList as StoredValue['databaseList']})};
+}
+
+/** Returns the list of databases of a group, or the last one of a deleted group. */
+function databaseListOf(entry: ConfigurationEntry | undefined): DatabaseList | undefined {
+	const stored = entry && parseStoredValue(entry.value);
+	const state = stored?.databaseList ?? {generation: 0};
+	const resource = entry && parseResource(entry);
+	const databases = resource?.kind === 'databaseGroups' ? (resource.spec as DatabaseGroupSpec).databases : state.deletedDatabases;
+	if (databases) {
+		return {databases, state};
+	}
+
+	return entry?.lastValid && databaseListOf({key: entry.key, ...entry.lastValid});
+}
+
+function checkList(change: PutChange, entry: ConfigurationEntry | undefined): readonly FieldProblem[] {
+	return change.kind === 'databaseGroups' ? checkListChange(databaseListOf(entry), (validatedSpecOf(change) as DatabaseGroupSpec).databases) : [];
+}
+
+/** Refuses to delete a group while its databases change, because a deleted group has one list only. */
+function checkListDeletion({kind}: ConfigurationChange, entry: ConfigurationEntry | undefined): readonly FieldProblem[] {
+	const isChanging = kind === 'databaseGroups' && databaseListOf(entry)?.state.previousDatabases !== undefined;
+	return isChanging ? [{path: 'name', message: 'a change of the databases is not in force yet; delete the group when the condition DatabasesChanging has ended'}] : [];
 }
 
 function validateFields(change: ConfigurationChange): readonly FieldProblem[] {
 	const nameResult = resourceNameSchema.safeParse(change.name);
 	const nameProblems = (nameResult.error?.issues ?? []).map(({message}) => ({path: 'name', message}));
-	const validation = change.action === 'delete' ? undefined : validateSpec(change.kind, change.spec);
+	const validation = isPut(change) ? validateSpec(change.kind, change.spec) : undefined;
 	return validation && 'problems' in validation ? [...nameProblems, ...validation.problems] : nameProblems;
 }
 
-function validatedSpecOf(change: Exclude<ConfigurationChange, {action: 'delete'}>): Resource['spec'] | undefined {
+function isPut(change: ConfigurationChange): change is PutChange {
+	return change.action === 'create' || change.action === 'replace';
+}
+
+function validatedSpecOf(change: PutChange): Resource['spec'] | undefined {
 	const validation = validateSpec(change.kind, change.spec);
 	return 'spec' in validation ? validation.spec : undefined;
 }
--- a/packages/control/src/conditions.ts
+++ b/packages/control/src/conditions.ts
@@ -2,7 +2,7 @@
  * Conditions that warn operators of a risk before it causes a failure. All functions are pure.
  */
 import {
-	type Configuration, type DatabaseView, type GroupState, type HolderStats, type Member,
+	type Configuration, type DatabaseGroupSpec, type DatabaseListState, type DatabaseSpec, type DatabaseView, type GroupState, type HolderStats, type Member,
 } from '@crocusloom/model';
 import {changeBoundMs} from './changeTiming.js';
 import {type InvalidEntry} from './configurationState.js';
@@ -15,6 +15,7 @@
 		| 'NoPrimary'
 		| 'TermUnconfirmed'
 		| 'GroupNotMonitored'
+		| 'DatabasesChanging'
 		| 'AcknowledgementAtPrimary'
 		| 'ConnectionsNearLimit'
 		| 'PlatformUnreachable'
@@ -58,6 +59,8 @@
 const confirmationWarningMs = 600;
 /** Propagation takes about a second; a host that lags for longer may exceed `changeBoundMs`. */
 const configurationBehindWarningMs = 2000;
+/** A change of the databases takes a few seconds if a majority of both lists answers. */
+const listChangeWarningMs = 30_000;
 /** Statements do not depend on the platform, but a long outage prevents operators from changing the configuration. */
 const platformOutageCriticalMs = 10 * 60 * 1000;
 
@@ -112,7 +115,7 @@
 
 function groupFindings(input: ConditionInput): readonly Finding[] {
 	const states = new Map(input.groups.map(state => [state.group, state]));
-	return [...input.configuration.databaseGroups.values()].flatMap(({name, spec}) => {
+	return [...input.configuration.databaseGroups.values()].flatMap(({name, spec, databaseList}) => {
 		const resource = `databaseGroups/${name}`;
 		const state = states.get(name);
 		const acknowledgementFindings: readonly Finding[] = spec.acknowledgement === 'primary'
@@ -120,19 +123,45 @@
 				type: 'AcknowledgementAtPrimary', severity: 'info', resource, message: 'commits are acknowledged by the primary alone and may be lost in a promotion',
 			}]
 			: [];
+		const changeFindings = listChangeFindings(resource, spec, databaseList, input.heldForMsOf);
 		if (!state) {
-			return [...acknowledgementFindings, {
+			return [...acknowledgementFindings, ...changeFindings, {
 				type: 'GroupNotMonitored', severity: 'warning', resource, message: 'no host reports the state of the group',
 			}];
 		}
 
-		return [...acknowledgementFindings, ...promotionFindings(resource, state, spec.databases.length), ...primaryFindings(resource, state), ...lagFindings(input.configuration, state)];
+		const lists = [spec.databases, databaseList?.previousDatabases ?? spec.databases];
+		return [
+			...acknowledgementFindings, ...changeFindings, ...promotionFindings(resource, state, lists), ...primaryFindings(resource, state), ...lagFindings(input.configuration, state),
+		];
 	});
 }
 
-function promotionFindings(resource: string, state: GroupState, databaseCount: number): readonly Finding[] {
+function listChangeFindings(resource: string, {databases}: DatabaseGroupSpec, databaseList: DatabaseListState | undefined, heldForMsOf: ConditionInput['heldForMsOf']): readonly Finding[] {
+	if (!databaseList?.previousDatabases) {
+		return [];
+	}
+
+	const namesOf = (list: readonly DatabaseSpec[]) => list.map(({name}) => name).join(', ');
+	const heldForMs = heldForMsOf('DatabasesChanging', resource);
+	return [{
+		type: 'DatabasesChanging',
+		severity: heldForMs >= listChangeWarningMs ? 'warning' : 'info',
+		resource,
+		message: `the change of the databases from ${namesOf(databaseList.previousDatabases)} to ${namesOf(databases)} is not in force yet; commits need a majority of both until then`,
+		sinceMs: heldForMs,
+	}];
+}
+
+/** Returns the finding for the list with the fewest reachable databases above its majority, because a promotion needs a majority of each. */
+function promotionFindings(resource: string, state: GroupState, lists: ReadonlyArray<readonly DatabaseSpec[]>): readonly Finding[] {
+	const reachableNames = new Set(state.databases.filter(({reachable}) => reachable).map(({database}) => database));
+	const findings = lists.flatMap(list => reachabilityFindings(resource, list.filter(({name}) => reachableNames.has(name)).length, list.length));
+	return findings.toSorted((a, b) => severityOrder[a.severity] - severityOrder[b.severity]).slice(0, 1);
+}
+
+function reachabilityFindings(resource: string, reachableCount: number, databaseCount: number): readonly Finding[] {
 	const majority = Math.floor(databaseCount / 2) + 1;
-	const reachableCount = state.databases.filter(database => database.reachable).length;
 	const reachabilityText = `${reachableCount} of ${databaseCount} databases are reachable and ${majority} are needed`;
 	if (reachableCount < majority) {
 		return [{
--- a/packages/control/src/configurationState.ts
+++ b/packages/control/src/configurationState.ts
@@ -4,7 +4,7 @@
  */
 import {z} from 'zod';
 import {
-	resourceKinds, specSchemas, type Configuration, type FieldProblem, type KeyValueEntry, type Resource, type ResourceKind,
+	databaseListStateSchema, resourceKinds, specSchemas, type Configuration, type FieldProblem, type KeyValueEntry, type Resource, type ResourceKind,
 } from '@crocusloom/model';
 
 /** Key of an entry below the deployment's prefix: `<kind>/<name>`. */
@@ -41,6 +41,7 @@
 	spec: z.unknown().optional(),
 	deleted: z.boolean().default(false),
 	changes: z.array(changeSchema).default([]),
+	databaseList: databaseListStateSchema.optional(),
 });
 
 export type StoredValue = z.infer<typeof storedValueSchema>;
@@ -179,8 +180,9 @@
 		return {type: 'invalid', invalid: {key: entry.key, revision: entry.revision, problems: validation.problems}};
 	}
 
+	const databaseList = stored?.databaseList;
 	const resource = {
-		kind, name, revision: entry.revision, spec: validation.spec,
+		kind, name, revision: entry.revision, spec: validation.spec, ...(databaseList && {databaseList}),
 	};
 	return {type: 'resource', resource};
 }
--- a/packages/control/src/configurationStore.ts
+++ b/packages/control/src/configurationStore.ts
@@ -105,6 +105,17 @@
 		return this.acceptor.accept(change, signal);
 	}
 
+	/**
+	 * Records that the change of a group's databases to a generation is in force, so that the next change may be made. May be repeated.
+	 * @returns true if it is recorded, false if the store did not answer or has another generation
+	 */
+	async settleDatabases(group: string, generation: number, signal: AbortSignal): Promise<boolean> {
+		const outcome = await this.accept({
+			action: 'settle', kind: 'databaseGroups', name: group, generation, changeId: `settle-${generation}`,
+		}, signal);
+		return outcome.type === 'accepted';
+	}
+
 	/** Returns the hosts of this host's failure domain that watch the platform. */
 	watcherHosts(): readonly string[] {
 		const {membership, rendezvousOrder} = this.options;
--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -161,6 +161,7 @@
 		}),
 		deployment: host.deployment,
 		store: dependencies.resolve(tokens.keyValueStore),
+		settleDatabases: async (group, generation, signal) => dependencies.resolve(ConfigurationStore).settleDatabases(group, generation, signal),
 		log: dependencies.resolve(tokens.log),
 	}));
 	registerSingleton(childContainer, GroupStateDirectory, dependencies => new GroupStateDirectory({
--- a/packages/group/src/__tests__/fakeDeployment.ts
+++ b/packages/group/src/__tests__/fakeDeployment.ts
@@ -1,8 +1,11 @@
 import {expect} from 'chai';
-import {type DatabaseGroupSpec, type GroupView, type LogPosition} from '@crocusloom/model';
+import {
+	checkListChange, type DatabaseGroupSpec, type DatabaseList, type GroupView, type LogPosition, nextListState,
+} from '@crocusloom/model';
 import {FakeClock, seededRandom} from '@crocusloom/model/testing';
 import {GroupMonitor} from '../groupMonitor.js';
 import {type SafetyMechanisms} from '../safetyMechanisms.js';
+import {ListChangeSettler} from '../listChangeSettler.js';
 import {Promoter} from '../promoter.js';
 import {Gate, pausableClock} from './gate.js';
 import {FakeGroup, type LogRecord} from './fakeGroup.js';
@@ -11,14 +14,14 @@
 type CompletedRead = {readonly log: readonly LogRecord[]; readonly requiredValues: readonly string[]; readonly kind: 'strict' | 'bounded'};
 
 /** The databases of the group in the configuration. */
-export type DatabaseList = {readonly revision: number; readonly names: readonly string[]};
+export type ConfiguredList = DatabaseList & {readonly revision: number};
 
 /** A proxy process with a monitor and a promoter, which can be paused. */
 export class FakeProxy {
 	readonly gate = new Gate();
 	/** True while the proxy receives no changes of the configuration. */
 	isCutFromStore = false;
-	private list: DatabaseList;
+	private list: ConfiguredList;
 	private currentMonitor: GroupMonitor;
 
 	constructor(readonly name: string, private readonly promotionRank: number, private readonly deployment: FakeDeployment) {
@@ -35,7 +38,7 @@
 	}
 
 	get listedNames(): readonly string[] {
-		return this.list.names;
+		return [...this.list.databases, ...this.list.state.previousDatabases ?? []].map(({name}) => name);
 	}
 
 	get hasNewestList(): boolean {
@@ -55,10 +58,11 @@
 	}
 
 	private startMonitor(): GroupMonitor {
-		const {deployment, gate, list, name, promotionRank} = this;
+		const {deployment, gate, list, listedNames, name, promotionRank} = this;
+		const {generation, previousDatabases} = list.state;
 		const monitor = new GroupMonitor({
-			group: 'g', host: name, clock: pausableClock(deployment.clock, gate), controls: list.names.map(database => deployment.group.control(name, database, gate)),
-			spec: () => deployment.specOf(list.names), mechanisms: deployment.options.mechanisms,
+			group: 'g', host: name, clock: pausableClock(deployment.clock, gate), controls: [...new Set(listedNames)].map(database => deployment.group.control(name, database, gate)),
+			spec: () => deployment.specOf(list), generation, previousDatabases, mechanisms: deployment.options.mechanisms,
 		});
 		monitor.start();
 		const promoter = new Promoter({
@@ -70,6 +74,10 @@
 			void promoter.run();
 		}
 
+		if (previousDatabases) {
+			void new ListChangeSettler({monitor, settle: async settledGeneration => !this.isCutFromStore && deployment.settle(settledGeneration)}).run();
+		}
+
 		return monitor;
 	}
 }
@@ -95,7 +103,7 @@
 	readonly acknowledgedWrites: AcknowledgedWrite[] = [];
 	readonly completedReads: CompletedRead[] = [];
 	attemptCount = 0;
-	list: DatabaseList = {revision: 1, names: initialNames};
+	list: ConfiguredList = {revision: 1, databases: databasesNamed(initialNames), state: {generation: 0}};
 	private leavingDatabase?: string;
 	private writeCount = 0;
 
@@ -114,15 +122,13 @@
 
 	/** Names of the databases that the configuration or a proxy lists. */
 	get listedNames(): readonly string[] {
-		return [...new Set([...this.list.names, ...this.proxies.flatMap(proxy => proxy.listedNames)])];
+		return [...new Set([...this.list.databases.map(({name}) => name), ...this.proxies.flatMap(proxy => proxy.listedNames)])];
 	}
 
 	/** Returns the resource of the group with these databases. */
-	specOf(names: readonly string[]): DatabaseGroupSpec {
+	specOf({databases}: DatabaseList): DatabaseGroupSpec {
 		return {
-			databases: names.map(name => ({
-				name, address: name, port: 1, failureDomain: name, leaving: name === this.leavingDatabase,
-			})),
+			databases: databases.map(database => ({...database, leaving: database.name === this.leavingDatabase})),
 			slotsPerDatabase: 3, connectionsPerDatabase: 20, acknowledgement: 'majority',
 		};
 	}
@@ -132,11 +138,31 @@
 	 * @returns false if the change is refused
 	 */
 	changeDatabases(names: readonly string[]): boolean {
-		this.list = {revision: this.list.revision + 1, names};
+		const databases = databasesNamed(names);
+		if (checkListChange(this.list, databases).length > 0) {
+			return false;
+		}
+
+		const state = nextListState(this.list, databases) ?? this.list.state;
+		if (state.generation === this.list.state.generation) {
+			return true;
+		}
+
+		this.list = {revision: this.list.revision + 1, databases, state};
 		this.announceList();
 		return true;
 	}
 
+	/** Records that a change of the databases is in force. */
+	settle(generation: number): boolean {
+		if (this.list.state.generation === generation && this.list.state.previousDatabases) {
+			this.list = {revision: this.list.revision + 1, databases: this.list.databases, state: {generation}};
+			this.announceList();
+		}
+
+		return this.list.state.generation >= generation;
+	}
+
 	/** Repeats a change of the databases while it is refused, and returns whether it was accepted within the limit. */
 	async changesDatabasesWithin(names: readonly string[], timeoutMs: number): Promise<boolean> {
 		const endMs = this.clock.nowMs() + timeoutMs;
@@ -344,11 +370,37 @@
 	await deployment.run(3000);
 }
 
+/** Time in which a change of the databases that can be made safely is accepted and in force. */
+export const changeLimitMs = 5000;
+
+/** Separates a host with the databases of two changes ago, and the databases that only it may use, from the others, and writes on both sides. */
+export async function writeWithListOfTwoChangesAgo(deployment: FakeDeployment): Promise<void> {
+	const [oldProxy, newProxy] = deployment.proxies;
+	oldProxy!.isCutFromStore = true;
+	expect(await deployment.changesDatabasesWithin(['a', 'b', 'c', 'd'], changeLimitMs)).to.equal(true);
+	await deployment.run(changeLimitMs);
+	expect(await deployment.changesDatabasesWithin(['a', 'c', 'd'], changeLimitMs)).to.equal(true);
+	await deployment.run(changeLimitMs);
+	for (const [near, far] of [['a', 'c'], ['a', 'd'], ['b', 'c'], ['b', 'd'], ['p1', 'a'], ['p1', 'b'], ['p0', 'c'], ['p0', 'd']] as const) {
+		deployment.group.cut(near, far);
+	}
+
+	await deployment.writeSucceedsWithin(newProxy!, changeLimitMs);
+	await deployment.succeeds(deployment.write(oldProxy!, 'a'));
+	await deployment.succeeds(deployment.write(oldProxy!, 'b'));
+}
+
 function containsAll(log: readonly LogRecord[], requiredValues: readonly string[]): boolean {
 	const values = new Set(log.map(({value}) => value));
 	return requiredValues.every(value => values.has(value));
 }
 
+function databasesNamed(names: readonly string[]): DatabaseGroupSpec['databases'] {
+	return names.map(name => ({
+		name, address: name, port: 1, failureDomain: name, leaving: false,
+	}));
+}
+
 const initialNames: readonly string[] = ['a', 'b', 'c'];
 /** Maximum time until a proxy that is connected to the store learns of a change of the databases. */
 const maximumLearnDelayMs = 400;
--- a/packages/group/src/candidate.ts
+++ b/packages/group/src/candidate.ts
@@ -26,7 +26,7 @@
 }
 
 /** Returns the address at which replicas reach a database. */
-export function addressOf(spec: DatabaseGroupSpec, database: string): string {
-	const databaseSpec = spec.databases.find(({name}) => name === database);
+export function addressOf(databases: readonly DatabaseSpec[], database: string): string {
+	const databaseSpec = databases.find(({name}) => name === database);
 	return databaseSpec ? `${databaseSpec.address}:${databaseSpec.port}` : database;
 }
--- a/packages/group/src/collectResponses.ts
+++ b/packages/group/src/collectResponses.ts
@@ -1,24 +1,24 @@
 import {type Clock} from '@crocusloom/model';
 import {waitUntil} from './waitUntil.js';
 
-export type CollectOptions = {
+export type CollectOptions<T> = {
 	readonly clock: Clock;
 	readonly signal: AbortSignal;
-	/** Maximum wait for the required number of responses. */
+	/** Maximum wait for sufficient responses. */
 	readonly timeoutMs: number;
-	/** Number of responses after which only the grace period is waited for. */
-	readonly requiredCount: number;
-	/** Additional wait for the remaining responses once the required number has arrived. */
+	/** Checks whether the responses suffice, after which only the grace period is waited for. */
+	readonly isSufficient: (responses: readonly T[]) => boolean;
+	/** Additional wait for the remaining responses once the others suffice. */
 	readonly gracePeriodMs: number;
 };
 
 /**
- * Collects the responses of concurrent calls until all calls have ended, or until the required number has arrived and the
+ * Collects the responses of concurrent calls until all calls have ended, or until the responses suffice and the
  * grace period is over.
  * @param calls - calls that have their own timeouts; failed calls are ignored
  * @returns the responses in the order of arrival
  */
-export async function collectResponses<T>(calls: ReadonlyArray<Promise<T>>, options: CollectOptions): Promise<readonly T[]> {
+export async function collectResponses<T>(calls: ReadonlyArray<Promise<T>>, options: CollectOptions<T>): Promise<readonly T[]> {
 	const responses: T[] = [];
 	const listeners = new Set<() => void>();
 	let endedCount = 0;
@@ -40,9 +40,9 @@
 		void trackCall(call);
 	}
 
-	const {clock, signal, timeoutMs, requiredCount, gracePeriodMs} = options;
+	const {clock, signal, timeoutMs, isSufficient, gracePeriodMs} = options;
 	await waitUntil({
-		clock, signal, timeoutMs, listeners, evaluate: () => responses.length >= requiredCount ? true : allEnded(),
+		clock, signal, timeoutMs, listeners, evaluate: () => isSufficient(responses) ? true : allEnded(),
 	});
 	await waitUntil({
 		clock, signal, timeoutMs: gracePeriodMs, listeners, evaluate: allEnded,
--- a/packages/group/src/confirmation.ts
+++ b/packages/group/src/confirmation.ts
@@ -1,4 +1,5 @@
 import {type DatabaseStatus, type LogPosition} from '@crocusloom/model';
+import {type Quorum} from './quorum.js';
 
 /** A status response with its request and response times. The status is at least as recent as the request. */
 export type StatusObservation = {
@@ -43,6 +44,11 @@
 	return statuses.length === databaseCount && statuses.every(({followsTerm, position}) => followsTerm === 0 && position.term === 0);
 }
 
+/** Returns the highest term that a status shows. */
+export function newestTermOf({fencedTerm, followsTerm, position}: DatabaseStatus): number {
+	return Math.max(fencedTerm, followsTerm, position.term);
+}
+
 /** Returns the observation of the primary with the highest term, if there is a primary. */
 export function findPrimary(observations: readonly StatusObservation[]): StatusObservation | undefined {
 	const primaries = observations.filter(({status}) => isCurrentPrimary(status));
@@ -50,30 +56,29 @@
 }
 
 /**
- * Returns the latest time at which a majority is known not to have been fenced above a term. A promotion to a higher term
- * fences a majority first, so no such promotion had completed at that time.
- * @returns monotonic time in milliseconds, or undefined if no majority is known to be at or below the term
+ * Returns the request times of the databases that are known not to have been fenced above a term. A promotion to a higher term
+ * fences a majority first, so no such promotion had completed at the time that a majority of them reaches.
+ * @returns monotonic times in milliseconds by database
  */
-export function termConfirmedAtMs(observations: readonly StatusObservation[], databaseCount: number, term: number): number | undefined {
-	const requestTimesMs = observations.filter(({status}) => status.fencedTerm <= term).map(observation => observation.requestedAtMs);
-	return requestTimesMs.toSorted((a, b) => b - a)[majoritySize(databaseCount) - 1];
+export function termRequestTimesMs(observations: readonly StatusObservation[], term: number): ReadonlyMap<string, number> {
+	return new Map(observations.filter(({status}) => status.fencedTerm <= term).map(({status, requestedAtMs}) => [status.database, requestedAtMs]));
 }
 
 /**
  * Returns the position of the primary with the time at which a majority confirmed its term.
  * @param observations - at most one observation per database
- * @param databaseCount - number of databases in the group, observed or not
+ * @param quorumOfTerm - returns the majorities that a term needs
  * @param isMajorityRequired - false only in tests that show which violations the majority's confirmation prevents
  * @returns undefined if there is no primary, or if no majority has confirmed its term
  */
-export function findConfirmedPosition(observations: readonly StatusObservation[], databaseCount: number, isMajorityRequired = true): ConfirmedPosition | undefined {
+export function findConfirmedPosition(observations: readonly StatusObservation[], quorumOfTerm: (term: number) => Quorum, isMajorityRequired = true): ConfirmedPosition | undefined {
 	const primary = findPrimary(observations);
 	if (!primary) {
 		return undefined;
 	}
 
 	const {status, requestedAtMs} = primary;
-	const majorityConfirmedAtMs = isMajorityRequired ? termConfirmedAtMs(observations, databaseCount, status.fencedTerm) : requestedAtMs;
+	const majorityConfirmedAtMs = isMajorityRequired ? quorumOfTerm(status.fencedTerm).valueOfMajority(termRequestTimesMs(observations, status.fencedTerm)) : requestedAtMs;
 	return majorityConfirmedAtMs === undefined
 		? undefined
 		: {database: status.database, position: status.position, confirmedAtMs: Math.min(requestedAtMs, majorityConfirmedAtMs)};
--- a/packages/group/src/groupMonitor.ts
+++ b/packages/group/src/groupMonitor.ts
@@ -1,13 +1,15 @@
 import {setMaxListeners} from 'node:events';
 import {
-	childSignal, type Clock, type DatabaseControl, type DatabaseGroupSpec, type DatabaseStatus, type DatabaseView, FailureError, type GroupState, type GroupView, type LogPosition,
+	childSignal, type Clock, type DatabaseControl, type DatabaseGroupSpec, type DatabaseSpec, type DatabaseStatus, type DatabaseView, FailureError, generationOfTerm,
+	type GroupState, type GroupView, type LogPosition,
 	type PromotionRecord, type WaitResult, zeroPosition,
 } from '@crocusloom/model';
 import {ConfirmedPositionHistory} from './confirmedPositionHistory.js';
 import {
-	findConfirmedPosition, findPrimary, hasState, isNewGroup, majoritySize, type StatusObservation,
+	type ConfirmedPosition, findConfirmedPosition, findPrimary, hasState, isNewGroup, newestTermOf, type StatusObservation,
 } from './confirmation.js';
-import {DatabaseMonitor} from './databaseMonitor.js';
+import {DatabaseMonitor, type PositionStatus} from './databaseMonitor.js';
+import {Quorum} from './quorum.js';
 import {allSafetyMechanisms, type SafetyMechanisms} from './safetyMechanisms.js';
 import {SharedProbe} from './sharedProbe.js';
 import {probeTimeoutMs} from './timing.js';
@@ -18,10 +20,14 @@
 	/** Name of this host, reported in the states that peers receive. */
 	readonly host: string;
 	readonly clock: Clock;
-	/** One control per database of the group. The monitor closes them. */
+	/** One control per database of the group, including those before a change that is not in force. The monitor closes them. */
 	readonly controls: readonly DatabaseControl[];
 	/** Returns the resource of the group that is in force. */
 	readonly spec: () => DatabaseGroupSpec;
+	/** Generation of the list of databases. Terms of later generations are not acted upon. */
+	readonly generation?: number;
+	/** Databases before a change that is not in force. A majority of them is needed as well. */
+	readonly previousDatabases?: readonly DatabaseSpec[];
 	/** Set only in tests. */
 	readonly mechanisms?: SafetyMechanisms;
 };
@@ -38,6 +44,13 @@
 export class GroupMonitor implements GroupView {
 	readonly databaseMonitors: readonly DatabaseMonitor[];
 	readonly mechanisms: SafetyMechanisms;
+	/** Generation of the list of databases that this host has. */
+	readonly generation: number;
+	readonly startedAtMs: number;
+	/** Majorities that a term of the list in the configuration needs. */
+	private readonly quorum: Quorum;
+	/** Majority that terms of the list before a change need, if the change is not in force. */
+	private readonly previousQuorum?: Quorum;
 	private readonly confirmedPositions = new ConfirmedPositionHistory();
 	private readonly listeners = new Set<() => void>();
 	private readonly promotionRecords: PromotionRecord[] = [];
@@ -48,6 +61,12 @@
 		// Each polling loop and each call adds a listener, which would exceed the default limit and print a warning.
 		setMaxListeners(0, this.signal);
 		this.mechanisms = options.mechanisms ?? allSafetyMechanisms;
+		this.generation = options.generation ?? 0;
+		this.startedAtMs = options.clock.nowMs();
+		const {previousDatabases} = options;
+		const listedNames = namesOf(options.spec().databases);
+		this.quorum = new Quorum(previousDatabases ? [listedNames, namesOf(previousDatabases)] : [listedNames]);
+		this.previousQuorum = previousDatabases && new Quorum([namesOf(previousDatabases)]);
 		this.databaseMonitors = options.controls.map(control => new DatabaseMonitor(control, options.clock, () => {
 			this.handleObservation();
 		}, this.signal));
@@ -59,9 +78,33 @@
 		return this.closeController.signal;
 	}
 
-	/** Number of databases that form a majority. */
-	get majoritySize(): number {
-		return majoritySize(this.databaseMonitors.length);
+	/**
+	 * Generation in which a promotion takes its term. After a change of the databases, the list before it stays in force until a
+	 * database has been fenced for the new one, so that a database that is added delays no promotion while it has no data.
+	 */
+	get actingGeneration(): number {
+		const isNewListUsed = this.observations().some(({status}) => generationOfTerm(newestTermOf(status)) >= this.generation);
+		return this.previousQuorum && !isNewListUsed ? this.generation - 1 : this.generation;
+	}
+
+	/** Returns the majorities that a generation needs. */
+	quorumOfGeneration(generation: number): Quorum {
+		return generation < this.generation ? this.previousQuorum ?? this.quorum : this.quorum;
+	}
+
+	/** Returns the majorities that a term needs. */
+	quorumOfTerm(term: number): Quorum {
+		return this.quorumOfGeneration(generationOfTerm(term));
+	}
+
+	/** Databases with addresses, including those before a change that is not in force. */
+	get databaseSpecs(): readonly DatabaseSpec[] {
+		return [...this.options.spec().databases, ...this.options.previousDatabases ?? []];
+	}
+
+	/** True if a database was fenced for a later list than this host has, so that this host must not act on the group. */
+	get isListSuperseded(): boolean {
+		return this.observations().some(({status}) => this.isLaterGeneration(newestTermOf(status)));
 	}
 
 	/** Starts to poll the databases. */
@@ -83,7 +126,7 @@
 		const observations = this.observations();
 		const primary = findPrimary(observations)?.status;
 		const newestTerm = Math.max(0, ...observations.map(({status}) => status.followsTerm));
-		const isPrimaryCurrent = primary !== undefined && primary.fencedTerm >= newestTerm;
+		const isPrimaryCurrent = primary !== undefined && primary.fencedTerm >= newestTerm && !this.isListSuperseded;
 		const {newestConfirmedAtMs} = this.confirmedPositions;
 		return {
 			group: this.options.group,
@@ -101,10 +144,24 @@
 			return 'reached';
 		}
 
-		const result = await this.waitForPosition({
-			databaseMonitors: this.databaseMonitors, position, timeoutMs, signal, evaluate: () => this.majorityWaitResult(position),
-		});
-		return result ?? 'timeout';
+		return this.waitUntilHeldByMajority(position, timeoutMs, signal);
+	}
+
+	/** Checks whether the databases of each majority that a generation needs have data that is at most this old. */
+	isMajorityFresh(generation: number, maximumAgeMs: number): boolean {
+		const freshMonitors = this.databaseMonitors.filter(({database, isReachable}) => isReachable && this.provenAgeMs(database) <= maximumAgeMs);
+		const freshStatuses = freshMonitors.map(({latestObservation}) => latestObservation!.status);
+		return this.quorumOfGeneration(generation).isMajority(this.eligibleStatuses(freshStatuses).map(({database}) => database));
+	}
+
+	/**
+	 * Checks whether a change of the databases is in force: the primary has a term of the new list, which a majority of both lists has
+	 * confirmed, so that no host with the list before the change can act any more, and both majorities hold the commits confirmed until then.
+	 * @throws FailureError `notRun` if no primary is confirmed
+	 */
+	async isListInForce(timeoutMs: number, signal: AbortSignal): Promise<boolean> {
+		const position = await this.commitPosition(signal);
+		return generationOfTerm(position.term) === this.generation && await this.waitUntilHeldByMajority(position, timeoutMs, signal) === 'reached';
 	}
 
 	async commitPosition(signal: AbortSignal): Promise<LogPosition> {
@@ -188,22 +245,37 @@
 		};
 	}
 
+	private isLaterGeneration(term: number): boolean {
+		return this.mechanisms.listGenerations && generationOfTerm(term) > this.generation;
+	}
+
 	private majorityPosition(term: number): LogPosition {
-		const offsets = this.databaseMonitors.map(({latestObservation}) => latestObservation?.status)
-			.map(status => status && this.isEligibleForMajority(status) && status.position.term === term ? status.position.offsetBytes : -1)
-			.toSorted((a, b) => b - a);
-		const offsetBytes = offsets[this.majoritySize - 1]!;
-		return offsetBytes < 0 ? zeroPosition : {term, offsetBytes};
+		const heldStatuses = this.observations().map(({status}) => status).filter(status => this.isEligibleForMajority(status) && status.position.term === term);
+		const offsetBytes = this.quorumOfTerm(term).valueOfMajority(new Map(heldStatuses.map(({database, position}) => [database, position.offsetBytes])));
+		return offsetBytes === undefined || this.isLaterGeneration(term) ? zeroPosition : {term, offsetBytes};
+	}
+
+	private async waitUntilHeldByMajority(position: LogPosition, timeoutMs: number, signal: AbortSignal): Promise<WaitResult> {
+		const result = await this.waitForPosition({
+			databaseMonitors: this.databaseMonitors, position, timeoutMs, signal, evaluate: () => this.majorityWaitResult(position),
+		});
+		return result ?? 'timeout';
 	}
 
 	private majorityWaitResult(position: LogPosition): 'reached' | 'superseded' | undefined {
-		const positionStatuses = this.databaseMonitors.map(databaseMonitor => databaseMonitor.positionStatus(position));
-		if (positionStatuses.filter(positionStatus => positionStatus === 'held').length >= this.majoritySize) {
+		// A commit of a later list needs a majority of databases that this host may not know.
+		if (this.isLaterGeneration(position.term)) {
+			return 'superseded';
+		}
+
+		const databasesWith = (positionStatus: PositionStatus) =>
+			this.databaseMonitors.filter(databaseMonitor => databaseMonitor.positionStatus(position) === positionStatus).map(({database}) => database);
+		const quorum = this.quorumOfTerm(position.term);
+		if (quorum.isMajority(databasesWith('held'))) {
 			return 'reached';
 		}
 
-		const supersededCount = positionStatuses.filter(positionStatus => positionStatus === 'superseded').length;
-		return supersededCount > this.databaseMonitors.length - this.majoritySize ? 'superseded' : undefined;
+		return quorum.isMajorityPrevented(databasesWith('superseded')) ? 'superseded' : undefined;
 	}
 
 	private async waitForPosition<T>({databaseMonitors, position, timeoutMs, signal, evaluate}: PositionWaitOptions<T>): Promise<T | undefined> {
@@ -236,7 +308,7 @@
 	private async probeCommitPosition(): Promise<LogPosition> {
 		const observations: StatusObservation[] = [];
 		const {signal, abort, release} = childSignal(this.signal);
-		const findPosition = () => findConfirmedPosition(this.eligibleObservations(observations), this.databaseMonitors.length, this.mechanisms.majorityProbe)?.position;
+		const findPosition = () => this.findConfirmedPosition(observations, this.mechanisms.majorityProbe)?.position;
 		const responseListeners = new Set<() => void>();
 		const result = waitUntil({
 			clock: this.options.clock, timeoutMs: probeTimeoutMs, signal, listeners: responseListeners, evaluate: findPosition,
@@ -256,6 +328,14 @@
 		}
 	}
 
+	private findConfirmedPosition(observations: readonly StatusObservation[], isMajorityRequired: boolean): ConfirmedPosition | undefined {
+		if (observations.some(({status}) => this.isLaterGeneration(newestTermOf(status)))) {
+			return undefined;
+		}
+
+		return findConfirmedPosition(this.eligibleObservations(observations), term => this.quorumOfTerm(term), isMajorityRequired);
+	}
+
 	private throwNoPrimary(message: string): never {
 		throw this.noPrimaryError(message);
 	}
@@ -267,7 +347,7 @@
 	}
 
 	private handleObservation(): void {
-		const sample = findConfirmedPosition(this.eligibleObservations(this.observations()), this.databaseMonitors.length, this.mechanisms.confirmedSamples);
+		const sample = this.findConfirmedPosition(this.observations(), this.mechanisms.confirmedSamples);
 		if (sample) {
 			this.confirmedPositions.add(sample);
 		}
@@ -282,5 +362,9 @@
 	}
 }
 
+function namesOf(databases: readonly DatabaseSpec[]): ReadonlySet<string> {
+	return new Set(databases.map(({name}) => name));
+}
+
 /** Maximum number of promotion records kept per group. */
 const maximumPromotionRecords = 32;
--- a/packages/group/src/groupMonitors.ts
+++ b/packages/group/src/groupMonitors.ts
@@ -1,11 +1,12 @@
 import {createHash} from 'node:crypto';
 import {
-	type Clock, type ConfigurationSource, type DatabaseControl, type DatabaseGroupSpec, type DatabaseSpec, type GroupState, type GroupViews,
-	type KeyValueStore, type Logger, type Membership, type PromotionRecord, type RandomSource,
+	type Clock, type ConfigurationSource, type DatabaseControl, type DatabaseGroupSpec, type DatabaseSpec, type DatabaseListState, type GroupState, type GroupViews,
+	type KeyValueStore, type Logger, type Membership, type PromotionRecord, type RandomSource, type Resource,
 } from '@crocusloom/model';
 import {majoritySize} from './confirmation.js';
 import {type GroupStateDirectory, type LocalMonitors} from './groupStateDirectory.js';
 import {GroupMonitor} from './groupMonitor.js';
+import {ListChangeSettler} from './listChangeSettler.js';
 import {Promoter} from './promoter.js';
 import {StatusPublisher} from './statusPublisher.js';
 import {monitorStopDelayMs, unreachableAfterMs} from './timing.js';
@@ -21,12 +22,14 @@
 	readonly deployment: string;
 	/** Store to which the results of promotions are published, if the platform is used. */
 	readonly store?: KeyValueStore;
+	/** Records that the change of a group's databases to a generation is in force; returns false if that is not known. */
+	readonly settleDatabases?: (group: string, generation: number, signal: AbortSignal) => Promise<boolean>;
 	readonly log?: Logger;
 };
 
 type RunningMonitor = {
 	readonly monitor: GroupMonitor;
-	/** Names and addresses of the databases as one string. If it changes, the monitor is replaced. */
+	/** Names and addresses of the databases, and the state of their list, as one string. If it changes, the monitor is replaced. */
 	readonly databasesKey: string;
 };
 
@@ -86,8 +89,8 @@
 		const selfHost = membership.self.host;
 		const requiredGroups = [...configuration.current().databaseGroups.keys()].filter(group => this.monitoringHosts(group).includes(selfHost));
 		for (const [group, runningMonitor] of this.runningMonitors) {
-			const spec = this.specOf(group);
-			if (!spec || runningMonitor.databasesKey !== databasesKeyOf(spec)) {
+			const resource = this.resourceOf(group);
+			if (!resource || runningMonitor.databasesKey !== databasesKeyOf(resource)) {
 				this.stopMonitor(group, runningMonitor);
 			} else if (!requiredGroups.includes(group)) {
 				void this.stopAfterDelay(group, runningMonitor);
@@ -124,18 +127,22 @@
 	private startMonitor(group: string): void {
 		const {clock, random, membership, createControl, log} = this.options;
 		const {self} = membership;
-		let spec = this.specOf(group)!;
+		const resource = this.resourceOf(group)!;
+		let {spec} = resource;
+		const {generation, previousDatabases} = resource.databaseList ?? initialListState;
 		const monitor = new GroupMonitor({
 			group,
 			host: self.host,
 			clock,
-			controls: spec.databases.map(database => createControl(database)),
+			controls: [...spec.databases, ...removedDatabases(resource)].map(database => createControl(database)),
+			generation,
+			previousDatabases,
 			spec: () => {
 				spec = this.specOf(group) ?? spec;
 				return spec;
 			},
 		});
-		this.runningMonitors.set(group, {monitor, databasesKey: databasesKeyOf(spec)});
+		this.runningMonitors.set(group, {monitor, databasesKey: databasesKeyOf(resource)});
 		monitor.onChange(() => {
 			this.directory?.publishChange(group);
 		}, monitor.signal);
@@ -152,6 +159,15 @@
 			log,
 		});
 		void promoter.run();
+		if (previousDatabases) {
+			this.startSettler(group, monitor);
+		}
+	}
+
+	private startSettler(group: string, monitor: GroupMonitor): void {
+		const {settleDatabases, log} = this.options;
+		const settle = async (generation: number, signal: AbortSignal) => await settleDatabases?.(group, generation, signal) ?? false;
+		void new ListChangeSettler({monitor, settle, log}).run();
 	}
 
 	private publishPromotion(monitor: GroupMonitor, record: PromotionRecord): void {
@@ -193,10 +209,16 @@
 	}
 
 	private specOf(group: string): DatabaseGroupSpec | undefined {
-		return this.options.configuration.current().databaseGroups.get(group)?.spec;
+		return this.resourceOf(group)?.spec;
+	}
+
+	private resourceOf(group: string): Resource<'databaseGroups'> | undefined {
+		return this.options.configuration.current().databaseGroups.get(group);
 	}
 }
 
+const initialListState: DatabaseListState = {generation: 0};
+
 /**
  * A database in the report of a peer counts as unreachable after this time without a response. Peers report every 500 ms, so a
  * database that a peer reaches may appear silent for up to 500 ms longer at this host.
@@ -208,6 +230,12 @@
 	return createHash('sha1').update(`${group}/${host}`).digest('hex');
 }
 
-function databasesKeyOf(spec: DatabaseGroupSpec): string {
-	return JSON.stringify(spec.databases.map(({name, address, port}) => [name, address, port]));
+function databasesKeyOf({spec, databaseList}: Resource<'databaseGroups'>): string {
+	const keysOf = (databases: readonly DatabaseSpec[]) => databases.map(({name, address, port}) => [name, address, port]);
+	return JSON.stringify([keysOf(spec.databases), databaseList?.generation ?? 0, keysOf(databaseList?.previousDatabases ?? [])]);
+}
+
+/** Returns the databases before a change that is not in force which the change has removed. */
+function removedDatabases({spec, databaseList}: Resource<'databaseGroups'>): readonly DatabaseSpec[] {
+	return (databaseList?.previousDatabases ?? []).filter(({name}) => !spec.databases.some(database => database.name === name));
 }
--- a/packages/group/src/promoter.ts
+++ b/packages/group/src/promoter.ts
@@ -2,7 +2,7 @@
 	type Logger, noopLogger, type PromotionRecord, type RandomSource,
 } from '@crocusloom/model';
 import {addressOf} from './candidate.js';
-import {findPrimary, hasState, termConfirmedAtMs} from './confirmation.js';
+import {findPrimary, hasState, termRequestTimesMs} from './confirmation.js';
 import {type DatabaseMonitor} from './databaseMonitor.js';
 import {type GroupMonitor} from './groupMonitor.js';
 import {PromotionAttempt} from './promotionAttempt.js';
@@ -105,7 +105,7 @@
 	private rejoinDatabases(): void {
 		const {monitor} = this.options;
 		const primary = findPrimary(monitor.observations())?.status;
-		if (!primary || !monitor.databaseMonitorOf(primary.database)?.isReachable) {
+		if (!primary || monitor.isListSuperseded || !monitor.databaseMonitorOf(primary.database)?.isReachable) {
 			return;
 		}
 
@@ -131,7 +131,8 @@
 
 		const observations = monitor.observations();
 		const eligibleObservations = observations.filter(({status}) => monitor.isEligibleForMajority(status));
-		const confirmedAtMs = termConfirmedAtMs(eligibleObservations, monitor.databaseMonitors.length, term) ?? Number.NEGATIVE_INFINITY;
+		// A majority of either list intersects every majority that a later promotion can have fenced.
+		const confirmedAtMs = monitor.quorumOfTerm(term).valueOfAnyMajority(termRequestTimesMs(eligibleObservations, term)) ?? Number.NEGATIVE_INFINITY;
 		const isConfirmedByAll = observations.length === monitor.databaseMonitors.length
 			&& observations.every(({requestedAtMs, status}) => requestedAtMs >= statelessSinceMs && status.fencedTerm <= term);
 		return confirmedAtMs >= statelessSinceMs || isConfirmedByAll;
@@ -151,7 +152,7 @@
 			}
 
 			const requestedAtMs = monitor.options.clock.nowMs();
-			const address = addressOf(monitor.options.spec(), primary);
+			const address = addressOf(monitor.databaseSpecs, primary);
 			const {status} = await withTimeout(timeoutOptions, async signal => databaseMonitor.control.follow(term, address, signal));
 			databaseMonitor.recordStatus(status, requestedAtMs);
 		} catch {
--- a/packages/group/src/promotionAttempt.ts
+++ b/packages/group/src/promotionAttempt.ts
@@ -1,11 +1,14 @@
 import {
-	type DatabaseStatus, type ControlResult, type PromotionRecord,
+	type DatabaseStatus, type ControlResult, generationOfTerm, nextTerm, type PromotionRecord,
 } from '@crocusloom/model';
 import {addressOf, chooseCandidate} from './candidate.js';
-import {findPrimary, isNewGroup} from './confirmation.js';
+import {
+	findPrimary, isNewGroup, newestTermOf, type StatusObservation,
+} from './confirmation.js';
 import {type DatabaseMonitor} from './databaseMonitor.js';
 import {collectResponses, type CollectOptions} from './collectResponses.js';
 import {type GroupMonitor} from './groupMonitor.js';
+import {type Quorum} from './quorum.js';
 import {type PromotionTrigger} from './promotionTrigger.js';
 import {peerFailure, withTimeout} from './timeout.js';
 import {callTimeoutMs, catchUpTimeoutMs, fenceGracePeriodMs} from './timing.js';
@@ -36,11 +39,15 @@
 export class PromotionAttempt {
 	private readonly steps: string[] = [];
 	private term = 0;
+	/** Majorities that the term needs. */
+	private quorum: Quorum;
 	/** True if every database has responded and none has ever been a primary or followed one. */
 	private isNewGroup = false;
 	private candidate?: string;
 
-	constructor(private readonly options: PromotionAttemptOptions) {}
+	constructor(private readonly options: PromotionAttemptOptions) {
+		this.quorum = options.monitor.quorumOfGeneration(this.generation);
+	}
 
 	/**
 	 * Runs the attempt.
@@ -63,17 +70,23 @@
 		};
 	}
 
-	/** Number of databases that must respond and accept the fence. */
-	private get requiredCount(): number {
-		const {mechanisms, majoritySize} = this.options.monitor;
-		return mechanisms.majorityFence ? majoritySize : 1;
+	/** Generation of the list of databases in which the term is taken. */
+	private get generation(): number {
+		const {monitor, trigger} = this.options;
+		return trigger.isListChange ? monitor.generation : monitor.actingGeneration;
+	}
+
+	/** Checks whether so many databases have responded or accepted the fence as are needed. */
+	private isSufficient(statuses: readonly DatabaseStatus[]): boolean {
+		const {mechanisms} = this.options.monitor;
+		return mechanisms.majorityFence ? this.quorum.isMajority(statuses.map(({database}) => database)) : statuses.length > 0;
 	}
 
 	/**
-	 * Databases that may be promoted. A primary that cannot replicate is excluded although it has the highest position. No
+	 * Databases that are fenced first, of which one is promoted. A primary that cannot replicate is excluded although it has the highest position. No
 	 * acknowledged write is lost, because a majority of the group must accept the fence without it. The later `follow` call fences it.
 	 */
-	private get promotableDatabases(): readonly DatabaseMonitor[] {
+	private get fencedDatabases(): readonly DatabaseMonitor[] {
 		const {monitor, trigger} = this.options;
 		return trigger.isOldPrimaryExcluded ? monitor.databaseMonitors.filter(({database}) => database !== trigger.oldPrimary) : monitor.databaseMonitors;
 	}
@@ -96,21 +109,34 @@
 		const {monitor, isStillNeeded} = this.options;
 		const observations = await collectResponses(
 			monitor.databaseMonitors.map(async databaseMonitor => this.callWithTimeout(databaseMonitor, 'monitor', async signal => databaseMonitor.pollStatus(signal))),
-			this.collectOptions(),
+			this.collectOptions<StatusObservation>(responses => this.quorum.isMajority(responses.map(({status}) => status.database))),
 		);
+		// A database may have been fenced for a new list meanwhile.
+		this.quorum = monitor.quorumOfGeneration(this.generation);
 		const statuses = observations.map(({status}) => status);
 		const eligibleStatuses = monitor.eligibleStatuses(statuses);
 		this.isNewGroup = isNewGroup(statuses, monitor.databaseMonitors.length);
 		this.steps.push(`${observations.length} of ${monitor.databaseMonitors.length} databases answered, ${eligibleStatuses.length} of them with state or in a new group`);
-		if (eligibleStatuses.length < this.requiredCount) {
-			throw new AttemptEnd('noMajority', `a majority is ${monitor.majoritySize}; nothing was changed`);
+		if (!this.isSufficient(eligibleStatuses)) {
+			throw new AttemptEnd('noMajority', `a majority is ${this.quorum.toString()}; nothing was changed`);
 		}
 
 		if (!isStillNeeded()) {
 			throw new AttemptEnd('lostRace', 'the promotion is not needed any more; nothing was changed');
 		}
 
-		this.term = 1 + Math.max(...monitor.observations().map(({status}) => Math.max(status.fencedTerm, status.followsTerm, status.position.term)));
+		this.term = this.chooseTerm();
+	}
+
+	private chooseTerm(): number {
+		const {monitor} = this.options;
+		const highestKnownTerm = Math.max(...monitor.observations().map(({status}) => newestTermOf(status)));
+		const term = nextTerm(highestKnownTerm, monitor.mechanisms.listGenerations ? this.generation : Math.max(this.generation, generationOfTerm(highestKnownTerm)));
+		if (term === undefined) {
+			throw new AttemptEnd('lostRace', `term ${highestKnownTerm} is of a later list of databases than this host has, or the last of its list; nothing was changed`);
+		}
+
+		return term;
 	}
 
 	/** Before a planned promotion, fences the primary alone, which stops writes, and waits until a replica holds the rest of the log. */
@@ -129,12 +155,12 @@
 
 		this.steps.push(`${primaryMonitor.database} accepts no more writes, at ${formatStatusPosition(status)}`);
 		const leavingDatabases = new Set(monitor.options.spec().databases.filter(database => database.leaving).map(({name}) => name));
-		const replicas = monitor.databaseMonitors.filter(({database}) => !leavingDatabases.has(database));
-		const waits = replicas.map(async ({database}) => monitor.waitForDatabase(database, status.position, catchUpTimeoutMs, signal));
+		const candidates = monitor.databaseMonitors.filter(({database}) => this.quorum.lists[0].has(database) && !leavingDatabases.has(database));
+		const waits = candidates.map(async ({database}) => monitor.waitForDatabase(database, status.position, catchUpTimeoutMs, signal));
 		const waitResults = await collectResponses(waits, {
-			...this.collectOptions(), timeoutMs: catchUpTimeoutMs, requiredCount: 1, gracePeriodMs: 0,
+			...this.collectOptions<boolean>(responses => responses.length > 0), timeoutMs: catchUpTimeoutMs, gracePeriodMs: 0,
 		});
-		this.steps.push(waitResults.includes(true) ? 'a replica holds the whole log' : `no replica held the whole log within ${catchUpTimeoutMs} ms`);
+		this.steps.push(waitResults.includes(true) ? 'a candidate holds the whole log' : `no candidate held the whole log within ${catchUpTimeoutMs} ms`);
 	}
 
 	private async fenceMajority(): Promise<readonly DatabaseStatus[]> {
@@ -142,7 +168,7 @@
 		const refusedStatuses: DatabaseStatus[] = [];
 		// A database may lose its state between the poll and the fence, so the status after the fence is checked as well.
 		const isEligible = (status: DatabaseStatus) => this.isNewGroup || monitor.isEligibleForMajority(status);
-		const fenceCalls = this.promotableDatabases.filter(({latestObservation}) => !latestObservation || isEligible(latestObservation.status)).map(async databaseMonitor => {
+		const fenceCalls = this.fencedDatabases.filter(({latestObservation}) => !latestObservation || isEligible(latestObservation.status)).map(async databaseMonitor => {
 			const {accepted, status} = await this.fence(databaseMonitor);
 			if (accepted && status.fencedTerm === this.term && isEligible(status)) {
 				return status;
@@ -151,22 +177,24 @@
 			refusedStatuses.push(status);
 			throw new Error(`${databaseMonitor.database} refused the fence`);
 		});
-		const {requiredCount} = this;
-		const fencedStatuses = await collectResponses(fenceCalls, {...this.collectOptions(), timeoutMs: callTimeoutMs * maximumCallAttempts, requiredCount});
+		const fencedStatuses = await collectResponses(fenceCalls, {
+			...this.collectOptions<DatabaseStatus>(responses => this.isSufficient(responses)), timeoutMs: callTimeoutMs * maximumCallAttempts,
+		});
 		this.steps.push(`fenced at term ${this.term}: ${fencedStatuses.map(status => `${status.database} at ${formatStatusPosition(status)}`).join(', ') || 'none'}`);
-		if (fencedStatuses.length >= requiredCount) {
+		if (this.isSufficient(fencedStatuses)) {
 			return fencedStatuses;
 		}
 
 		const [competingStatus] = refusedStatuses.filter(status => status.fencedTerm >= this.term).toSorted((a, b) => b.fencedTerm - a.fencedTerm);
 		throw competingStatus
 			? new AttemptEnd('lostRace', `${competingStatus.database} is fenced at term ${competingStatus.fencedTerm} by another proxy`)
-			: new AttemptEnd('noMajority', `a majority is ${requiredCount}; the next attempt takes a higher term`);
+			: new AttemptEnd('noMajority', `a majority is ${this.quorum.toString()}; the next attempt takes a higher term`);
 	}
 
 	private async promoteCandidate(fencedStatuses: readonly DatabaseStatus[]): Promise<DatabaseStatus> {
 		const {monitor, trigger, owner} = this.options;
-		const candidate = chooseCandidate(fencedStatuses, monitor.options.spec(), trigger.oldPrimary)!;
+		const listedStatuses = fencedStatuses.filter(({database}) => this.quorum.lists[0].has(database));
+		const candidate = chooseCandidate(listedStatuses, monitor.options.spec(), trigger.oldPrimary)!;
 		const databaseMonitor = monitor.databaseMonitorOf(candidate.database)!;
 		this.candidate = candidate.database;
 		const {accepted, status} = await this.callWithRetry(databaseMonitor, 'promote', async signal => databaseMonitor.control.promote(this.term, owner, signal));
@@ -180,7 +208,7 @@
 
 	private async makeOthersFollow(primary: DatabaseStatus): Promise<void> {
 		const {monitor} = this.options;
-		const address = addressOf(monitor.options.spec(), primary.database);
+		const address = addressOf(monitor.databaseSpecs, primary.database);
 		const otherMonitors = monitor.databaseMonitors.filter(({database}) => database !== primary.database);
 		const followCalls = otherMonitors.map(async databaseMonitor => {
 			const requestedAtMs = monitor.options.clock.nowMs();
@@ -188,7 +216,8 @@
 			databaseMonitor.recordStatus(result.status, requestedAtMs);
 			return result;
 		});
-		const results = await collectResponses(followCalls, {...this.collectOptions(), requiredCount: monitor.majoritySize - 1});
+		const isMajorityWithPrimary = (responses: readonly ControlResult[]) => this.quorum.isMajority([primary.database, ...responses.map(({status}) => status.database)]);
+		const results = await collectResponses(followCalls, this.collectOptions(isMajorityWithPrimary));
 		const following = results.filter(({accepted}) => accepted).map(({status}) => status.database);
 		this.steps.push(`following ${primary.database}: ${following.join(', ') || 'none yet'}; the monitors repeat the call at the others`);
 	}
@@ -221,10 +250,10 @@
 		}, run);
 	}
 
-	private collectOptions(): CollectOptions {
+	private collectOptions<T>(isSufficient: CollectOptions<T>['isSufficient']): CollectOptions<T> {
 		const {monitor, signal} = this.options;
 		return {
-			clock: monitor.options.clock, signal, timeoutMs: callTimeoutMs, requiredCount: monitor.majoritySize, gracePeriodMs: fenceGracePeriodMs,
+			clock: monitor.options.clock, signal, timeoutMs: callTimeoutMs, isSufficient, gracePeriodMs: fenceGracePeriodMs,
 		};
 	}
 }
--- a/packages/group/src/promotionTrigger.ts
+++ b/packages/group/src/promotionTrigger.ts
@@ -1,7 +1,10 @@
+import {generationOfTerm} from '@crocusloom/model';
 import {findPrimary} from './confirmation.js';
 import {type GroupMonitor} from './groupMonitor.js';
 import {ReplicationStallDetector} from './replicationStallDetector.js';
-import {replicationStallMs, unreachableAfterMs} from './timing.js';
+import {
+	listChangeDelayMs, listChangeMaximumAgeMs, replicationStallMs, unreachableAfterMs,
+} from './timing.js';
 
 /** Why a promotion is needed. */
 export type PromotionTrigger = {
@@ -10,6 +13,8 @@
 	readonly oldPrimary?: string;
 	/** True if the primary works but is to be replaced. */
 	readonly isPlanned: boolean;
+	/** True if the promotion puts a new list of databases in force. */
+	readonly isListChange?: boolean;
 	/** True if the old primary must not be promoted again, because its replicas cannot receive the log records that they lack. */
 	readonly isOldPrimaryExcluded?: boolean;
 };
@@ -37,7 +42,8 @@
 		this.higherFenceSinceMs = higherFencedMonitor ? this.higherFenceSinceMs ?? nowMs : undefined;
 		const isStalled = primary !== undefined && this.stallDetector.detect(primary);
 		const reachableStatuses = this.monitor.databaseMonitors.filter(databaseMonitor => databaseMonitor.isReachable).map(({latestObservation}) => latestObservation!.status);
-		if (this.monitor.eligibleStatuses(reachableStatuses).length < this.monitor.majoritySize) {
+		const eligibleDatabases = this.monitor.eligibleStatuses(reachableStatuses).map(({database}) => database);
+		if (this.monitor.isListSuperseded || !this.monitor.quorumOfGeneration(this.monitor.actingGeneration).isMajority(eligibleDatabases)) {
 			return undefined;
 		}
 
@@ -58,9 +64,22 @@
 			return {reason: `${higherFencedDatabase} is fenced above the term of primary ${primary} by a promotion that did not end`, oldPrimary: primary, isPlanned: false};
 		}
 
+		if (isReachable && this.isNewListReady(primary)) {
+			return {
+				reason: 'the databases of the group have changed', oldPrimary: primary, isPlanned: true, isListChange: true,
+			};
+		}
+
 		return isReachable && this.isLeavingAndReplaceable(primary) ? {reason: `primary ${primary} is leaving`, oldPrimary: primary, isPlanned: true} : undefined;
 	}
 
+	/** Checks whether the primary has a term of an earlier list, and a majority of the new list has its data. */
+	private isNewListReady(primary: string): boolean {
+		const {generation, startedAtMs, options: {clock}} = this.monitor;
+		const {fencedTerm} = this.monitor.databaseMonitorOf(primary)!.latestObservation!.status;
+		return generationOfTerm(fencedTerm) < generation && clock.nowMs() - startedAtMs >= listChangeDelayMs && this.monitor.isMajorityFresh(generation, listChangeMaximumAgeMs);
+	}
+
 	private isLeavingAndReplaceable(primary: string): boolean {
 		const {databases} = this.monitor.options.spec();
 		const isLeaving = databases.some(({name, leaving}) => name === primary && leaving);
--- a/packages/group/src/replicationStallDetector.ts
+++ b/packages/group/src/replicationStallDetector.ts
@@ -31,9 +31,9 @@
 			this.recordProgress(replica, primary, nowMs);
 		}
 
-		const stalledReplicas = [...this.laggingReplicas.values()].filter(({sinceMs}) => nowMs - sinceMs >= replicationStallMs);
+		const stalledReplicas = [...this.laggingReplicas].filter(([, {sinceMs}]) => nowMs - sinceMs >= replicationStallMs).map(([database]) => database);
 		const isAnyAdvancing = this.laggingReplicas.size > stalledReplicas.length;
-		return !isAnyAdvancing && stalledReplicas.length >= this.monitor.majoritySize && nowMs >= this.suppressedUntilMs && this.isMajorityAcknowledgementRequired();
+		return !isAnyAdvancing && this.monitor.quorumOfTerm(primary.fencedTerm).isMajority(stalledReplicas) && nowMs >= this.suppressedUntilMs && this.isMajorityAcknowledgementRequired();
 	}
 
 	/** Suppresses detection after a change of primary. The replicas need time to reach the new primary, and a second change would not help them. */
--- a/packages/group/src/safetyMechanisms.ts
+++ b/packages/group/src/safetyMechanisms.ts
@@ -10,6 +10,8 @@
 	readonly confirmedSamples: boolean;
 	/** Count a database towards a majority only if it still has its state. */
 	readonly stateRequired: boolean;
+	/** Act only on terms of the list of databases that the host has, or of earlier ones. */
+	readonly listGenerations: boolean;
 };
 
 export const allSafetyMechanisms: SafetyMechanisms = {
@@ -18,4 +20,5 @@
 	majorityFence: true,
 	confirmedSamples: true,
 	stateRequired: true,
+	listGenerations: true,
 };
--- a/packages/group/src/timing.ts
+++ b/packages/group/src/timing.ts
@@ -41,3 +41,11 @@
  * COMMIT at a draining host was answered "unknown" because the monitor had already stopped.
  */
 export const monitorStopDelayMs = 15_000;
+/** Time for the hosts to learn of a change of the databases before a term of the new list is taken. A host that learns later answers commits as unknown. */
+export const listChangeDelayMs = 1500;
+/** Interval at which a monitor checks whether a change of the databases is in force. */
+export const listChangeCheckIntervalMs = 500;
+/** Maximum wait for the majorities to hold the commits of a change of the databases. */
+export const listChangeWaitMs = 1000;
+/** Maximum age of the data of the databases that form the majorities before a term of a new list of databases is taken. */
+export const listChangeMaximumAgeMs = 1000;
--- a/packages/model/src/resources.ts
+++ b/packages/model/src/resources.ts
@@ -47,6 +47,13 @@
 	z.strictObject({mode: z.literal('primary')}),
 ]);
 
+/** Schema of the state of a list of databases. */
+export const databaseListStateSchema = z.object({
+	generation: z.int().min(0),
+	previousDatabases: z.array(databaseSchema).optional(),
+	deletedDatabases: z.array(databaseSchema).optional(),
+});
+
 /** Schemas of `spec`, by kind of resource. */
 export const specSchemas = {
 	databaseGroups: databaseGroupSchema,
@@ -73,6 +80,16 @@
 	readonly freshnessClasses: FreshnessClassSpec;
 };
 
+/** State of the list of databases of a group. It is stored beside the spec and written by the proxies alone. */
+export type DatabaseListState = {
+	/** Number of changes of the list that were accepted. */
+	readonly generation: number;
+	/** Databases before the last change, until that change is in force. */
+	readonly previousDatabases?: readonly DatabaseSpec[];
+	/** Databases of a deleted group, so that creating it again is checked as a change of its list. */
+	readonly deletedDatabases?: readonly DatabaseSpec[];
+};
+
 /** A resource as stored in the key-value store. */
 export type Resource<K extends ResourceKind = ResourceKind> = {
 	readonly kind: K;
@@ -80,6 +97,8 @@
 	/** Store revision of the last change to the resource. */
 	readonly revision: number;
 	readonly spec: SpecByKind[K];
+	/** State of the list of databases; absent if the list has never been changed, and for other kinds. */
+	readonly databaseList?: DatabaseListState;
 };
 
 /** All resources at one store revision. */
