Change the databases of a group in real processes under load

A replica and the primary are removed from their group and added again while callers read and write; a change that removes two is refused.

--- a/packages/endToEnd/src/__tests__/platformFailures.test.ts
+++ b/packages/endToEnd/src/__tests__/platformFailures.test.ts
@@ -6,10 +6,16 @@
 import {describeFailureCases, type FailureCase} from './failureCases.js';
 
 type Rank = {readonly revision: number; readonly spec: {readonly targetMs: number}};
-type Group = {readonly revision: number; readonly spec: {readonly databases: ReadonlyArray<{readonly name: string}>}};
+type Group = {
+	readonly revision: number;
+	readonly spec: {readonly databases: ReadonlyArray<{readonly name: string}>};
+	readonly databaseList?: {readonly generation: number; readonly previousDatabases?: readonly unknown[]};
+};
 
 /** Target of the design: time until a configuration change is in force at every proxy. */
 const maxPropagationMs = 7000;
+/** Time until a change of the databases is in force. */
+const maxListChangeMs = 10_000;
 /** Target of the design: time until a leaving backend server receives no new work. */
 const maxDrainStartMs = 3000;
 
@@ -98,6 +104,24 @@
 			assert.equal(selectCount(after), selectCount(before));
 		},
 	})),
+	...(['replica', 'primary'] as const).map((role, index): FailureCase => ({
+		name: `a ${role} is removed from its group and added again`,
+		guardsAgainst: 'commits that are lost, and sessions that are not served, by a change of the databases', seed: 29 + index,
+		async run(faultCluster, loadGenerator) {
+			const [replica] = await faultCluster.findReplicas();
+			const {name: changed} = role === 'replica' ? replica! : await faultCluster.findPrimary();
+			const {body: {spec: {databases}}} = await sendRequest<Group>(groupUrl(faultCluster));
+			assert.equal(await putDatabases(faultCluster, databases.filter(({name}) => name !== changed).slice(1)), 400);
+			assert.equal(await putDatabases(faultCluster, databases.filter(({name}) => name !== changed)), 200);
+			await waitForListChange(faultCluster);
+			const primary = await faultCluster.findPrimary();
+			assert.notEqual(primary.name, changed);
+			await loadGenerator.waitForAcknowledgedWrites();
+			assert.equal(await putDatabases(faultCluster, databases), 200);
+			await waitForListChange(faultCluster);
+			await loadGenerator.waitForAcknowledgedWrites();
+		},
+	})),
 	{
 		name: 'a primary with an unreplicated write is isolated with its failure domain, then reconnected',
 		guardsAgainst: 'an unacknowledged write that survives the failover, and an old primary that does not rejoin as a replica',
@@ -139,11 +163,26 @@
 		return;
 	}
 
-	const url = `${faultCluster.operatorEndpoints[0]!.url}/v1/databaseGroups/booking-db-1`;
-	const {body: {revision, spec}} = await sendRequest<Group>(url);
-	const databases = spec.databases.map(database => ({...database, leaving: database.name === name}));
-	const {status} = await sendRequest(url, {method: 'PUT', headers: {'if-match': `${revision}`}, body: {spec: {...spec, databases}}});
-	assert.equal(status, 200);
+	const {body: {spec}} = await sendRequest<Group>(groupUrl(faultCluster));
+	assert.equal(await putDatabases(faultCluster, spec.databases.map(database => ({...database, leaving: database.name === name}))), 200);
+}
+
+function groupUrl(faultCluster: FaultCluster): string {
+	return `${faultCluster.operatorEndpoints[0]!.url}/v1/databaseGroups/booking-db-1`;
+}
+
+/** Changes the databases of the group, and returns the status of the response. */
+async function putDatabases(faultCluster: FaultCluster, databases: Group['spec']['databases']): Promise<number> {
+	const {body: {revision, spec}} = await sendRequest<Group>(groupUrl(faultCluster));
+	const {status} = await sendRequest(groupUrl(faultCluster), {method: 'PUT', headers: {'if-match': `${revision}`}, body: {spec: {...spec, databases}}});
+	return status;
+}
+
+async function waitForListChange(faultCluster: FaultCluster): Promise<void> {
+	await pollUntil('the change of the databases in force', async () => {
+		const {body: {databaseList}} = await sendRequest<Group>(groupUrl(faultCluster));
+		return databaseList !== undefined && databaseList.previousDatabases === undefined;
+	}, maxListChangeMs);
 }
 
 describeFailureCases('failures of the platform and of failure domains, in real processes', cases);
