--- a/packages/group/src/__tests__/fakeDeployment.ts
+++ b/packages/group/src/__tests__/fakeDeployment.ts
@@ -1,8 +1,11 @@
 import {expect} from 'chai';
-import {type DatabaseGroupSpec, type GroupView, type LogPosition} from '@crocusloom/model';
+import {
+	checkListChange, type DatabaseGroupSpec, type DatabaseList, type GroupView, type LogPosition, nextListState,
+} from '@crocusloom/model';
 import {FakeClock, seededRandom} from '@crocusloom/model/testing';
 import {GroupMonitor} from '../groupMonitor.js';
 import {type SafetyMechanisms} from '../safetyMechanisms.js';
+import {ListChangeSettler} from '../listChangeSettler.js';
 import {Promoter} from '../promoter.js';
 import {Gate, pausableClock} from './gate.js';
 import {FakeGroup, type LogRecord} from './fakeGroup.js';
@@ -10,30 +13,72 @@
 type AcknowledgedWrite = {readonly value: string; readonly term: number; readonly database: string; readonly startedAtMs: number; readonly acknowledgedAtMs: number};
 type CompletedRead = {readonly log: readonly LogRecord[]; readonly requiredValues: readonly string[]; readonly kind: 'strict' | 'bounded'};
 
+/** The databases of the group in the configuration. */
+export type ConfiguredList = DatabaseList & {readonly revision: number};
+
 /** A proxy process with a monitor and a promoter, which can be paused. */
 export class FakeProxy {
 	readonly gate = new Gate();
-	readonly monitor: GroupMonitor;
+	/** True while the proxy receives no changes of the configuration. */
+	isCutFromStore = false;
+	private list: ConfiguredList;
+	private currentMonitor: GroupMonitor;
+
+	constructor(readonly name: string, private readonly promotionRank: number, private readonly deployment: FakeDeployment) {
+		this.list = deployment.list;
+		this.currentMonitor = this.startMonitor();
+	}
+
+	get monitor(): GroupMonitor {
+		return this.currentMonitor;
+	}
+
+	get view(): GroupView {
+		return this.currentMonitor;
+	}
+
+	get listedNames(): readonly string[] {
+		return [...this.list.databases, ...this.list.state.previousDatabases ?? []].map(({name}) => name);
+	}
+
+	get hasNewestList(): boolean {
+		return this.list.revision === this.deployment.list.revision;
+	}
+
+	/** Replaces the monitor if the databases in the configuration have changed. */
+	async learnDatabases(): Promise<void> {
+		await this.gate.waitUntilOpen();
+		if (this.isCutFromStore || this.hasNewestList) {
+			return;
+		}
+
+		this.list = this.deployment.list;
+		this.currentMonitor.close();
+		this.currentMonitor = this.startMonitor();
+	}
 
-	constructor(readonly name: string, promotionRank: number, deployment: FakeDeployment, mechanisms?: SafetyMechanisms) {
-		const clock = pausableClock(deployment.clock, this.gate);
-		this.monitor = new GroupMonitor({
-			group: 'g', host: name, clock, controls: deployment.group.databases.map(database => deployment.group.control(name, database.name, this.gate)),
-			spec: () => deployment.spec, mechanisms,
+	private startMonitor(): GroupMonitor {
+		const {deployment, gate, list, listedNames, name, promotionRank} = this;
+		const {generation, previousDatabases} = list.state;
+		const monitor = new GroupMonitor({
+			group: 'g', host: name, clock: pausableClock(deployment.clock, gate), controls: [...new Set(listedNames)].map(database => deployment.group.control(name, database, gate)),
+			spec: () => deployment.specOf(list), generation, previousDatabases, mechanisms: deployment.options.mechanisms,
 		});
-		this.monitor.start();
+		monitor.start();
 		const promoter = new Promoter({
-			monitor: this.monitor, random: deployment.random, owner: name, promotionRank: () => promotionRank, isReachableElsewhere: () => false, onRecord() {
+			monitor, random: deployment.random, owner: `${name}.${list.revision}`, promotionRank: () => promotionRank, isReachableElsewhere: () => false, onRecord() {
 				deployment.attemptCount++;
 			},
 		});
 		if (promotionRank >= 0) {
 			void promoter.run();
 		}
-	}
 
-	get view(): GroupView {
-		return this.monitor;
+		if (previousDatabases) {
+			void new ListChangeSettler({monitor, settle: async settledGeneration => !this.isCutFromStore && deployment.settle(settledGeneration)}).run();
+		}
+
+		return monitor;
 	}
 }
 
@@ -45,6 +90,8 @@
 	readonly promoteChecks?: boolean;
 	/** False for a group that starts without a primary. */
 	readonly hasPrimary?: boolean;
+	/** Names of databases that run and are not in the configuration at first. */
+	readonly spareNames?: readonly string[];
 };
 
 /** Several proxies with one fake group. Records what the callers of the proxies observe. */
@@ -56,24 +103,83 @@
 	readonly acknowledgedWrites: AcknowledgedWrite[] = [];
 	readonly completedReads: CompletedRead[] = [];
 	attemptCount = 0;
-	spec: DatabaseGroupSpec;
+	list: ConfiguredList = {revision: 1, databases: databasesNamed(initialNames), state: {generation: 0}};
+	private leavingDatabase?: string;
 	private writeCount = 0;
 
-	constructor(options: FakeDeploymentOptions = {}) {
+	constructor(readonly options: FakeDeploymentOptions = {}) {
 		this.random = seededRandom(options.seed ?? 1);
-		this.group = new FakeGroup({clock: this.clock, random: this.random, promoteChecks: options.promoteChecks});
-		this.spec = {
-			databases: this.group.databases.map(({name}) => ({
-				name, address: name, port: 1, failureDomain: name, leaving: false,
-			})),
-			slotsPerDatabase: 3, connectionsPerDatabase: 20, acknowledgement: 'majority',
-		};
+		this.group = new FakeGroup({
+			clock: this.clock, random: this.random, promoteChecks: options.promoteChecks, names: [...initialNames, ...options.spareNames ?? []],
+		});
 		if (options.hasPrimary !== false) {
-			this.group.startWithPrimary('a');
+			this.group.startWithPrimary('a', initialNames);
 		}
 
 		void this.group.replicate();
-		this.proxies = (options.promotionRanks ?? [0, 1]).map((promotionRank, index) => new FakeProxy(`p${index}`, promotionRank, this, options.mechanisms));
+		this.proxies = (options.promotionRanks ?? [0, 1]).map((promotionRank, index) => new FakeProxy(`p${index}`, promotionRank, this));
+	}
+
+	/** Names of the databases that the configuration or a proxy lists. */
+	get listedNames(): readonly string[] {
+		return [...new Set([...this.list.databases.map(({name}) => name), ...this.proxies.flatMap(proxy => proxy.listedNames)])];
+	}
+
+	/** Returns the resource of the group with these databases. */
+	specOf({databases}: DatabaseList): DatabaseGroupSpec {
+		return {
+			databases: databases.map(database => ({...database, leaving: database.name === this.leavingDatabase})),
+			slotsPerDatabase: 3, connectionsPerDatabase: 20, acknowledgement: 'majority',
+		};
+	}
+
+	/**
+	 * Changes the databases in the configuration, as an operator does. The proxies learn of the change after a delay.
+	 * @returns false if the change is refused
+	 */
+	changeDatabases(names: readonly string[]): boolean {
+		const databases = databasesNamed(names);
+		if (checkListChange(this.list, databases).length > 0) {
+			return false;
+		}
+
+		const state = nextListState(this.list, databases) ?? this.list.state;
+		if (state.generation === this.list.state.generation) {
+			return true;
+		}
+
+		this.list = {revision: this.list.revision + 1, databases, state};
+		this.announceList();
+		return true;
+	}
+
+	/** Records that a change of the databases is in force. */
+	settle(generation: number): boolean {
+		if (this.list.state.generation === generation && this.list.state.previousDatabases) {
+			this.list = {revision: this.list.revision + 1, databases: this.list.databases, state: {generation}};
+			this.announceList();
+		}
+
+		return this.list.state.generation >= generation;
+	}
+
+	/** Repeats a change of the databases while it is refused, and returns whether it was accepted within the limit. */
+	async changesDatabasesWithin(names: readonly string[], timeoutMs: number): Promise<boolean> {
+		const endMs = this.clock.nowMs() + timeoutMs;
+		let isAccepted = this.changeDatabases(names);
+		while (!isAccepted && this.clock.nowMs() < endMs) {
+			await this.run(100);
+			isAccepted = this.changeDatabases(names);
+		}
+
+		return isAccepted;
+	}
+
+	/** Makes the list in the configuration known to all proxies that are connected to the store. */
+	announceList(): void {
+		for (const proxy of this.proxies.filter(({hasNewestList}) => !hasNewestList)) {
+			void this.learnAfterDelay(proxy);
+		}
 	}
 
 	get primaries(): string[] {
@@ -106,7 +212,7 @@
 
 	/** Marks one database as leaving, and all others as not leaving. */
 	markLeaving(database: string): void {
-		this.spec = {...this.spec, databases: this.spec.databases.map(spec => ({...spec, leaving: spec.name === database}))};
+		this.leavingDatabase = database;
 	}
 
 	/** Advances the clock until a call of a caller ends, and returns whether it succeeded within the limit. */
@@ -208,6 +314,17 @@
 		];
 	}
 
+	/** Ends all faults. */
+	heal(): void {
+		this.group.heal();
+		for (const proxy of this.proxies) {
+			proxy.gate.open();
+			proxy.isCutFromStore = false;
+		}
+
+		this.announceList();
+	}
+
 	stop(): void {
 		this.group.stop();
 		for (const {monitor} of this.proxies) {
@@ -215,6 +332,11 @@
 		}
 	}
 
+	private async learnAfterDelay(proxy: FakeProxy): Promise<void> {
+		await this.clock.sleep(this.random.next() * maximumLearnDelayMs);
+		await proxy.learnDatabases();
+	}
+
 	private async runRead(proxy: FakeProxy, database: string, read: Omit<CompletedRead, 'log'>): Promise<boolean> {
 		const {log, position} = await this.group.call({
 			proxy: proxy.name, database, kind: 'work', signal: proxy.monitor.signal,
@@ -248,10 +370,39 @@
 	await deployment.run(3000);
 }
 
+/** Time in which a change of the databases that can be made safely is accepted and in force. */
+export const changeLimitMs = 5000;
+
+/** Separates a host with the databases of two changes ago, and the databases that only it may use, from the others, and writes on both sides. */
+export async function writeWithListOfTwoChangesAgo(deployment: FakeDeployment): Promise<void> {
+	const [oldProxy, newProxy] = deployment.proxies;
+	oldProxy!.isCutFromStore = true;
+	expect(await deployment.changesDatabasesWithin(['a', 'b', 'c', 'd'], changeLimitMs)).to.equal(true);
+	await deployment.run(changeLimitMs);
+	expect(await deployment.changesDatabasesWithin(['a', 'c', 'd'], changeLimitMs)).to.equal(true);
+	await deployment.run(changeLimitMs);
+	for (const [near, far] of [['a', 'c'], ['a', 'd'], ['b', 'c'], ['b', 'd'], ['p1', 'a'], ['p1', 'b'], ['p0', 'c'], ['p0', 'd']] as const) {
+		deployment.group.cut(near, far);
+	}
+
+	await deployment.writeSucceedsWithin(newProxy!, changeLimitMs);
+	await deployment.succeeds(deployment.write(oldProxy!, 'a'));
+	await deployment.succeeds(deployment.write(oldProxy!, 'b'));
+}
+
 function containsAll(log: readonly LogRecord[], requiredValues: readonly string[]): boolean {
 	const values = new Set(log.map(({value}) => value));
 	return requiredValues.every(value => values.has(value));
 }
 
+function databasesNamed(names: readonly string[]): DatabaseGroupSpec['databases'] {
+	return names.map(name => ({
+		name, address: name, port: 1, failureDomain: name, leaving: false,
+	}));
+}
+
+const initialNames: readonly string[] = ['a', 'b', 'c'];
+/** Maximum time until a proxy that is connected to the store learns of a change of the databases. */
+const maximumLearnDelayMs = 400;
 /** Maximum time for which a read or write of a caller waits for a position. */
 const waitLimitMs = 300;
