--- a/packages/work/src/frameSocket.ts
+++ b/packages/work/src/frameSocket.ts
@@ -4,6 +4,9 @@
 /** Number of buffered bytes at which the socket is paused. */
 const highWaterMarkBytes = 256 * 1024;
 
+/** Idle time before the kernel sends keep-alive probes. A statement may run for hours without traffic, so silence alone ends nothing. */
+export const keepAliveDelayMs = 10_000;
+
 type Waiter = (result: IteratorResult<Buffer, undefined>) => void;
 
 const endOfStream: IteratorResult<Buffer, undefined> = {done: true, value: undefined};
@@ -25,6 +28,7 @@
 		this.closed = this.closeController.signal;
 		this.reader = new FrameReader(peer);
 		socket.setNoDelay(true);
+		socket.setKeepAlive(true, keepAliveDelayMs);
 		socket.on('data', (chunk: Buffer) => {
 			this.receive(chunk);
 		});
