End the wait of a read for its minimum position with its time limit

A read with a freshness bound was refused up to 1.06 s after its arrival although its time limit was 0.6 s, when the connections to the servers were silent: the wait for a sample of the commit position was not bound by that limit.

--- a/packages/proxy/src/__tests__/suspension.test.ts
+++ b/packages/proxy/src/__tests__/suspension.test.ts
@@ -3,6 +3,8 @@
 import {type Harness, run, startProxy} from './proxyHarness.js';
 
 const maxAgeMs = 1500;
+/** Longer than a sample takes. */
+const waitLimitMs = 5000;
 /** Longer than the interval at which a host compares its clocks. */
 const comparisonMs = 250;
 
@@ -73,7 +75,7 @@
 		const clock = shiftableClock();
 		harness = await startProxy(undefined, clock);
 		await disturb(harness, clock);
-		const position = await harness.view.minimumPositionFor(clock.nowMs(), maxAgeMs);
+		const position = await harness.view.minimumPositionFor(clock.nowMs(), maxAgeMs, waitLimitMs);
 		expect(position && formatPosition(position)).to.equal('1.1');
 	}
 
@@ -86,12 +88,12 @@
 		harness = await startProxy(undefined, clock);
 		await sample(harness);
 		clock.shiftMs += 3000;
-		await harness.view.minimumPositionFor(clock.nowMs(), maxAgeMs);
+		await harness.view.minimumPositionFor(clock.nowMs(), maxAgeMs, waitLimitMs);
 		clock.shiftMs -= 3000;
-		await harness.view.minimumPositionFor(clock.nowMs(), maxAgeMs);
+		await harness.view.minimumPositionFor(clock.nowMs(), maxAgeMs, waitLimitMs);
 		const runsBefore = harness.service.runs.length;
 		for (let read = 0; read < 20; read++) {
-			await harness.view.minimumPositionFor(clock.nowMs(), maxAgeMs);
+			await harness.view.minimumPositionFor(clock.nowMs(), maxAgeMs, waitLimitMs);
 		}
 
 		expect(harness.service.runs.length).to.equal(runsBefore);
--- a/packages/proxy/src/commitSampler.ts
+++ b/packages/proxy/src/commitSampler.ts
@@ -6,6 +6,7 @@
 import {freshnessMarginMs, type CommitSamples} from './commitSamples.js';
 import {type KnownPrimary, probeStatus, type ProofOutcome} from './leadershipProver.js';
 import {type ConfirmServers} from './ports.js';
+import {settledWithin} from './withTimeout.js';
 
 /** Minimum number of servers besides the primary for a sample that is taken without it. */
 const minimumOthersForSample = 2;
@@ -45,9 +46,10 @@
 	 * Returns the minimum position for a read with a freshness bound.
 	 * @param arrivedMs - arrival time of the read
 	 * @param maxAgeMs - maximum age of the data in milliseconds
+	 * @param waitLimitMs - longest wait for a new sample in milliseconds
 	 * @returns undefined if no position can be determined at present
 	 */
-	async minimumPositionFor(arrivedMs: number, maxAgeMs: number): Promise<LogPosition | undefined> {
+	async minimumPositionFor(arrivedMs: number, maxAgeMs: number, waitLimitMs: number): Promise<LogPosition | undefined> {
 		this.dropSamplesOfUnknownAge();
 		const oldestMs = arrivedMs - maxAgeMs + freshnessMarginMs;
 		if (this.samples.newestSampleMs < arrivedMs - (maxAgeMs * refreshFraction)) {
@@ -59,7 +61,7 @@
 			return sample.position;
 		}
 
-		await this.refresh();
+		await settledWithin(this.refresh(), waitLimitMs);
 		this.dropSamplesOfUnknownAge();
 		return this.samples.oldestSampleSince(oldestMs)?.position;
 	}
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -211,10 +211,11 @@
 	 * Returns the minimum position for a read with a freshness bound.
 	 * @param arrivedMs - arrival time of the read
 	 * @param maxAgeMs - maximum age of the data in milliseconds
+	 * @param waitLimitMs - longest wait for a new sample in milliseconds
 	 * @returns undefined if no position can be determined at present
 	 */
-	async minimumPositionFor(arrivedMs: number, maxAgeMs: number): Promise<LogPosition | undefined> {
-		return this.sampler.minimumPositionFor(arrivedMs, maxAgeMs);
+	async minimumPositionFor(arrivedMs: number, maxAgeMs: number, waitLimitMs: number): Promise<LogPosition | undefined> {
+		return this.sampler.minimumPositionFor(arrivedMs, maxAgeMs, waitLimitMs);
 	}
 
 	/** True while a server that takes no new work still has connections in use. */
--- a/packages/proxy/src/targetSearch.ts
+++ b/packages/proxy/src/targetSearch.ts
@@ -85,7 +85,7 @@
 			return undefined;
 		}
 
-		const boundPosition = await view.minimumPositionFor(arrivedMs, freshness.maxAgeMs);
+		const boundPosition = await view.minimumPositionFor(arrivedMs, freshness.maxAgeMs, Math.max(1, execution.deadlineMs - this.ports.clock.nowMs()));
 		if (!boundPosition) {
 			return undefined;
 		}
--- a/packages/proxy/src/withTimeout.ts
+++ b/packages/proxy/src/withTimeout.ts
@@ -11,6 +11,21 @@
 	return Promise.race([condition, clock.sleep(timeoutMs).then(() => false)]);
 }
 
+/**
+ * Waits until a promise is settled or the timeout has passed.
+ * @param work - promise to wait for; the underlying work continues after the timeout
+ * @param timeoutMs - longest wait in milliseconds
+ * @throws the error of the promise if it is rejected within the timeout
+ */
+export async function settledWithin(work: Promise<void>, timeoutMs: number): Promise<void> {
+	return new Promise((resolve, reject) => {
+		const timer = setTimeout(resolve, timeoutMs);
+		work.then(resolve, reject).finally(() => {
+			clearTimeout(timer);
+		});
+	});
+}
+
 /**
  * Waits for a promise up to a timeout. The underlying work continues after the timeout.
  * @param work - promise to wait for
