--- a/packages/proxy/src/__tests__/joiningServer.test.ts
+++ b/packages/proxy/src/__tests__/joiningServer.test.ts
@@ -1,4 +1,4 @@
-import {systemClock} from '@crocusloom/model';
+import {noopMetrics, systemClock} from '@crocusloom/model';
 import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {type PromotionResult, type PromotionService} from '../ports.js';
@@ -188,7 +188,7 @@
 
 		const [, {proxy, log}] = hosts as [Harness, Harness];
 		new PromotionTask(() => proxy.services, {
-			clock: systemClock, log, lease: new MemoryLease('h', {confirm}), promotionService,
+			clock: systemClock, log, metrics: noopMetrics, lease: new MemoryLease('h', {confirm}), promotionService,
 		}).run(lifetime.signal).catch(() => undefined);
 	}
 
