--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -1,4 +1,5 @@
 export * from './childSignal.js';
+export * from './clockContinuity.js';
 export * from './deferred.js';
 export * from './failure.js';
 export * from './ports.js';
@@ -7,3 +8,4 @@
 export * from './system.js';
 export * from './timeout.js';
 export * from './types.js';
+export * from './supervisedTask.js';
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -1,4 +1,6 @@
-import {type Clock, type Logger, type LogPosition} from '@crocusloom/model';
+import {
+	type Clock, type ClockContinuity, type Logger, type LogPosition,
+} from '@crocusloom/model';
 import {type RankPolicy} from '@crocusloom/work';
 import {Backend, type BackendPorts} from './backend.js';
 import {type CommitConfirmation, CommitConfirmer, type ConfirmationMembership} from './commitConfirmation.js';
@@ -22,6 +24,7 @@
 	/** Returns the number of hosts that share the servers' connections. */
 	readonly hostCount: () => number;
 	readonly confirmServers: ConfirmServers;
+	readonly continuity: ClockContinuity;
 };
 
 /** View of one service in this proxy: its servers, its primary and samples of its commit position. */
@@ -133,6 +136,7 @@
 		}
 
 		this.maintainRetired();
+		this.sampler.dropSamplesOfUnknownAge();
 		this.sampleAfterDepartures();
 		if (!this.search.primary) {
 			void this.findPrimary();
@@ -193,6 +197,11 @@
 	/** Checks whether a log that ends at a position holds each acknowledged commit that a departed server may have taken with it. */
 	checkCommits(position: LogPosition): CommitProof {
 		this.recordReplacedServers();
+		const serverCount = this.listMembers().length;
+		if (!this.search.lastPrimary && serverCount <= this.spec.syncReplicas) {
+			return {kind: 'tooFew', serverCount};
+		}
+
 		return this.spec.syncReplicas === 0 ? {kind: 'proven'} : this.evidence.check(position);
 	}
 
@@ -286,6 +295,7 @@
 			checkCommits: position => this.checkCommits(position),
 			confirmServers: this.ports.confirmServers,
 			clock: this.clock,
+			continuity: this.ports.continuity,
 		});
 	}
 
