Confirm no commit by the old primary itself once its successor is known

Callers got successes for writes that the promoted server lacks. The witnesses of a commit were all servers but the last known primary. A commit that waits at the old primary while the host learns of the new one then had the old primary, which has its own commit, as a witness.

Now the server that acknowledged a commit never confirms it.

--- a/packages/proxy/src/__tests__/joiningServer.test.ts
+++ b/packages/proxy/src/__tests__/joiningServer.test.ts
@@ -17,6 +17,8 @@
 const settleMs = 400;
 /** Time in which a write reaches the primary. */
 const writeDelayMs = 30;
+/** Such a time within the time limit of a write. */
+const earlyEffectDelayMs = 150;
 /** Time after the effect in which running writes finish. */
 const finishMs = 700;
 /** Time in which one promotion must take effect, with all its repetitions. */
@@ -255,6 +257,23 @@
 		}
 	}
 
+	it('makes no caller rely on the old primary itself, whose commit is acknowledged when its successor is known (guards against acknowledged commits that the promoted server lacks)', async () => {
+		await startHosts();
+		let waitingWrite: Promise<void> | undefined;
+		startPromotions(new DelayedPromotions(service, earlyEffectDelayMs, () => 'accepted'), async () => {
+			waitingWrite = write();
+			await systemClock.sleep(writeDelayMs);
+		});
+		promoterDialer.cutServers.add('a');
+		await waitUntil(() => service.promotions.length > 0, promotionTimeoutMs);
+		scene.publishServers();
+		await waitUntil(() => hosts[0]!.view.currentPrimary?.backend.id !== 'a');
+		joinService(scene, false);
+		await expectNoLoss();
+		await waitingWrite;
+		expect(service.acknowledged.length).to.be.above(1);
+	});
+
 	it('makes no caller rely on it: a replica whose pause ended before an unanswered order took effect (guards against acknowledged commits that the promoted server lacks)', async () => {
 		await startHosts();
 		let orderCount = 0;
--- a/packages/proxy/src/commitConfirmation.ts
+++ b/packages/proxy/src/commitConfirmation.ts
@@ -35,7 +35,10 @@
 		| 'notReceiving'
 		| 'silent';
 
-type Waiter = {readonly position: LogPosition; readonly settle: (confirmation: CommitConfirmation) => void};
+/** A commit, and the server that acknowledged it as the primary. */
+export type AcknowledgedCommit = {readonly position: LogPosition; readonly primary: Backend};
+
+type Waiter = AcknowledgedCommit & {readonly settle: (confirmation: CommitConfirmation) => void};
 
 const confirmed: CommitConfirmation = {kind: 'confirmed', wasKnown: false};
 
@@ -60,17 +63,17 @@
 
 	/**
 	 * Waits until a commit is confirmed.
-	 * @param position - position of the primary after the commit
+	 * @param commit - position of the primary after the commit. The primary confirms nothing itself, also when it is one no more
 	 * @param timeoutMs - longest wait in milliseconds
 	 */
-	async confirm(position: LogPosition, timeoutMs: number): Promise<CommitConfirmation> {
-		if (this.isHeld(position)) {
+	async confirm(commit: AcknowledgedCommit, timeoutMs: number): Promise<CommitConfirmation> {
+		if (this.isHeld(commit)) {
 			return {kind: 'confirmed', wasKnown: true};
 		}
 
 		return new Promise(resolve => {
 			const waiter: Waiter = {
-				position,
+				...commit,
 				settle: confirmation => {
 					clearTimeout(timer);
 					this.waiters.delete(waiter);
@@ -88,18 +91,21 @@
 	/** Confirms the commits that the servers are now known to have. Called after each answer of a server with a position. */
 	recordProgress(): void {
 		for (const waiter of this.waiters) {
-			if (this.isHeld(waiter.position)) {
+			if (this.isHeld(waiter)) {
 				waiter.settle(confirmed);
 			}
 		}
 	}
 
-	private isHeld(position: LogPosition): boolean {
-		const {members, witnesses, syncReplicas} = this.membership();
+	private isHeld({position, primary}: AcknowledgedCommit): boolean {
+		const {syncReplicas, ...others} = this.membership();
 		if (syncReplicas === 0) {
 			return true;
 		}
 
+		const members = others.members.filter(backend => backend !== primary);
+		const witnesses = others.witnesses.filter(backend => backend !== primary);
+
 		return witnesses.length > 0
 			? witnesses.some(backend => hasCommit(backend, position))
 			: members.length > 0 && members.every(backend => hasCommit(backend, position));
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -1,7 +1,9 @@
 import {type Clock, type Logger, type LogPosition} from '@crocusloom/model';
 import {type RankPolicy} from '@crocusloom/work';
 import {Backend, type BackendPorts} from './backend.js';
-import {type CommitConfirmation, CommitConfirmer, type ConfirmationMembership} from './commitConfirmation.js';
+import {
+	type AcknowledgedCommit, type CommitConfirmation, CommitConfirmer, type ConfirmationMembership,
+} from './commitConfirmation.js';
 import {type CommitProof, CommitEvidence} from './commitEvidence.js';
 import {CommitSampler} from './commitSampler.js';
 import {CommitSamples} from './commitSamples.js';
@@ -215,11 +217,11 @@
 
 	/**
 	 * Waits until no promotion can lose a commit that the primary acknowledged.
-	 * @param position - position of the primary after the commit
+	 * @param commit - position of the primary after the commit, and the server that acknowledged it
 	 * @param timeoutMs - longest wait in milliseconds
 	 */
-	async confirmCommit(position: LogPosition, timeoutMs: number): Promise<CommitConfirmation> {
-		return this.confirmer.confirm(position, timeoutMs);
+	async confirmCommit(commit: AcknowledgedCommit, timeoutMs: number): Promise<CommitConfirmation> {
+		return this.confirmer.confirm(commit, timeoutMs);
 	}
 
 	/**
--- a/packages/proxy/src/statementRunner.ts
+++ b/packages/proxy/src/statementRunner.ts
@@ -226,12 +226,12 @@
 	}
 
 	private async confirmCommit(execution: StatementExecution, {position}: Answer): Promise<CommitConfirmation> {
-		const {view} = execution;
-		if (!view || !position) {
+		const {view, target} = execution;
+		if (!view || !target || !position) {
 			return {kind: 'unconfirmed', reason: 'the server gave no position'};
 		}
 
-		return view.confirmCommit(position, Math.max(minimumConfirmationMs, this.remainingMs(execution)));
+		return view.confirmCommit({position, primary: target.backend}, Math.max(minimumConfirmationMs, this.remainingMs(execution)));
 	}
 
 	/**
