--- a/packages/control/src/configurationStore.ts
+++ b/packages/control/src/configurationStore.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, type Configuration, type ConfigurationSource, type KeyValueStore, type Logger, type Membership, type PeerRpc, type RandomSource, withTimeout,
+	childSignal, runSupervised, type Clock, type Configuration, type ConfigurationSource, type KeyValueStore, type Logger, type Membership, type PeerRpc, type RandomSource, withTimeout,
 } from '@crocusloom/model';
 import {backoffMs} from './backoff.js';
 import {ChangeAcceptor, type ChangeOutcome, type ConfigurationChange} from './changeAcceptor.js';
@@ -105,6 +105,17 @@
 		return this.acceptor.accept(change, signal);
 	}
 
+	/**
+	 * Records that the change of a group's databases to a generation is in force, so that the next change may be made. May be repeated.
+	 * @returns true if it is recorded, false if the store did not answer or has another generation
+	 */
+	async settleDatabases(group: string, generation: number, signal: AbortSignal): Promise<boolean> {
+		const outcome = await this.accept({
+			action: 'settle', kind: 'databaseGroups', name: group, generation, changeId: `settle-${generation}`,
+		}, signal);
+		return outcome.type === 'accepted';
+	}
+
 	/** Returns the hosts of this host's failure domain that watch the platform. */
 	watcherHosts(): readonly string[] {
 		const {membership, rendezvousOrder} = this.options;
@@ -142,8 +153,8 @@
 	 */
 	async start(signal: AbortSignal): Promise<void> {
 		await this.loadInitialConfiguration(signal);
-		void this.logUnexpectedFailure(this.follower.run(signal), signal);
-		void this.logUnexpectedFailure(this.propagation.run(signal), signal);
+		void this.supervise('configuration watch', async runSignal => this.follower.run(runSignal), signal);
+		void this.supervise('configuration propagation', async runSignal => this.propagation.run(runSignal), signal);
 	}
 
 	/**
@@ -173,13 +184,16 @@
 		}
 	}
 
-	private async logUnexpectedFailure(backgroundTask: Promise<void>, signal: AbortSignal): Promise<void> {
-		try {
-			await backgroundTask;
-		} catch (error) {
-			if (!signal.aborted) {
-				this.options.log.error({error: String(error)}, 'the configuration is no longer kept up to date');
+	/** Runs a task until the signal aborts. Each run has a signal of its own, so that the listeners of a failed one are removed. */
+	private async supervise(task: string, run: (runSignal: AbortSignal) => Promise<void>, signal: AbortSignal): Promise<void> {
+		await runSupervised(task, async () => {
+			const runController = childSignal(signal);
+			try {
+				await run(runController.signal);
+			} finally {
+				runController.abort();
+				runController.release();
 			}
-		}
+		}, this.options, signal);
 	}
 }
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -55,6 +55,7 @@
 const unprovenReasons: {readonly [K in UnprovenKind]: (proof: ProofOf<K>, position: LogPosition) => string} = {
 	incomplete: ({requiredPosition}, position) => `position ${formatPosition(requiredPosition)} is required and ${formatPosition(position)} was found`,
 	unknown: ({departedServers}) => `the commit position after the departure of ${departedServers.join(', ')} is not known`,
+	tooFew: ({serverCount}) => `no primary was known, and servers beside the ${serverCount} listed may have acknowledged commits`,
 };
 
 /**
@@ -127,7 +128,7 @@
 			}
 
 			if (need.kind === 'none') {
-				await pauseCleaner.check();
+				await pauseCleaner.check(async () => this.ports.lease.confirm(signal));
 			} else if (!this.isStopping && this.mayTry(view, need)) {
 				this.runningPromotions++;
 				await this.promote(view, need, signal).finally(() => {
