--- a/packages/proxy/src/commitConfirmation.ts
+++ b/packages/proxy/src/commitConfirmation.ts
@@ -38,8 +38,10 @@
 		| 'busy'
 		| 'silent';
 
-type Waiter = {
-	readonly position: LogPosition;
+/** A commit, and the server that acknowledged it as the primary. */
+export type AcknowledgedCommit = {readonly position: LogPosition; readonly primary: Backend};
+
+type Waiter = AcknowledgedCommit & {
 	/** Time at which the acknowledgement of the primary was known. */
 	readonly sinceMs: number;
 	readonly settle: (confirmation: CommitConfirmation) => void;
@@ -76,18 +78,18 @@
 
 	/**
 	 * Waits until a commit is confirmed.
-	 * @param position - position of the primary after the commit
+	 * @param commit - position of the primary after the commit. The primary confirms nothing itself, also when it is one no more
 	 * @param timeoutMs - longest wait in milliseconds
 	 */
-	async confirm(position: LogPosition, timeoutMs: number): Promise<CommitConfirmation> {
+	async confirm(commit: AcknowledgedCommit, timeoutMs: number): Promise<CommitConfirmation> {
 		const sinceMs = this.clock.nowMs();
-		if (this.isConfirmed({position, sinceMs})) {
+		if (this.isConfirmed({...commit, sinceMs})) {
 			return {kind: 'confirmed', wasKnown: true};
 		}
 
 		return new Promise(resolve => {
 			const waiter: Waiter = {
-				position,
+				...commit,
 				sinceMs,
 				settle: confirmation => {
 					clearTimeout(timer);
@@ -112,12 +114,15 @@
 		}
 	}
 
-	private isConfirmed({position, sinceMs}: Pick<Waiter, 'position' | 'sinceMs'>): boolean {
-		const {members, witnesses, syncReplicas} = this.membership();
+	private isConfirmed({position, primary, sinceMs}: Omit<Waiter, 'settle'>): boolean {
+		const {syncReplicas, ...others} = this.membership();
 		if (syncReplicas === 0) {
 			return true;
 		}
 
+		const members = others.members.filter(backend => backend !== primary);
+		const witnesses = others.witnesses.filter(backend => backend !== primary);
+
 		if (witnesses.length === 0) {
 			return members.length > 0 && members.every(({heldPosition}) => hasCommit(heldPosition, position));
 		}
