Count no server as a witness that may have restarted while the host was suspended

A host that was suspended knows the list of servers from before. The time for which a server has been listed now begins after the suspension. By reading; no run has shown it.

--- a/packages/proxy/src/commitWitnesses.ts
+++ b/packages/proxy/src/commitWitnesses.ts
@@ -1,4 +1,4 @@
-import {type Clock} from '@crocusloom/model';
+import {type Clock, type ClockContinuity} from '@crocusloom/model';
 import {type Backend} from './backend.js';
 
 /**
@@ -18,6 +18,8 @@
 
 export type WitnessPorts = {
 	readonly clock: Clock;
+	/** Tells of a suspension of this process, during which servers may have restarted. */
+	readonly continuity: ClockContinuity;
 	/** Failure domain of this process. */
 	readonly failureDomain: string;
 	/** Returns the time since the list of servers was last known to be current. */
@@ -51,8 +53,9 @@
 	}
 
 	private wasListedLongAgo(backend: Backend): boolean {
-		const {clock} = this.ports;
-		const {listedSinceMs, server: {startedAtMs}} = backend;
+		const {clock, continuity} = this.ports;
+		const {server: {startedAtMs}} = backend;
+		const listedSinceMs = Math.max(backend.listedSinceMs, continuity.sinceMs());
 		const isLongRunning = startedAtMs > 0 && clock.wallMs() - startedAtMs >= longRunningMs;
 		return clock.nowMs() - listedSinceMs >= witnessAgeMs || (isLongRunning && this.initialBackends.has(backend));
 	}
