--- a/packages/proxy/src/__tests__/joiningServer.test.ts
+++ b/packages/proxy/src/__tests__/joiningServer.test.ts
@@ -151,7 +151,7 @@
 		service.acknowledgesLateCommits = true;
 		promoterDialer = new HostDialer(service, systemClock);
 		const clock = advanceableClock();
-		hosts = [await startProxy(service, clock), await startProxy(service, clock, async () => true, promoterDialer)];
+		hosts = [await startProxy(service, clock), await startProxy(service, clock, {dialer: promoterDialer})];
 		scene = {
 			service,
 			promoterDialer,
--- a/packages/proxy/src/__tests__/leadershipProver.test.ts
+++ b/packages/proxy/src/__tests__/leadershipProver.test.ts
@@ -71,7 +71,7 @@
 		service.replicate(successor, follower);
 		successor.isUnresponsive = true;
 		follower.isUnresponsive = true;
-		harness = await startProxy(service, undefined, undefined, undefined, [former.listing()]);
+		harness = await startProxy(service, undefined, {servers: [former.listing()]});
 		const proof = await harness.view.prove(harness.view.currentPrimary!);
 		expect(proof.kind).to.equal('unproven');
 		for (const route of ['strict', 'bounded', 'own']) {
--- a/packages/proxy/src/__tests__/loneServer.test.ts
+++ b/packages/proxy/src/__tests__/loneServer.test.ts
@@ -24,7 +24,7 @@
 		const [primary, replica, lone] = service.servers as [MemoryServer, MemoryServer, MemoryServer];
 		primary.receive({position: {term: 1, offsetBytes: 1}, writeId: 'acknowledged'});
 		service.replicate(primary, replica);
-		harness = createProxy(service, [lone.listing()]);
+		harness = createProxy(service, undefined, {servers: [lone.listing()]});
 		lifetime = new AbortController();
 		const task = new PromotionTask(() => harness.proxy.services, {
 			clock: systemClock,
--- a/packages/proxy/src/__tests__/proxyHarness.ts
+++ b/packages/proxy/src/__tests__/proxyHarness.ts
@@ -25,30 +25,24 @@
 	readonly stop: () => void;
 };
 
-/**
- * Starts a proxy in front of an in-memory service and waits until the primary is known.
- * @param servers - servers that service discovery lists, by default all of them
- */
-export async function startProxy(
-	service = new MemoryService('ledger', ['a', 'b', 'c']),
-	clock: Clock = systemClock,
-	confirmServers: ConfirmServers = async () => true,
-	dialer: BackendDialer = service,
-	servers = service.listings(),
-): Promise<Harness> {
-	const harness = createProxy(service, servers, clock, confirmServers, dialer);
+type ProxyOptions = {
+	readonly confirmServers?: ConfirmServers;
+	/** Dials the servers; the service itself if it is omitted. */
+	readonly dialer?: BackendDialer;
+	/** Servers that service discovery lists; all if it is omitted. */
+	readonly servers?: readonly BackendServer[];
+};
+
+/** Starts a proxy in front of an in-memory service and waits until the primary is known. */
+export async function startProxy(service = new MemoryService('ledger', ['a', 'b', 'c']), clock: Clock = systemClock, options: ProxyOptions = {}): Promise<Harness> {
+	const harness = createProxy(service, clock, options);
 	await waitUntil(() => harness.view.currentPrimary !== undefined);
 	return harness;
 }
 
 /** Starts a proxy in front of an in-memory service, which may lack a primary. */
-export function createProxy(
-	service: MemoryService,
-	servers: readonly BackendServer[],
-	clock: Clock = systemClock,
-	confirmServers: ConfirmServers = async () => true,
-	dialer: BackendDialer = service,
-): Harness {
+export function createProxy(service: MemoryService, clock: Clock = systemClock, options: ProxyOptions = {}): Harness {
+	const {confirmServers = async () => true, dialer = service, servers = service.listings()} = options;
 	const log = new RecordingLogger();
 	const lifetime = new AbortController();
 	const proxy = new SessionProxy({
--- a/packages/proxy/src/__tests__/session.test.ts
+++ b/packages/proxy/src/__tests__/session.test.ts
@@ -179,7 +179,7 @@
 
 	it('takes no minimum position from the known replicas while service discovery does not confirm them (guards against reads without the commits of a server that joined unseen)', async () => {
 		let isConfirmed = true;
-		harness = await startProxy(undefined, systemClock, async () => isConfirmed);
+		harness = await startProxy(undefined, systemClock, {confirmServers: async () => isConfirmed});
 		session = harness.proxy.openSession('bounded', 'u');
 		const {service} = harness;
 		await run(session, 'READ x');
@@ -199,9 +199,11 @@
 
 	it('asks service discovery for a confirmation at most twice a second (guards against a store that is overloaded while a primary is dark)', async () => {
 		let confirmationCount = 0;
-		harness = await startProxy(undefined, systemClock, async () => {
-			confirmationCount++;
-			return false;
+		harness = await startProxy(undefined, systemClock, {
+			async confirmServers() {
+				confirmationCount++;
+				return false;
+			},
 		});
 		session = harness.proxy.openSession('bounded', 'u');
 		harness.service.server('a').isUnresponsive = true;
