Take a server that follows another term for no proof of a commit

What callers saw: a commit that only a restarted server had received was answered with success after a promotion had taken effect, if another server already followed the new primary. Cause: a server that is not paused shows that no promotion had paused the servers when the commit was acknowledged. One that follows the new primary is not paused either, because the promotion ended its pause. Change: an answer counts only if the server reports the term of the commit. Evidence: the new test failed before (success instead of an unknown outcome), now it passes.

--- a/packages/proxy/src/commitConfirmation.ts
+++ b/packages/proxy/src/commitConfirmation.ts
@@ -47,8 +47,8 @@
 	readonly settle: (confirmation: CommitConfirmation) => void;
 };
 
-/** Last outcome of a probe of a server, and the time at which the probe was sent. */
-type SentProbe = {readonly sentMs: number; readonly outcome: ProbeOutcome};
+/** Last outcome of a probe of a server, the term that the server reported, and the time at which the probe was sent. */
+type SentProbe = {readonly sentMs: number; readonly outcome: ProbeOutcome; readonly term: number | undefined};
 
 const confirmed: CommitConfirmation = {kind: 'confirmed', wasKnown: false};
 
@@ -128,14 +128,17 @@
 		}
 
 		const holders = witnesses.filter(({heldPosition}) => hasCommit(heldPosition, position));
-		return holders.some(holder => hasCommit(holder.establishedPosition, position) || this.isCorroborated(holder, witnesses, sinceMs));
+		return holders.some(holder => hasCommit(holder.establishedPosition, position) || this.isCorroborated(holder, witnesses, {sinceMs, term: position.term}));
 	}
 
-	/** Checks whether another witness was not paused after the commit, or cannot tell while nothing suggests that the holder restarted. */
-	private isCorroborated(holder: Backend, witnesses: readonly Backend[], sinceMs: number): boolean {
+	/**
+	 * Checks whether another witness was not paused after the commit, or cannot tell while nothing suggests that the holder restarted. One
+	 * that follows a primary of another term shows that a promotion took effect.
+	 */
+	private isCorroborated(holder: Backend, witnesses: readonly Backend[], {sinceMs, term}: {readonly sinceMs: number; readonly term: number}): boolean {
 		const outcomes = witnesses.filter(backend => backend !== holder).map(backend => {
 			const probe = this.probes.get(backend);
-			return probe && probe.sentMs >= sinceMs ? probe.outcome : undefined;
+			return probe && probe.sentMs >= sinceMs && (probe.outcome !== 'receiving' || probe.term === term) ? probe.outcome : undefined;
 		});
 		const cannotTell = outcomes.every(outcome => outcome === 'busy' || outcome === 'silent');
 		return outcomes.includes('receiving') || (cannotTell && holder.undisturbedForMs >= witnessAgeMs);
@@ -197,23 +200,23 @@
 
 	private async probe(backend: Backend): Promise<ProbeOutcome> {
 		const sentMs = this.clock.nowMs();
-		const outcome = await this.askStatus(backend, sentMs);
-		this.probes.set(backend, {sentMs, outcome});
+		const {outcome, term} = await this.askStatus(backend, sentMs);
+		this.probes.set(backend, {sentMs, outcome, term});
 		this.recordProgress();
 		return outcome;
 	}
 
-	private async askStatus(backend: Backend, sentMs: number): Promise<ProbeOutcome> {
+	private async askStatus(backend: Backend, sentMs: number): Promise<Pick<SentProbe, 'outcome' | 'term'>> {
 		try {
 			const status = await backend.runControlCommand({kind: 'status'}, statusTimeoutMs);
 			if (status === undefined) {
-				return 'busy';
+				return {outcome: 'busy', term: undefined};
 			}
 
-			return status.role === 'replica' && status.pausedTerm === 0 ? 'receiving' : 'notReceiving';
+			return {outcome: status.role === 'replica' && status.pausedTerm === 0 ? 'receiving' : 'notReceiving', term: status.term};
 		} catch (error) {
 			backend.recordProbeFailure(error);
-			return backend.lastContactMs < sentMs ? 'silent' : 'busy';
+			return {outcome: backend.lastContactMs < sentMs ? 'silent' : 'busy', term: undefined};
 		}
 	}
 }
