Confirm no commit of a term once a newer one is known

A commit that only a restarted server had was answered with success after a promotion had taken effect, because a server that follows the new primary is not paused either. Such a commit also waited out the whole time limit.

Change: a commit of an earlier term than the newest one that any server has reported is in doubt, at once. Probing ends in any case, also after an error. lostCommitPaths.test.ts "a restarted replica, corroborated by one that follows the new primary" failed before and passes. A commit acknowledged just before a planned change of the primary may be in doubt.

--- a/packages/proxy/src/commitConfirmation.ts
+++ b/packages/proxy/src/commitConfirmation.ts
@@ -20,6 +20,8 @@
 	readonly witnesses: readonly Backend[];
 	/** Number of replicas that must receive a commit before it is acknowledged. */
 	readonly syncReplicas: number;
+	/** Highest term that any server has reported. */
+	readonly newestTerm: number;
 };
 
 /** Whether a commit is known to be in the log of each server that a promotion may choose. */
@@ -115,11 +117,15 @@
 	}
 
 	private isConfirmed({position, primary, sinceMs}: Omit<Waiter, 'settle'>): boolean {
-		const {syncReplicas, ...others} = this.membership();
+		const {syncReplicas, newestTerm, ...others} = this.membership();
 		if (syncReplicas === 0) {
 			return true;
 		}
 
+		if (newestTerm > position.term) {
+			return false;
+		}
+
 		const members = others.members.filter(backend => backend !== primary);
 		const witnesses = others.witnesses.filter(backend => backend !== primary);
 
@@ -144,6 +150,13 @@
 		return outcomes.includes('receiving') || (cannotTell && holder.undisturbedForMs >= witnessAgeMs);
 	}
 
+	/** Settles the commits of a primary that is known to be replaced. Nothing tells whether its successor has them. */
+	private giveUpReplaced(): void {
+		const {newestTerm} = this.membership();
+		const replaced = [...this.waiters].filter(({position}) => newestTerm > position.term);
+		settleAll(replaced, {kind: 'unconfirmed', reason: `term ${newestTerm} is known`});
+	}
+
 	/** Asks the servers for their positions until no commit is awaited. One series of rounds serves all commits. */
 	private async probeWhileAwaited(): Promise<void> {
 		if (this.isProbing) {
@@ -151,12 +164,21 @@
 		}
 
 		this.isProbing = true;
+		try {
+			await this.probeInRounds();
+		} finally {
+			this.isProbing = false;
+		}
+	}
+
+	private async probeInRounds(): Promise<void> {
 		let retryDelayMs = initialRetryDelayMs;
 		let silentRounds = 0;
 		let round = 0;
 		while (this.waiters.size > 0) {
 			const awaited = [...this.waiters];
 			const outcomes = await this.probeRound(round);
+			this.giveUpReplaced();
 			silentRounds = outcomes.every(outcome => outcome === 'silent') ? silentRounds + 1 : 0;
 			const reason = reasonToGiveUp(outcomes, silentRounds);
 			if (reason !== undefined) {
@@ -169,8 +191,6 @@
 				retryDelayMs = Math.min(maximumRetryDelayMs, retryDelayMs * 2);
 			}
 		}
-
-		this.isProbing = false;
 	}
 
 	/**
@@ -213,7 +233,7 @@
 				return {outcome: 'busy', term: undefined};
 			}
 
-			return {outcome: status.role === 'replica' && status.pausedTerm === 0 ? 'receiving' : 'notReceiving', term: status.term};
+			return {outcome: status.role === 'replica' && status.pausedTerm === 0 ? 'receiving' : 'notReceiving', term: Math.max(status.term, status.receivedPosition.term)};
 		} catch (error) {
 			backend.recordProbeFailure(error);
 			return {outcome: backend.lastContactMs < sentMs ? 'silent' : 'busy', term: undefined};
--- a/packages/proxy/src/primarySearch.ts
+++ b/packages/proxy/src/primarySearch.ts
@@ -37,6 +37,11 @@
 		return this.currentPrimary;
 	}
 
+	/** Highest term that any server has reported. */
+	get newestTerm(): number {
+		return this.highestTerm;
+	}
+
 	/** Last known primary; kept while the primary is unknown. */
 	get lastPrimary(): KnownPrimary | undefined {
 		return this.previousPrimary;
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -304,7 +304,9 @@
 
 	private confirmationMembership(): ConfirmationMembership {
 		const members = (this.lastMembers ?? this.listMembers()).filter(backend => backend !== this.search.lastPrimary?.backend);
-		return {members, witnesses: this.witnesses.select(members), syncReplicas: this.spec.syncReplicas};
+		return {
+			members, witnesses: this.witnesses.select(members), syncReplicas: this.spec.syncReplicas, newestTerm: this.search.newestTerm,
+		};
 	}
 
 	private limits(): {readonly connections: ConnectionShare; readonly ranks: readonly RankPolicy[]} {
