Take no server for a witness that promotions may not list any more

A server whose entry was missing, or that only a host with an old list knew, confirmed commits although a promotion did not ask it.

Change: witnesses need a list that is current and an entry that is there. With an old list, all listed servers must have a commit; a host that is cut off from the store answers "in doubt" while one of them is down. A server counts from 7 s after its listing, more than the longest order, 1.2 + 1.5 + 2.5 s and a check.

Two tests of lostCommitPaths.test.ts failed before and pass. Two others are listed: a paused server that has not heard of the new term, and a listed server that the promoting host never reached. promotion.test.ts "resumes replication" now says that the list is current before its write, as a watch of the store would; its check is the same.

--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -387,6 +387,7 @@
 		await waitUntil(() => harness.view.currentPrimary?.backend.id === newPrimary.id);
 		newPrimary.partitionedFrom.clear();
 		await waitUntil(() => service.servers.every(({pausedTerm}) => pausedTerm === 0));
+		harness.proxy.configurationAge.confirm();
 		const answer = await run(harness.proxy.openSession('strict', 'u'), 'WRITE a 1');
 		expect(answer.error).to.equal(undefined);
 	});
--- a/packages/proxy/src/commitWitnesses.ts
+++ b/packages/proxy/src/commitWitnesses.ts
@@ -5,7 +5,7 @@
  * Time for which a server must have been listed without a restart before it counts as a witness. Longer than the time from the last
  * check of the list of servers by a promotion until the effect of its order, so that each promotion under way has paused the witness.
  */
-export const witnessAgeMs = 5000;
+export const witnessAgeMs = 7000;
 /** Age up to which the list of servers counts as current. */
 const currentListAgeMs = 2500;
 /** Age from which on a server that was listed when this process started has been listed for long, also if clocks differ by seconds. */
@@ -46,10 +46,10 @@
 		return servers.filter(backend => this.isWitness(backend)).toSorted((a, b) => this.costOf(a) - this.costOf(b));
 	}
 
-	/** While the list of servers may be out of date, a server may have restarted unseen. */
+	/** While the list of servers may be out of date, or the entry is missing, a promotion may not know the server any more. */
 	private isWitness(backend: Backend): boolean {
 		const isListCurrent = this.ports.serverListAgeMs() <= currentListAgeMs;
-		return this.wasListedLongAgo(backend) && (isListCurrent || backend.undisturbedForMs >= witnessAgeMs);
+		return isListCurrent && backend.server.missingSinceMs === undefined && this.wasListedLongAgo(backend);
 	}
 
 	private wasListedLongAgo(backend: Backend): boolean {
