End pauses only while the promotion lease is confirmed

A former lease holder that was suspended before it paused chose the same term as the next one, took the pauses of that one for its own, and ended them between the order and its effect: callers lost commits that they were told of.

Change: a pause is ended only under the token with which the promotion began, confirmed with the store. The next holder ends what is left.

--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -198,7 +198,7 @@
 		this.ports.log.info({
 			service: view.name, need: need.kind, primary: primary?.id, term, others: others.map(({id}) => id),
 		}, 'a promotion begins');
-		const pauses = new ReplicationPauses(this.ports.log);
+		const pauses = new ReplicationPauses(this.ports.log, async () => this.ports.lease.fencingToken() === token && this.ports.lease.confirm(signal));
 		const terms: PromotionTerms = {term, primaryTerm: view.currentPrimary?.term ?? 0, syncReplicas: view.syncReplicas};
 		const candidate = need.kind === 'leaving'
 			? await this.switchOver(need.primary, others, terms, pauses)
--- a/packages/proxy/src/replicationPauses.ts
+++ b/packages/proxy/src/replicationPauses.ts
@@ -24,7 +24,11 @@
 	private readonly termsByBackend = new Map<Backend, number>();
 	private readonly statusByBackend = new Map<Backend, ServerStatus>();
 
-	constructor(private readonly log: Logger) {}
+	/**
+	 * @param log - logger
+	 * @param mayResume - confirms that no other process may have paused the same servers with the same term
+	 */
+	constructor(private readonly log: Logger, private readonly mayResume: () => Promise<boolean>) {}
 
 	/** Servers that answered the command to pause. */
 	get backends(): readonly Backend[] {
@@ -80,6 +84,11 @@
 
 	/** Resumes replication to a server if the pause is of this promotion. */
 	async end(backend: Backend): Promise<void> {
+		if (!await this.mayResume()) {
+			this.log.warn({server: backend.id}, 'a pause is left to the next holder of the promotion lease');
+			return;
+		}
+
 		const status = await probeStatus(backend);
 		if (status && this.isPausedBy(backend, status)) {
 			await sendControlCommand(backend, {kind: 'resume'});
