Check the successor of a leaving primary before each order

Nothing looked again at the successor of a primary that had stepped down. If it restarted without its log before a repeated order, it was promoted empty.

Change: before each request it must be known to have the complete log still.

--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -206,7 +206,9 @@
 		const target: PromotionTarget = {backend: candidate.backend, highestPriorTerm};
 		logPauses(this.ports.log, view, pauses, candidate);
 		await this.orders.requestOrResume(view, candidate, {
-			target, pauses, token, findObstacle: async () => findObstacle(view, {primary, others, pauses}), signal,
+			target, pauses, token, findObstacle: async () => findObstacle(view, {
+				primary, others, pauses, candidate,
+			}), signal,
 		});
 		view.recordPromotedLog(candidate.backend, candidate.status.receivedPosition);
 		const newTerm = await this.completePromotion(view, target, term, startedMs);
--- a/packages/proxy/src/promotionObstacles.ts
+++ b/packages/proxy/src/promotionObstacles.ts
@@ -1,4 +1,7 @@
+import {comparePositions} from '@crocusloom/model';
 import {type Backend} from './backend.js';
+import {probeStatus} from './leadershipProver.js';
+import {type Candidate} from './promotionOrder.js';
 import {type ReplicationPauses} from './replicationPauses.js';
 import {type ServiceView} from './serviceView.js';
 
@@ -10,6 +13,8 @@
 	readonly others: readonly Backend[];
 	/** Pauses of replication; none if the primary stepped down. */
 	readonly pauses: ReplicationPauses;
+	/** The server to be promoted, with the status for which it was chosen. */
+	readonly candidate: Candidate;
 };
 
 /**
@@ -17,9 +22,9 @@
  * server that was not paused, and each pause still holds. Read after the pauses, both show that no server joined or restarted before.
  * @returns why a promotion must not be ordered, or undefined if it may be
  */
-export async function findObstacle(view: ServiceView, {primary, others, pauses}: PromotionBasis): Promise<string | undefined> {
+export async function findObstacle(view: ServiceView, {primary, others, pauses, candidate}: PromotionBasis): Promise<string | undefined> {
 	if (pauses.backends.length === 0) {
-		return undefined;
+		return findLostLog(candidate);
 	}
 
 	const [isListCurrent, endedPauses] = await Promise.all([view.areAllServersListed(), pauses.findEnded()]);
@@ -35,6 +40,13 @@
 	return joined.length > 0 ? `${idsOf(joined)} joined after replication was paused` : undefined;
 }
 
+/** Checks that the successor of a primary that stepped down still has the complete log: it may have restarted without it. */
+async function findLostLog({backend, status}: Candidate): Promise<string | undefined> {
+	const currentStatus = await probeStatus(backend) ?? await probeStatus(backend);
+	const hasLog = currentStatus !== undefined && comparePositions(currentStatus.receivedPosition, status.receivedPosition) >= 0;
+	return hasLog ? undefined : `${backend.id} is not known to have the complete log any more`;
+}
+
 function idsOf(backends: readonly Backend[]): string {
 	return backends.map(({id}) => id).join(', ');
 }
