Confirm a commit of an earlier primary only by servers listed for long

Callers got successes for writes that the promoted server lacks. Where no server has been listed for long, all servers but the known primary must have a commit. For a commit of the old primary that is acknowledged when the host knows its successor, the successor, which lacks the commit, was left out, and the servers that had joined lately confirmed it.

Now all servers confirm only commits of the primary that is known.

--- a/packages/proxy/src/commitConfirmation.ts
+++ b/packages/proxy/src/commitConfirmation.ts
@@ -14,6 +14,8 @@
 
 /** Servers that can confirm commits of a service. */
 export type ConfirmationMembership = {
+	/** The last known primary. */
+	readonly primary: Backend | undefined;
 	/** All listed servers except the primary. */
 	readonly members: readonly Backend[];
 	/** Those of them that each promotion under way has paused before its order, in the order in which they should be asked. */
@@ -124,7 +126,7 @@
 		const witnesses = others.witnesses.filter(backend => backend !== primary);
 
 		if (witnesses.length === 0) {
-			return members.length > 0 && members.every(({heldPosition}) => hasCommit(heldPosition, position));
+			return others.primary === primary && members.length > 0 && members.every(({heldPosition}) => hasCommit(heldPosition, position));
 		}
 
 		const holders = witnesses.filter(({heldPosition}) => hasCommit(heldPosition, position));
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -302,8 +302,11 @@
 	}
 
 	private confirmationMembership(): ConfirmationMembership {
-		const members = (this.lastMembers ?? this.listMembers()).filter(backend => backend !== this.search.lastPrimary?.backend);
-		return {members, witnesses: this.witnesses.select(members), syncReplicas: this.spec.syncReplicas};
+		const primary = this.search.lastPrimary?.backend;
+		const members = (this.lastMembers ?? this.listMembers()).filter(backend => backend !== primary);
+		return {
+			primary, members, witnesses: this.witnesses.select(members), syncReplicas: this.spec.syncReplicas,
+		};
 	}
 
 	private limits(): {readonly connections: ConnectionShare; readonly ranks: readonly RankPolicy[]} {
