--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -303,9 +303,10 @@
 	}
 
 	private confirmationMembership(): ConfirmationMembership {
-		const members = (this.lastMembers ?? this.listMembers()).filter(backend => backend !== this.search.lastPrimary?.backend);
+		const primary = this.search.lastPrimary?.backend;
+		const members = (this.lastMembers ?? this.listMembers()).filter(backend => backend !== primary);
 		return {
-			members, witnesses: this.witnesses.select(members), syncReplicas: this.spec.syncReplicas, newestTerm: this.search.newestTerm,
+			primary, members, witnesses: this.witnesses.select(members), syncReplicas: this.spec.syncReplicas, newestTerm: this.search.newestTerm,
 		};
 	}
 
