--- a/packages/proxy/src/promotionOrder.ts
+++ b/packages/proxy/src/promotionOrder.ts
@@ -173,9 +173,10 @@
 				this.repeatsPendingUntilMs.set(view, clock.nowMs() + orderSettleMs);
 			}
 
+			const confirmedMs = clock.nowMs();
 			const result = await promotionService.requestPromotion(view.name, backend.id, {holder: lease.holder, token}, signal);
 			log.info({
-				service: view.name, server: backend.id, token, result, position: formatPosition(status.receivedPosition), attempt,
+				service: view.name, server: backend.id, token, result, position: formatPosition(status.receivedPosition), attempt, tookMs: Math.round(clock.nowMs() - confirmedMs),
 			}, 'a promotion was ordered');
 			if (result === 'accepted') {
 				return result;
