Confirm the promotion lease after the connection for an order is open

Operators saw an order of promotion with a lower fencing token after one with a higher token. The lease was confirmed before the connection to the platform was made, and a connection can take until the time limit: a lost packet alone costs a second. Meanwhile the lease may pass on, and the next holder orders.

The client now connects first. Only then is the promotion checked once more, the order recorded and the lease confirmed by that record, and the request is written in the same turn of the event loop. A connection that fails leaves no record, so that no later holder waits for an order that was never sent. The result says whether a request was not sent, rejected, or has no answer.

--- a/packages/proxy/src/__tests__/joiningServer.test.ts
+++ b/packages/proxy/src/__tests__/joiningServer.test.ts
@@ -4,7 +4,7 @@
 import {type PromotionResult, type PromotionService} from '../ports.js';
 import {PromotionTask} from '../promotion.js';
 import {
-	HostDialer, MemoryLease, type MemoryServer, MemoryService,
+	HostDialer, MemoryLease, type MemoryServer, MemoryService, promotionServiceOf,
 } from '../testing/index.js';
 import {
 	advanceableClock, type Harness, run as runStatement, startProxy,
@@ -124,16 +124,14 @@
 	},
 ];
 
-/** Promotes servers after a delay, and tells when an order has arrived. */
-class DelayedPromotions implements PromotionService {
-	constructor(private readonly service: MemoryService, private readonly delayMs: number, private readonly onOrder: () => PromotionResult) {}
-
-	async requestPromotion(_service: string, serverId: string): Promise<PromotionResult> {
+/** Creates a promotion service that promotes servers after a delay, and tells when an order has arrived. */
+function createDelayedPromotions(service: MemoryService, delayMs: number, onOrder: () => PromotionResult): PromotionService {
+	return promotionServiceOf(({server}) => {
 		setTimeout(() => {
-			this.service.promote(serverId, 1);
-		}, this.delayMs);
-		return this.onOrder();
-	}
+			service.promote(server, 1);
+		}, delayMs);
+		return onOrder();
+	});
 }
 
 describe('server that receives commits during a promotion', () => {
@@ -214,7 +212,7 @@
 		};
 
 		let orderCount = 0;
-		const promotions = new DelayedPromotions(service, effectDelayMs, () => {
+		const promotions = createDelayedPromotions(service, effectDelayMs, () => {
 			orderCount++;
 			if (orderCount === 1) {
 				runEventAt('between the order and its effect');
@@ -260,7 +258,7 @@
 	it('makes no caller rely on the old primary itself, whose commit is acknowledged when its successor is known (guards against acknowledged commits that the promoted server lacks)', async () => {
 		await startHosts();
 		let waitingWrite: Promise<void> | undefined;
-		startPromotions(new DelayedPromotions(service, earlyEffectDelayMs, () => 'accepted'), async () => {
+		startPromotions(createDelayedPromotions(service, earlyEffectDelayMs, () => 'accepted'), async () => {
 			waitingWrite = write();
 			await systemClock.sleep(writeDelayMs);
 		});
@@ -278,9 +276,9 @@
 		await startHosts();
 		let orderCount = 0;
 		const lateEffectMs = 3300;
-		const promotions = new DelayedPromotions(service, lateEffectMs, () => {
+		const promotions = createDelayedPromotions(service, lateEffectMs, () => {
 			orderCount++;
-			return orderCount === 1 ? 'retry' : 'notRunning';
+			return orderCount === 1 ? 'unanswered' : 'notRunning';
 		});
 		startPromotions(promotions, async () => undefined);
 		promoterDialer.cutServers.add('a');
--- a/packages/proxy/src/__tests__/lostCommitPaths.test.ts
+++ b/packages/proxy/src/__tests__/lostCommitPaths.test.ts
@@ -2,10 +2,12 @@
 import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {
-	type BackendConnection, type BackendDialer, type BackendServer, type PromotionService,
+	type BackendConnection, type BackendDialer, type BackendServer,
 } from '../ports.js';
 import {PromotionTask} from '../promotion.js';
-import {HostDialer, MemoryLease, MemoryService} from '../testing/index.js';
+import {
+	HostDialer, MemoryLease, MemoryService, promotionServiceOf,
+} from '../testing/index.js';
 import {
 	advanceableClock, type Harness, run as runStatement, startProxy,
 } from './proxyHarness.js';
@@ -88,15 +90,13 @@
 	}
 
 	function startPromotions({proxy, log}: Harness, lease: MemoryLease, onOrder: () => void): void {
-		const promotionService: PromotionService = {
-			async requestPromotion(_service, serverId) {
-				setTimeout(() => {
-					service.promote(serverId, 1);
-				}, effectDelayMs);
-				onOrder();
-				return 'accepted';
-			},
-		};
+		const promotionService = promotionServiceOf(({server}) => {
+			setTimeout(() => {
+				service.promote(server, 1);
+			}, effectDelayMs);
+			onOrder();
+			return 'accepted';
+		});
 		new PromotionTask(() => proxy.services, {
 			clock, log, lease, promotionService, metrics: noopMetrics,
 		}).run(lifetime.signal).catch(() => undefined);
@@ -231,22 +231,20 @@
 		await startHosts();
 		let pendingWrite: Promise<void> | undefined;
 		let isDone = false;
-		const promotionService: PromotionService = {
-			async requestPromotion(_service, serverId) {
-				pendingWrite = write();
-				setTimeout(() => {
-					service.promote(serverId, 1);
-					for (const {proxy} of hosts) {
-						proxy.setServers(service.listings());
-					}
-				}, 150);
-				setTimeout(() => {
-					isDone = true;
-					service.replicate(service.server('a'), service.join('e', false));
-				}, 400);
-				return 'accepted';
-			},
-		};
+		const promotionService = promotionServiceOf(({server}) => {
+			pendingWrite = write();
+			setTimeout(() => {
+				service.promote(server, 1);
+				for (const {proxy} of hosts) {
+					proxy.setServers(service.listings());
+				}
+			}, 150);
+			setTimeout(() => {
+				isDone = true;
+				service.replicate(service.server('a'), service.join('e', false));
+			}, 400);
+			return 'accepted';
+		});
 		const [, {proxy, log}] = hosts as [Harness, Harness];
 		new PromotionTask(() => proxy.services, {
 			clock, log, lease: new MemoryLease('h'), promotionService, metrics: noopMetrics,
@@ -260,24 +258,22 @@
 	it('the successor of a leaving primary restarts without its log before a repeated order (guards against acknowledged commits that the promoted server lacks)', async () => {
 		await startHosts();
 		let orderCount = 0;
-		const promotionService: PromotionService = {
-			async requestPromotion(_service, serverId) {
-				orderCount++;
-				if (orderCount === 1) {
-					service.server(serverId).restartEmpty();
-					for (const other of service.servers) {
-						if (other.id !== serverId) {
-							service.server(serverId).partitionedFrom.add(other);
-						}
+		const promotionService = promotionServiceOf(({server}) => {
+			orderCount++;
+			if (orderCount === 1) {
+				service.server(server).restartEmpty();
+				for (const other of service.servers) {
+					if (other.id !== server) {
+						service.server(server).partitionedFrom.add(other);
 					}
-
-					return 'retry';
 				}
 
-				service.promote(serverId, 1);
-				return 'accepted';
-			},
-		};
+				return 'unanswered';
+			}
+
+			service.promote(server, 1);
+			return 'accepted';
+		});
 		const [, {proxy, log}] = hosts as [Harness, Harness];
 		service.server('a').isLeaving = true;
 		for (const host of hosts) {
--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -2,9 +2,11 @@
 import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {PromotionTask} from '../promotion.js';
-import {type PromotionResult, type PromotionService} from '../ports.js';
+import {type PromotionRequest, type PromotionResult, type PromotionService} from '../ports.js';
 import {unconfirmedServerGraceMs} from '../backend.js';
-import {MemoryLease, type MemoryServer, MemoryService} from '../testing/index.js';
+import {
+	MemoryLease, type MemoryServer, MemoryService, promotionServiceOf,
+} from '../testing/index.js';
 import {
 	advanceableClock, createPromotionService, errorOf, type Harness, run, startProxy, waitUntilServed,
 } from './proxyHarness.js';
@@ -15,7 +17,7 @@
 type LatePromotion = {
 	/** Time between the request and its effect. */
 	readonly delayMs: number;
-	readonly response: 'accepted' | 'retry';
+	readonly response: 'accepted' | 'unanswered';
 	/** Response to the requests after the first one, which then have no effect; `response` if it is omitted. */
 	readonly laterResponse?: PromotionResult;
 	/** Replicas that have to stay paused until the promotion takes effect. */
@@ -30,7 +32,11 @@
 
 	constructor(private readonly service: MemoryService, private readonly promotion: LatePromotion) {}
 
-	async requestPromotion(_service: string, serverId: string): Promise<PromotionResult> {
+	async requestPromotion({server, mayBeSent}: PromotionRequest): Promise<PromotionResult> {
+		if (!await mayBeSent()) {
+			return 'notSent';
+		}
+
 		const {delayMs, laterResponse, replicas, response} = this.promotion;
 		this.requestCount++;
 		if (laterResponse !== undefined && this.requestCount > 1) {
@@ -45,7 +51,7 @@
 		setTimeout(() => {
 			clearInterval(pauseTimer);
 			this.isPromoted = true;
-			this.service.promote(serverId, 1);
+			this.service.promote(server, 1);
 		}, delayMs);
 		return response;
 	}
@@ -212,7 +218,7 @@
 		await startHarness();
 		const {service} = harness;
 		const [primary, ...replicas] = service.servers as [MemoryServer, ...MemoryServer[]];
-		const latePromotionService = new LatePromotionService(service, {delayMs: 1500, response: 'retry', replicas});
+		const latePromotionService = new LatePromotionService(service, {delayMs: 1500, response: 'unanswered', replicas});
 		startPromotions(latePromotionService);
 		primary.isUnresponsive = true;
 		await waitUntil(() => latePromotionService.isPromoted, 8000);
@@ -264,7 +270,7 @@
 		const {service} = harness;
 		const [primary, ...replicas] = service.servers as [MemoryServer, ...MemoryServer[]];
 		const latePromotionService = new LatePromotionService(service, {
-			delayMs: 1500, response: 'retry', laterResponse: 'notRunning', replicas,
+			delayMs: 1500, response: 'unanswered', laterResponse: 'notRunning', replicas,
 		});
 		startPromotions(latePromotionService);
 		primary.isUnresponsive = true;
@@ -299,7 +305,7 @@
 	it('recognizes the primary again after a former one has stepped down for a promotion that was refused (guards against hosts that wait for a primary of a term that nobody leads)', async () => {
 		const [formerPrimary, currentPrimary] = await startWithFormerPrimary();
 		const {view} = harness;
-		startPromotions({requestPromotion: async () => 'notRunning'});
+		startPromotions(promotionServiceOf(() => 'notRunning'));
 		currentPrimary.isUnresponsive = true;
 		await waitUntil(() => formerPrimary.role === 'replica', 8000);
 		expect(formerPrimary.term).to.equal(currentPrimary.term);
@@ -313,17 +319,15 @@
 		const {service, view} = harness;
 		const [formerPrimary, ...replicas] = service.servers as [MemoryServer, ...MemoryServer[]];
 		replicas[0]!.pausedTerm = 2;
-		startPromotions({
-			async requestPromotion(_service, serverId) {
-				for (const replica of replicas) {
-					replica.pausedTerm = 0;
-				}
-
-				service.promote(serverId, 1);
-				formerPrimary.isUnresponsive = false;
-				return 'accepted';
-			},
-		});
+		startPromotions(promotionServiceOf(({server}) => {
+			for (const replica of replicas) {
+				replica.pausedTerm = 0;
+			}
+
+			service.promote(server, 1);
+			formerPrimary.isUnresponsive = false;
+			return 'accepted';
+		}));
 		formerPrimary.isUnresponsive = true;
 		await waitUntil(() => service.promotions.length > 0 && formerPrimary.role === 'replica', 8000);
 		const promoted = service.server(service.promotions[0]!.server);
@@ -370,7 +374,7 @@
 		await startHarness();
 		const {service, log} = harness;
 		const [primary, ...replicas] = service.servers as [MemoryServer, ...MemoryServer[]];
-		const task = startPromotions(new LatePromotionService(service, {delayMs: 1500, response: 'retry', replicas}));
+		const task = startPromotions(new LatePromotionService(service, {delayMs: 1500, response: 'unanswered', replicas}));
 		primary.isUnresponsive = true;
 		await waitUntil(() => log.withMessage('a promotion was ordered').length > 0);
 		expect(await task.stop(200)).to.equal(false);
--- a/packages/proxy/src/__tests__/promotionOrder.test.ts
+++ b/packages/proxy/src/__tests__/promotionOrder.test.ts
@@ -4,7 +4,7 @@
 import {type PromotionOrder, type PromotionService} from '../ports.js';
 import {PromotionTask} from '../promotion.js';
 import {orderSettleMs} from '../promotionOrder.js';
-import {MemoryLease, type MemoryServer} from '../testing/index.js';
+import {MemoryLease, type MemoryServer, promotionServiceOf} from '../testing/index.js';
 import {
 	advanceableClock, createPromotionService, type Harness, startProxy,
 } from './proxyHarness.js';
@@ -226,12 +226,10 @@
 			},
 		});
 		let promotionsAtHalt: number | undefined;
-		start(lease, {
-			async requestPromotion() {
-				promotionsAtHalt ??= halts().length;
-				return 'notRunning';
-			},
-		});
+		start(lease, promotionServiceOf(() => {
+			promotionsAtHalt ??= halts().length;
+			return 'notRunning';
+		}));
 		await waitUntil(() => halts().length > 0);
 		expect(promotionsAtHalt).to.equal(undefined);
 		expect(String(halts()[0]!.fields.reason)).to.include('not sent');
@@ -243,13 +241,13 @@
 	it('is recorded before the first request and as repeated before the second one (guards against an order of which the next holder does not know)', async () => {
 		const lease = new MemoryLease('h');
 		const recordsBeforeRequests: Array<readonly boolean[]> = [];
-		const promotionService = createPromotionService(harness.service, 3);
-		start(lease, {
-			async requestPromotion(...parameters) {
-				recordsBeforeRequests.push(lease.orders.map(({isRepeated}) => isRepeated));
-				return promotionService.requestPromotion(...parameters);
-			},
-		});
+		let unansweredCount = 0;
+		start(lease, promotionServiceOf(({server}) => {
+			recordsBeforeRequests.push(lease.orders.map(({isRepeated}) => isRepeated));
+			harness.service.promote(server, 7);
+			unansweredCount++;
+			return unansweredCount <= 3 ? 'unanswered' : 'accepted';
+		}));
 		await waitUntil(() => recordsBeforeRequests.length === 4);
 		expect(recordsBeforeRequests).to.deep.equal([[false], [false, true], [false, true], [false, true]]);
 		expect(lease.orders[0]).to.include({service: 'ledger', priorTerm: 1});
@@ -257,12 +255,10 @@
 
 	it('is reported if it takes effect after its promotion was abandoned (guards against lost commits that nobody hears of)', async () => {
 		let requestCount = 0;
-		start(new MemoryLease('h'), {
-			async requestPromotion() {
-				requestCount++;
-				return requestCount === 1 ? 'retry' : 'notRunning';
-			},
-		});
+		start(new MemoryLease('h'), promotionServiceOf(() => {
+			requestCount++;
+			return requestCount === 1 ? 'unanswered' : 'notRunning';
+		}));
 		await waitUntil(() => requestCount > 0);
 		harness.service.server('a').isUnresponsive = false;
 		await waitUntil(() => halts().length > 0, 2 * promotionTimeoutMs);
--- a/packages/proxy/src/__tests__/proxyHarness.ts
+++ b/packages/proxy/src/__tests__/proxyHarness.ts
@@ -8,7 +8,7 @@
 import {type Session} from '../session.js';
 import {SessionProxy} from '../sessionProxy.js';
 import {type Answer, type ErrorKind, type Statement} from '../statement.js';
-import {MemoryService} from '../testing/index.js';
+import {MemoryService, promotionServiceOf} from '../testing/index.js';
 
 const freshnessRules: Readonly<Record<string, FreshnessRule>> = {
 	strict: {kind: 'primary'},
@@ -84,17 +84,15 @@
  */
 export function createPromotionService(service: MemoryService, responsesToLose = 0): PromotionService {
 	let remainingLosses = responsesToLose;
-	return {
-		async requestPromotion(_service, serverId, fence) {
-			if (service.server(serverId).isUnresponsive) {
-				return 'notRunning';
-			}
-
-			service.promote(serverId, fence.token);
-			remainingLosses--;
-			return remainingLosses >= 0 ? 'retry' : 'accepted';
-		},
-	};
+	return promotionServiceOf(({server, token}) => {
+		if (service.server(server).isUnresponsive) {
+			return 'notRunning';
+		}
+
+		service.promote(server, token);
+		remainingLosses--;
+		return remainingLosses >= 0 ? 'unanswered' : 'accepted';
+	});
 }
 
 /** Waits until a write succeeds. A server that was silent is suspected until it has answered again, and writes are refused meanwhile. */
--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -149,14 +149,35 @@
 	clearOrder(service: string, signal: AbortSignal): Promise<void>;
 };
 
-/** Result of a promotion request. An accepted request takes effect later. After `retry`, the request may or may not take effect. */
-export type PromotionResult = 'accepted' | 'notRunning' | 'retry';
+/** A request to the platform to promote a server. */
+export type PromotionRequest = {
+	readonly service: string;
+	readonly server: string;
+	/** Holder and fencing token of the promotion lease. */
+	readonly holder: string;
+	readonly token: number;
+	/**
+	 * Asked once the connection is open. If it is true, the request is written at once, in the same turn of the event loop, and otherwise
+	 * never. A lease that was confirmed before the connection could be lost while the process waits for it.
+	 */
+	readonly mayBeSent: () => Promise<boolean>;
+};
+
+/** Result of a promotion request. */
+export type PromotionResult
+	/** The promotion takes effect later. */
+	= | 'accepted'
+	/** The server does not run, so that it is not promoted. */
+		| 'notRunning'
+	/** The platform carried nothing out, because there were too many requests. */
+		| 'rejected'
+	/** There was no connection, or the request was not allowed to be sent any more. */
+		| 'notSent'
+	/** The promotion may or may not take effect. */
+		| 'unanswered';
 
 /** The platform's promotion service, which makes a backend server the primary of its service. */
 export type PromotionService = {
-	/**
-	 * Requests the promotion of a server.
-	 * @param fence - holder and fencing token of the promotion lease
-	 */
-	requestPromotion(service: string, serverId: string, fence: {readonly holder: string; readonly token: number}, signal: AbortSignal): Promise<PromotionResult>;
+	/** Requests the promotion of a server. */
+	requestPromotion(request: PromotionRequest, signal: AbortSignal): Promise<PromotionResult>;
 };
--- a/packages/proxy/src/promotionOrder.ts
+++ b/packages/proxy/src/promotionOrder.ts
@@ -5,7 +5,7 @@
 import {probeStatus} from './leadershipProver.js';
 import {promotionSettleMs} from './orphanedPauseCleaner.js';
 import {
-	type PriorOrder, type PromotionLease, type PromotionOrder, type PromotionService,
+	type PriorOrder, type PromotionLease, type PromotionOrder, type PromotionResult, type PromotionService,
 } from './ports.js';
 import {type ReplicationPauses} from './replicationPauses.js';
 import {type ServiceView} from './serviceView.js';
@@ -17,11 +17,11 @@
 const requestRetryDelayMs = 150;
 /** Longest time between the confirmation of the lease and a promotion request. A holder may have been suspended between the two. */
 const maximumConfirmationAgeMs = 1200;
-/** Time in which a promotion request is answered or given up, from the start of its connection. It is not sent later. */
+/** Time in which the connection for a promotion request is made or given up, and in which a request that was sent is answered or given up. */
 export const promotionRequestTimeoutMs = 1500;
 /**
- * Time for which an order without a definite result may take effect. Its request may arrive until its timeout. The order of an earlier holder
- * was sent at most `maximumConfirmationAgeMs` after the lease was acquired, and its effect is expected within the time left.
+ * Time for which an order without a definite result may be received and take effect. The order of an earlier holder was sent at most
+ * `maximumConfirmationAgeMs` after the lease was acquired, so that it may be on its way for the time left before the next holder orders.
  */
 export const orderSettleMs = promotionRequestTimeoutMs + promotionSettleMs;
 /** Time for which a server is watched whose promotion was abandoned after requests without an answer. */
@@ -55,6 +55,9 @@
 
 type RequestOutcome = 'accepted' | 'refused' | 'unanswered' | `not sent, because ${string}`;
 
+/** Outcomes of an order whose last request had a definite result. After the other results the request is repeated. */
+const definiteOutcomes: Readonly<Partial<Record<PromotionResult, RequestOutcome>>> = {accepted: 'accepted', notRunning: 'refused'};
+
 /** Thrown to abandon a promotion, with the reason as message. */
 export class PromotionHalt extends Error {
 	override readonly name = 'PromotionHalt';
@@ -153,58 +156,89 @@
 	}
 
 	/** Requests the promotion while this process holds the promotion lease, and repeats requests without a definite result. */
-	private async requestPromotion(view: ServiceView, {backend, status}: Candidate, {target, token, findObstacle, signal}: PromotionPlan): Promise<RequestOutcome> {
-		const {clock, lease, log, promotionService} = this.ports;
+	private async requestPromotion(view: ServiceView, {backend, status}: Candidate, plan: PromotionPlan): Promise<RequestOutcome> {
+		const {clock, log} = this.ports;
+		const {token, signal} = plan;
 		this.orderCounts.set(view, this.countOrders(view) + 1);
+		let unansweredCount = 0;
 		for (let attempt = 0; attempt < maximumRequests; attempt++) {
-			const order: PromotionOrder = {
-				service: view.name, server: backend.id, priorTerm: target.highestPriorTerm, isRepeated: attempt > 0 || this.hasPendingRepeats(view),
-			};
-			const obstacle = await findObstacle();
-			if (obstacle !== undefined) {
-				return attempt === 0 ? `not sent, because ${obstacle}` : 'unanswered';
+			const startedMs = clock.nowMs();
+			const {result, obstacle} = await this.requestOnce(view, plan, unansweredCount);
+			log.info({
+				service: view.name, server: backend.id, token, result, obstacle, position: formatPosition(status.receivedPosition), attempt, tookMs: Math.round(clock.nowMs() - startedMs),
+			}, 'a promotion was ordered');
+			unansweredCount += result === 'unanswered' ? 1 : 0;
+			const outcome = obstacle === undefined ? definiteOutcomes[result] : `not sent, because ${obstacle}` as const;
+			if (outcome !== undefined) {
+				// Earlier requests without an answer may still take effect.
+				return outcome === 'accepted' || unansweredCount === 0 ? outcome : 'unanswered';
 			}
 
-			if (!await this.recordAndConfirm(order, {token, attempt}, signal)) {
-				return attempt === 0 ? 'not sent, because the duty is no longer held' : 'unanswered';
-			}
+			await clock.sleep(requestRetryDelayMs, signal);
+		}
 
-			if (attempt > 0) {
-				this.repeatsPendingUntilMs.set(view, clock.nowMs() + orderSettleMs);
-			}
+		return unansweredCount === 0 ? 'not sent, because the platform accepted no request' : 'unanswered';
+	}
 
-			const confirmedMs = clock.nowMs();
-			const result = await promotionService.requestPromotion(view.name, backend.id, {holder: lease.holder, token}, signal);
-			log.info({
-				service: view.name, server: backend.id, token, result, position: formatPosition(status.receivedPosition), attempt, tookMs: Math.round(clock.nowMs() - confirmedMs),
-			}, 'a promotion was ordered');
-			if (result === 'accepted') {
-				return result;
-			}
+	/**
+	 * Requests the promotion once.
+	 * @param unansweredCount - number of earlier requests of this order that may still take effect
+	 * @returns the result, and why the request was not allowed to be sent
+	 */
+	private async requestOnce(view: ServiceView, plan: PromotionPlan, unansweredCount: number): Promise<{readonly result: PromotionResult; readonly obstacle: string | undefined}> {
+		const {lease, promotionService} = this.ports;
+		let obstacle: string | undefined;
+		const result = await promotionService.requestPromotion({
+			service: view.name,
+			server: plan.target.backend.id,
+			holder: lease.holder,
+			token: plan.token,
+			mayBeSent: async () => {
+				obstacle = await this.prepareToSend(view, plan, unansweredCount);
+				return obstacle === undefined;
+			},
+		}, plan.signal);
+		return {result, obstacle};
+	}
 
-			if (result === 'notRunning') {
-				// Earlier requests without an answer may still take effect once the server runs again.
-				return attempt === 0 ? 'refused' : 'unanswered';
-			}
+	/**
+	 * Checks once more that the promotion is safe, and records the order. Nothing may delay the request after this.
+	 * @param unansweredCount - number of earlier requests of this order that may still take effect
+	 * @returns why the request must not be sent, or undefined if it may be
+	 */
+	private async prepareToSend(view: ServiceView, {target, token, findObstacle, signal}: PromotionPlan, unansweredCount: number): Promise<string | undefined> {
+		const obstacle = await findObstacle();
+		if (obstacle !== undefined) {
+			return obstacle;
+		}
 
-			await clock.sleep(requestRetryDelayMs, signal);
+		const order: PromotionOrder = {
+			service: view.name, server: target.backend.id, priorTerm: target.highestPriorTerm, isRepeated: unansweredCount > 0 || this.hasPendingRepeats(view),
+		};
+		if (!await this.recordAndConfirm(order, {token, unansweredCount}, signal)) {
+			return 'the duty is no longer held';
 		}
 
-		return 'unanswered';
+		if (unansweredCount > 0) {
+			this.repeatsPendingUntilMs.set(view, this.ports.clock.nowMs() + orderSettleMs);
+		}
+
+		return undefined;
 	}
 
 	/**
-	 * Records the order before the first and the second request, and confirms the lease before each further one, which changes nothing in the record.
+	 * Records the order before the first request, and as repeated after one without an answer. Confirms the lease before each further one, which
+	 * changes nothing in the record.
 	 * @returns false if the lease is not certainly held now, under the token
 	 */
-	private async recordAndConfirm(order: PromotionOrder, {token, attempt}: {readonly token: number; readonly attempt: number}, signal: AbortSignal): Promise<boolean> {
+	private async recordAndConfirm(order: PromotionOrder, {token, unansweredCount}: {readonly token: number; readonly unansweredCount: number}, signal: AbortSignal): Promise<boolean> {
 		const {clock, lease} = this.ports;
 		if (lease.fencingToken() !== token) {
 			return false;
 		}
 
 		const startedMs = clock.nowMs();
-		const isHeld = attempt < 2 ? await lease.recordOrder(order, signal) : await lease.confirm(signal);
+		const isHeld = unansweredCount < 2 ? await lease.recordOrder(order, signal) : await lease.confirm(signal);
 		return isHeld && lease.fencingToken() === token && clock.nowMs() - startedMs <= maximumConfirmationAgeMs;
 	}
 
