Pass on a commit only if each server that an unsettled order names holds it

Callers got a success for writes and then did not find them: an order of promotion that was abandoned took effect after its pauses had ended, and made a server lead that lacked the commits. Nothing told the hosts that pass on commits of such an order, and the record of it was removed after 4 s.

The record of a service now keeps each order until its effect is seen, it is refused, or 120 s have passed. A commit counts as confirmed only if each listed server that a recorded order names holds it, besides the witness. While no order is unsettled nothing changes, and an order that is answered and takes effect is removed at once. The wait of the next holder stays at 4 s.

--- a/packages/proxy/src/__tests__/proxyHarness.ts
+++ b/packages/proxy/src/__tests__/proxyHarness.ts
@@ -2,7 +2,7 @@
 import {RecordingLogger, waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {
-	type BackendDialer, type BackendServer, type ConfirmServers, type FreshnessRule, type PromotionService, type ProxyConfiguration, type Route,
+	type BackendDialer, type BackendServer, type ConfirmServers, type FreshnessRule, type IsNamedInOrder, type PromotionService, type ProxyConfiguration, type Route,
 } from '../ports.js';
 import {type ServiceView} from '../serviceView.js';
 import {type Session} from '../session.js';
@@ -27,6 +27,8 @@
 
 type ProxyOptions = {
 	readonly confirmServers?: ConfirmServers;
+	/** Tells which servers recorded orders name; none if it is omitted. */
+	readonly isNamedInOrder?: IsNamedInOrder;
 	/** Dials the servers; the service itself if it is omitted. */
 	readonly dialer?: BackendDialer;
 	/** Servers that service discovery lists; all if it is omitted. */
@@ -42,11 +44,11 @@
 
 /** Starts a proxy in front of an in-memory service, which may lack a primary. */
 export function createProxy(service: MemoryService, clock: Clock = systemClock, options: ProxyOptions = {}): Harness {
-	const {confirmServers = async () => true, dialer = service, servers = service.listings()} = options;
+	const {confirmServers = async () => true, isNamedInOrder = () => false, dialer = service, servers = service.listings()} = options;
 	const log = new RecordingLogger();
 	const lifetime = new AbortController();
 	const proxy = new SessionProxy({
-		clock, random: {next: () => 0.5}, log, metrics: noopMetrics, dialer, confirmServers, failureDomain: 'a', configurationBoundMs: 3000,
+		clock, random: {next: () => 0.5}, log, metrics: noopMetrics, dialer, confirmServers, isNamedInOrder, failureDomain: 'a', configurationBoundMs: 3000,
 	});
 	const configure = (version: number, databases: readonly string[]) => {
 		const routes = databases.map((database): [string, Route] => [database, {
--- a/packages/proxy/src/commitConfirmation.ts
+++ b/packages/proxy/src/commitConfirmation.ts
@@ -1,6 +1,18 @@
-import {type Clock, comparePositions, type LogPosition} from '@crocusloom/model';
+import {type Clock} from '@crocusloom/model';
 import {type Backend} from './backend.js';
-import {witnessAgeMs} from './commitWitnesses.js';
+import {
+	type AcknowledgedCommit,
+	type AwaitedCommit,
+	type ConfirmationMembership,
+	countSilentRounds,
+	hasCommit,
+	isCommitSafe,
+	type ProbeOutcome,
+	type ProbeRound,
+	reasonToGiveUp,
+	type SentProbe,
+	type SilentRounds,
+} from './confirmationRules.js';
 import {statusTimeoutMs} from './leadershipProver.js';
 import {isTrueWithin} from './withTimeout.js';
 
@@ -9,22 +21,6 @@
 /** Delay before the witnesses are asked again for a position that they did not have yet. It doubles with each round. */
 const initialRetryDelayMs = 5;
 const maximumRetryDelayMs = 80;
-/** Rounds without an answer of any witness after which a commit is not confirmed. */
-const maximumSilentRounds = 2;
-
-/** Servers that can confirm commits of a service. */
-export type ConfirmationMembership = {
-	/** The last known primary. */
-	readonly primary: Backend | undefined;
-	/** All listed servers except the primary. */
-	readonly members: readonly Backend[];
-	/** Those of them that each promotion under way has paused before its order, in the order in which they should be asked. */
-	readonly witnesses: readonly Backend[];
-	/** Number of replicas that must receive a commit before it is acknowledged. */
-	readonly syncReplicas: number;
-	/** Highest term that any server has reported. */
-	readonly newestTerm: number;
-};
 
 /** Whether a commit is known to be in the log of each server that a promotion may choose. */
 export type CommitConfirmation
@@ -32,28 +28,10 @@
 	= | {readonly kind: 'confirmed'; readonly wasKnown: boolean}
 		| {readonly kind: 'unconfirmed'; readonly reason: string};
 
-/** What an answer of a server, or its absence, tells about the commits that it lacks. */
-type ProbeOutcome
-	/** It receives what the primary commits. */
-	= | 'receiving'
-		/** Replication to it is paused for a promotion, or it is a primary itself. */
-		| 'notReceiving'
-		/** It is alive, and could not tell. */
-		| 'busy'
-		| 'silent';
-
-/** A commit, and the server that acknowledged it as the primary. */
-export type AcknowledgedCommit = {readonly position: LogPosition; readonly primary: Backend};
-
-type Waiter = AcknowledgedCommit & {
-	/** Time at which the acknowledgement of the primary was known. */
-	readonly sinceMs: number;
+type Waiter = AwaitedCommit & {
 	readonly settle: (confirmation: CommitConfirmation) => void;
 };
 
-/** Last outcome of a probe of a server, the term that the server reported, and the time at which the probe was sent. */
-type SentProbe = {readonly sentMs: number; readonly outcome: ProbeOutcome; readonly term: number | undefined};
-
 const confirmed: CommitConfirmation = {kind: 'confirmed', wasKnown: false};
 
 /**
@@ -118,38 +96,8 @@
 		}
 	}
 
-	private isConfirmed({position, primary, sinceMs}: Omit<Waiter, 'settle'>): boolean {
-		const {syncReplicas, newestTerm, ...others} = this.membership();
-		if (syncReplicas === 0) {
-			return true;
-		}
-
-		if (newestTerm > position.term) {
-			return false;
-		}
-
-		const members = others.members.filter(backend => backend !== primary);
-		const witnesses = others.witnesses.filter(backend => backend !== primary);
-
-		if (witnesses.length === 0) {
-			return others.primary === primary && members.length > 0 && members.every(({heldPosition}) => hasCommit(heldPosition, position));
-		}
-
-		const holders = witnesses.filter(({heldPosition}) => hasCommit(heldPosition, position));
-		return holders.some(holder => hasCommit(holder.establishedPosition, position) || this.isCorroborated(holder, witnesses, {sinceMs, term: position.term}));
-	}
-
-	/**
-	 * Checks whether another witness was not paused after the commit, or cannot tell while nothing suggests that the holder restarted. One
-	 * that follows a primary of another term shows that a promotion took effect.
-	 */
-	private isCorroborated(holder: Backend, witnesses: readonly Backend[], {sinceMs, term}: {readonly sinceMs: number; readonly term: number}): boolean {
-		const outcomes = witnesses.filter(backend => backend !== holder).map(backend => {
-			const probe = this.probes.get(backend);
-			return probe && probe.sentMs >= sinceMs && (probe.outcome !== 'receiving' || probe.term === term) ? probe.outcome : undefined;
-		});
-		const cannotTell = outcomes.every(outcome => outcome === 'busy' || outcome === 'silent');
-		return outcomes.includes('receiving') || (cannotTell && holder.undisturbedForMs >= witnessAgeMs);
+	private isConfirmed(commit: AwaitedCommit): boolean {
+		return isCommitSafe(commit, this.membership(), backend => this.probes.get(backend));
 	}
 
 	/** Settles the commits of a primary that is known to be replaced. Nothing tells whether its successor has them. */
@@ -175,13 +123,13 @@
 
 	private async probeInRounds(): Promise<void> {
 		let retryDelayMs = initialRetryDelayMs;
-		let silentRounds = 0;
+		let silentRounds: SilentRounds = {witnesses: 0, ordered: 0};
 		let round = 0;
 		while (this.waiters.size > 0) {
 			const awaited = [...this.waiters];
 			const outcomes = await this.probeRound(round);
 			this.giveUpReplaced();
-			silentRounds = outcomes.every(outcome => outcome === 'silent') ? silentRounds + 1 : 0;
+			silentRounds = countSilentRounds(silentRounds, outcomes);
 			const reason = reasonToGiveUp(outcomes, silentRounds);
 			if (reason !== undefined) {
 				settleAll(awaited.filter(waiter => this.waiters.has(waiter)), {kind: 'unconfirmed', reason});
@@ -195,11 +143,24 @@
 		}
 	}
 
+	/** Asks the witnesses, and those servers that an order may still promote and that are not known to have all awaited commits. */
+	private async probeRound(round: number): Promise<ProbeRound> {
+		const ordered = this.membership().ordered.filter(backend => this.mustHoldMore(backend));
+		const [witnessOutcomes, orderedOutcomes] = await Promise.all([
+			this.probeWitnesses(round), Promise.all(ordered.map(async backend => this.probe(backend))),
+		]);
+		return {witnesses: witnessOutcomes, ordered: orderedOutcomes};
+	}
+
+	private mustHoldMore(backend: Backend): boolean {
+		return [...this.waiters].some(({position, primary}) => backend !== primary && !hasCommit(backend.heldPosition, position));
+	}
+
 	/**
 	 * Asks one witness, and the others too if it does not answer soon, is paused, or has commits that it cannot confirm alone. Successive
 	 * rounds begin with different ones.
 	 */
-	private async probeRound(round: number): Promise<readonly ProbeOutcome[]> {
+	private async probeWitnesses(round: number): Promise<readonly ProbeOutcome[]> {
 		const {members, witnesses} = this.membership();
 		if (witnesses.length === 0) {
 			return Promise.all(members.map(async backend => this.probe(backend)));
@@ -243,20 +204,6 @@
 	}
 }
 
-/** Checks whether a server is known to have had a commit. A log of another term may lack it, whatever its position. */
-function hasCommit(heldPosition: LogPosition | undefined, position: LogPosition): boolean {
-	return heldPosition?.term === position.term && comparePositions(heldPosition, position) >= 0;
-}
-
-/** Returns why no further answer can confirm a commit that was awaited before a round, or undefined if one can. */
-function reasonToGiveUp(outcomes: readonly ProbeOutcome[], silentRounds: number): string | undefined {
-	if (outcomes.includes('notReceiving') && !outcomes.includes('receiving') && !outcomes.includes('busy')) {
-		return 'replication to the witnesses is paused for a promotion, or ended with one';
-	}
-
-	return silentRounds >= maximumSilentRounds ? 'no witness answers' : undefined;
-}
-
 function settleAll(waiters: readonly Waiter[], confirmation: CommitConfirmation): void {
 	for (const waiter of waiters) {
 		waiter.settle(confirmation);
--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -109,24 +109,29 @@
  */
 export type ConfirmServers = () => Promise<boolean>;
 
-/** An order of promotion as it is recorded before the request, so that the next holder of the promotion lease knows of it. */
+/** An order of promotion as it is recorded before the request, so that all hosts and the next holder of the promotion lease know of it. */
 export type PromotionOrder = {
 	readonly service: string;
 	readonly server: string;
 	/** Highest term before the promotion. The order has taken effect once the server is the primary of a later one. */
 	readonly priorTerm: number;
-	/** True if further requests for the service may take effect after the first effect. */
+	/** True if further requests for the server may take effect after the first effect. */
 	readonly isRepeated: boolean;
 };
 
-/** An order of an earlier holder of the promotion lease, found when the lease was acquired. */
-export type PriorOrder = {
-	/** Undefined if the record is unreadable. */
+/** An order of promotion that may still take effect, as the holder of the promotion lease knows it from the record. */
+export type RecordedOrder = {
+	/** Undefined if the record is unreadable. The order may name any server then. */
 	readonly order: PromotionOrder | undefined;
-	/** Monotonic time in milliseconds at which the record was found. No order of earlier holders is recorded after it. */
-	readonly foundMs: number;
+	/** Monotonic time in milliseconds at which this process recorded the order or found its record. No order of earlier holders is recorded later. */
+	readonly sinceMs: number;
+	/** True if an earlier holder recorded it. */
+	readonly isPrior: boolean;
 };
 
+/** Tells whether a recorded order that is not settled may make a server the primary of a service. */
+export type IsNamedInOrder = (service: string, server: string) => boolean;
+
 /** Lease on the right to request promotions. One process holds it at a time. */
 export type PromotionLease = {
 	/** Name under which this process holds the lease. */
@@ -138,15 +143,15 @@
 	 * @returns false if the lease is lost or the platform does not answer
 	 */
 	confirm(signal: AbortSignal): Promise<boolean>;
-	/** Returns the order of an earlier holder for a service, or undefined if there is none or it was cleared. */
-	priorOrder(service: string): PriorOrder | undefined;
+	/** Returns the recorded orders of a service that were not cleared, of this holder and of earlier ones. */
+	recordedOrders(service: string): readonly RecordedOrder[];
 	/**
-	 * Records an order, and thereby confirms that this process still holds the lease.
+	 * Records an order beside those that are recorded, and thereby confirms that this process still holds the lease.
 	 * @returns false if the lease is lost or the platform does not answer; the order may be recorded all the same
 	 */
 	recordOrder(order: PromotionOrder, signal: AbortSignal): Promise<boolean>;
-	/** Removes the record of an order that can no longer take effect. A record that remains delays the next holder only. */
-	clearOrder(service: string, signal: AbortSignal): Promise<void>;
+	/** Removes an order that is settled from the record. */
+	clearOrder(service: string, order: PromotionOrder | undefined, signal: AbortSignal): Promise<void>;
 };
 
 /** A request to the platform to promote a server. */
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -123,7 +123,8 @@
 		try {
 			const {primaryMonitor, pauseCleaner} = this.monitorsOf(view);
 			const need = await primaryMonitor.check();
-			if (await this.orders.isPriorOrderPending(view, signal)) {
+			this.orders.clearSettled(view, signal);
+			if (await this.orders.isPriorOrderPending(view)) {
 				return;
 			}
 
--- a/packages/proxy/src/promotionOrder.ts
+++ b/packages/proxy/src/promotionOrder.ts
@@ -5,7 +5,7 @@
 import {probeStatus} from './leadershipProver.js';
 import {promotionSettleMs} from './orphanedPauseCleaner.js';
 import {
-	type PriorOrder, type PromotionLease, type PromotionOrder, type PromotionResult, type PromotionService,
+	type PromotionLease, type PromotionOrder, type PromotionResult, type PromotionService, type RecordedOrder,
 } from './ports.js';
 import {type ReplicationPauses} from './replicationPauses.js';
 import {type ServiceView} from './serviceView.js';
@@ -24,6 +24,13 @@
  * `maximumConfirmationAgeMs` after the lease was acquired, so that it may be on its way for the time left before the next holder orders.
  */
 export const orderSettleMs = promotionRequestTimeoutMs + promotionSettleMs;
+/**
+ * Time for which an order counts as one that may still take effect, unless its effect is seen. Longer than an operating system goes on sending
+ * for a process that has ended.
+ */
+export const unsettledOrderMs = 120_000;
+/** Minimum time between two attempts to remove settled orders of a service from the record. */
+const clearIntervalMs = 1000;
 /** Time for which a server is watched whose promotion was abandoned after requests without an answer. */
 const lateEffectWatchMs = 20_000;
 const lateEffectPollIntervalMs = 500;
@@ -78,31 +85,40 @@
 	/** Number of orders of each service, to tell the last one. */
 	private readonly orderCounts = new Map<ServiceView, number>();
 
+	/** Orders of earlier holders for which a promotion need not wait any more. */
+	private readonly noLongerAwaited = new WeakSet<RecordedOrder>();
+	/** Times from which on settled orders of a service may be removed from the record again. */
+	private readonly clearFromMs = new Map<ServiceView, number>();
+
 	constructor(private readonly ports: PromotionPorts) {}
 
 	/**
-	 * Checks whether an order of an earlier holder may still take effect. Until then, this process must neither promote or step down a
+	 * Checks whether an order of an earlier holder may still be received. Until then, this process must neither promote or step down a
 	 * server of the service nor end a pause.
-	 * @returns false once the order has taken effect, or its time has passed
+	 * @returns false once each such order has taken effect, or its time has passed
 	 */
-	async isPriorOrderPending(view: ServiceView, signal: AbortSignal): Promise<boolean> {
-		const {lease, clock, log} = this.ports;
-		const priorOrder = lease.priorOrder(view.name);
-		if (!priorOrder) {
-			return false;
-		}
+	async isPriorOrderPending(view: ServiceView): Promise<boolean> {
+		const priorOrders = this.ports.lease.recordedOrders(view.name).filter(({isPrior}) => isPrior);
+		const awaited = priorOrders.filter(recorded => !this.noLongerAwaited.has(recorded));
+		const checks = await Promise.all(awaited.map(async recorded => this.isAwaited(view, recorded)));
+		return checks.includes(true);
+	}
 
-		const waitedMs = clock.nowMs() - priorOrder.foundMs;
-		const hasTakenEffect = await hasTakenFinalEffect(view, priorOrder);
-		if (waitedMs < orderSettleMs && !hasTakenEffect) {
-			return true;
+	/**
+	 * Removes the orders from the record that can no longer take effect, or whose effect would change nothing. Hosts pass on commits only with
+	 * the servers that the others name.
+	 */
+	clearSettled(view: ServiceView, signal: AbortSignal): void {
+		const {clock, lease} = this.ports;
+		if (clock.nowMs() < (this.clearFromMs.get(view) ?? 0)) {
+			return;
 		}
 
-		log.info({
-			service: view.name, server: priorOrder.order?.server, hasTakenEffect, waitedMs: Math.round(waitedMs),
-		}, 'the order of an earlier holder of the promotion lease is settled');
-		void lease.clearOrder(view.name, signal);
-		return false;
+		const settled = lease.recordedOrders(view.name).filter(recorded => this.isSettled(view, recorded));
+		if (settled.length > 0) {
+			this.clearFromMs.set(view, clock.nowMs() + clearIntervalMs);
+			void this.clearOrders(view, settled, signal);
+		}
 	}
 
 	/**
@@ -119,8 +135,9 @@
 	 */
 	async requestOrResume(view: ServiceView, candidate: Candidate, plan: PromotionPlan): Promise<void> {
 		const {target, pauses, signal} = plan;
+		const {lease} = this.ports;
+		const earlierOrder = findOrder(lease.recordedOrders(view.name), target.backend.id);
 		const outcome = await this.requestPromotion(view, candidate, plan);
-		void this.clearWhenSettled(view, plan.token, signal);
 		if (outcome === 'accepted') {
 			return;
 		}
@@ -129,6 +146,11 @@
 			return;
 		}
 
+		const order = findOrder(lease.recordedOrders(view.name), target.backend.id);
+		if (outcome !== 'unanswered' && order !== undefined && earlierOrder === undefined) {
+			await lease.clearOrder(view.name, order, signal);
+		}
+
 		await pauses.endAll();
 		if (outcome === 'unanswered') {
 			void this.watchForLateEffect(view, plan);
@@ -213,7 +235,7 @@
 		}
 
 		const order: PromotionOrder = {
-			service: view.name, server: target.backend.id, priorTerm: target.highestPriorTerm, isRepeated: unansweredCount > 0 || this.hasPendingRepeats(view),
+			service: view.name, server: target.backend.id, priorTerm: target.highestPriorTerm, isRepeated: unansweredCount > 0,
 		};
 		if (!await this.recordAndConfirm(order, {token, unansweredCount}, signal)) {
 			return 'the duty is no longer held';
@@ -242,19 +264,30 @@
 		return isHeld && lease.fencingToken() === token && clock.nowMs() - startedMs <= maximumConfirmationAgeMs;
 	}
 
-	/** Removes the record of the last order once no request can take effect any more. Otherwise a later holder would wait for it. */
-	private async clearWhenSettled(view: ServiceView, token: number, signal: AbortSignal): Promise<void> {
-		const {clock, lease} = this.ports;
-		const count = this.countOrders(view);
-		try {
-			await clock.sleep(orderSettleMs, signal);
-		} catch {
-			// The process stops, and the next holder settles the record.
-			return;
+	private async isAwaited(view: ServiceView, recorded: RecordedOrder): Promise<boolean> {
+		const {clock, log} = this.ports;
+		const waitedMs = clock.nowMs() - recorded.sinceMs;
+		const hasEffect = await hasTakenFinalEffect(view, recorded);
+		if (waitedMs < orderSettleMs && !hasEffect) {
+			return true;
 		}
 
-		if (this.countOrders(view) === count && lease.fencingToken() === token) {
-			await lease.clearOrder(view.name, signal);
+		this.noLongerAwaited.add(recorded);
+		log.info({
+			service: view.name, server: recorded.order?.server, hasTakenEffect: hasEffect, waitedMs: Math.round(waitedMs),
+		}, 'the order of an earlier holder of the promotion lease is not awaited any more');
+		return false;
+	}
+
+	private isSettled(view: ServiceView, {order, sinceMs}: RecordedOrder): boolean {
+		const primary = view.currentPrimary;
+		const hasEffect = order !== undefined && !order.isRepeated && primary?.backend.id === order.server && primary.term > order.priorTerm;
+		return hasEffect || this.ports.clock.nowMs() - sinceMs >= unsettledOrderMs;
+	}
+
+	private async clearOrders(view: ServiceView, orders: readonly RecordedOrder[], signal: AbortSignal): Promise<void> {
+		for (const {order} of orders) {
+			await this.ports.lease.clearOrder(view.name, order, signal);
 		}
 	}
 
@@ -290,7 +323,7 @@
 }
 
 /** Checks whether an order has taken effect, and cannot do so again. */
-async function hasTakenFinalEffect(view: ServiceView, {order}: PriorOrder): Promise<boolean> {
+async function hasTakenFinalEffect(view: ServiceView, {order}: RecordedOrder): Promise<boolean> {
 	const backend = view.listBackends().find(({id}) => id === order?.server);
 	if (!order || order.isRepeated || !backend) {
 		return false;
@@ -299,3 +332,7 @@
 	const status = await probeStatus(backend);
 	return status?.role === 'primary' && status.term > order.priorTerm;
 }
+
+function findOrder(orders: readonly RecordedOrder[], server: string): PromotionOrder | undefined {
+	return orders.find(({order}) => order?.server === server)?.order;
+}
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -3,9 +3,8 @@
 } from '@crocusloom/model';
 import {type RankPolicy} from '@crocusloom/work';
 import {Backend, type BackendPorts} from './backend.js';
-import {
-	type AcknowledgedCommit, type CommitConfirmation, CommitConfirmer, type ConfirmationMembership,
-} from './commitConfirmation.js';
+import {type CommitConfirmation, CommitConfirmer} from './commitConfirmation.js';
+import {type AcknowledgedCommit, type ConfirmationMembership} from './confirmationRules.js';
 import {type CommitProof, CommitEvidence} from './commitEvidence.js';
 import {CommitSampler} from './commitSampler.js';
 import {CommitSamples} from './commitSamples.js';
@@ -13,7 +12,9 @@
 import {type ConnectionShare, connectionShareFor} from './connectionShare.js';
 import {type KnownPrimary, LeadershipProver, type ProofOutcome} from './leadershipProver.js';
 import {type PooledConnection} from './pooledConnection.js';
-import {type BackendServer, type ConfirmServers, type ServiceSpec} from './ports.js';
+import {
+	type BackendServer, type ConfirmServers, type IsNamedInOrder, type ServiceSpec,
+} from './ports.js';
 import {PrimarySearch} from './primarySearch.js';
 import {type ServerStatus} from './statement.js';
 
@@ -26,6 +27,7 @@
 	/** Returns the number of hosts that share the servers' connections. */
 	readonly hostCount: () => number;
 	readonly confirmServers: ConfirmServers;
+	readonly isNamedInOrder: IsNamedInOrder;
 	readonly continuity: ClockContinuity;
 };
 
@@ -306,7 +308,12 @@
 		const primary = this.search.lastPrimary?.backend;
 		const members = (this.lastMembers ?? this.listMembers()).filter(backend => backend !== primary);
 		return {
-			primary, members, witnesses: this.witnesses.select(members), syncReplicas: this.spec.syncReplicas, newestTerm: this.search.newestTerm,
+			primary,
+			members,
+			witnesses: this.witnesses.select(members),
+			ordered: members.filter(({id}) => this.ports.isNamedInOrder(this.name, id)),
+			syncReplicas: this.spec.syncReplicas,
+			newestTerm: this.search.newestTerm,
 		};
 	}
 
--- a/packages/proxy/src/sessionProxy.ts
+++ b/packages/proxy/src/sessionProxy.ts
@@ -6,7 +6,7 @@
 import {DecisionLog} from './decisionLog.js';
 import {HostCount} from './connectionShare.js';
 import {
-	type BackendDialer, type BackendServer, type ConfirmServers, type ProxyConfiguration,
+	type BackendDialer, type BackendServer, type ConfirmServers, type IsNamedInOrder, type ProxyConfiguration,
 } from './ports.js';
 import {ranksOf, RouteTable} from './routeTable.js';
 import {ServiceView} from './serviceView.js';
@@ -27,6 +27,7 @@
 	readonly metrics: Metrics;
 	readonly dialer: BackendDialer;
 	readonly confirmServers: ConfirmServers;
+	readonly isNamedInOrder: IsNamedInOrder;
 	/** Failure domain of this process. */
 	readonly failureDomain: string;
 	/** Time after the confirmation of a change within which it must be in force. */
--- a/packages/proxy/src/testing/memoryLease.ts
+++ b/packages/proxy/src/testing/memoryLease.ts
@@ -1,20 +1,22 @@
-import {type PriorOrder, type PromotionLease, type PromotionOrder} from '../ports.js';
+import {systemClock} from '@crocusloom/model';
+import {type PromotionLease, type PromotionOrder, type RecordedOrder} from '../ports.js';
 
 type MemoryLeaseOptions = {
 	/** Returns the fencing token; 7 if it is omitted. */
 	readonly fencingToken?: () => number | undefined;
 	/** Confirms the lease, also while an order is recorded; it is confirmed while there is a token if it is omitted. */
 	readonly confirm?: () => Promise<boolean>;
+	/** Returns the monotonic time; that of the system if it is omitted. */
+	readonly nowMs?: () => number;
 };
 
 /** Promotion lease whose records are in memory. */
 export class MemoryLease implements PromotionLease {
 	/** Recorded orders, oldest first. */
 	readonly orders: PromotionOrder[] = [];
-	/** Services whose records were cleared. */
+	/** Services for which an order was cleared. */
 	readonly cleared: string[] = [];
-	/** Orders of earlier holders by service. */
-	readonly priorOrders = new Map<string, PriorOrder>();
+	private readonly recorded = new Map<string, readonly RecordedOrder[]>();
 
 	constructor(readonly holder: string, private readonly options: MemoryLeaseOptions = {}) {}
 
@@ -26,21 +28,32 @@
 		return this.options.confirm ? this.options.confirm() : this.fencingToken() !== undefined;
 	}
 
-	priorOrder(service: string): PriorOrder | undefined {
-		return this.priorOrders.get(service);
+	recordedOrders(service: string): readonly RecordedOrder[] {
+		return this.recorded.get(service) ?? [];
+	}
+
+	/** Adds an order of an earlier holder, or an unreadable record. */
+	addPrior(service: string, order: PromotionOrder | undefined, sinceMs: number): void {
+		this.recorded.set(service, [...this.recordedOrders(service), {order, sinceMs, isPrior: true}]);
 	}
 
 	async recordOrder(order: PromotionOrder): Promise<boolean> {
 		const isHeld = await this.confirm();
 		if (isHeld) {
 			this.orders.push(order);
+			const others = this.recordedOrders(order.service).filter(recorded => recorded.order?.server !== order.server);
+			this.recorded.set(order.service, [...others, {order, sinceMs: this.nowMs(), isPrior: false}]);
 		}
 
 		return isHeld;
 	}
 
-	async clearOrder(service: string): Promise<void> {
-		this.priorOrders.delete(service);
+	async clearOrder(service: string, order: PromotionOrder | undefined): Promise<void> {
+		this.recorded.set(service, this.recordedOrders(service).filter(recorded => recorded.order?.server !== order?.server));
 		this.cleared.push(service);
 	}
+
+	private nowMs(): number {
+		return (this.options.nowMs ?? systemClock.nowMs)();
+	}
 }
