--- a/packages/proxy/src/promotionOrder.ts
+++ b/packages/proxy/src/promotionOrder.ts
@@ -188,7 +188,7 @@
 			const {result, obstacle} = await this.requestOnce(view, plan, unansweredCount);
 			log.info({
 				service: view.name, server: backend.id, token, result, obstacle, position: formatPosition(status.receivedPosition), attempt, tookMs: Math.round(clock.nowMs() - startedMs),
-			}, 'a promotion was ordered');
+			}, result === 'notSent' ? 'a promotion request was not sent' : 'a promotion was ordered');
 			unansweredCount += result === 'unanswered' ? 1 : 0;
 			const outcome = obstacle === undefined ? definiteOutcomes[result] : `not sent, because ${obstacle}` as const;
 			if (outcome !== undefined) {
