Keep the recorded order of a holder between two leases of one process

Operators could see an order of promotion with a lower fencing token after one with a higher token. A process lost the promotion lease while its request waited for a connection, another one held the lease in between and ordered the same server, and the first process acquired it again. The request that it did not send made it remove the record of its order, but the record found was that of the holder in between, so that it ordered at once in place of waiting 4 s.

Only an order of the present lease is removed now when a request was not sent.

--- a/packages/proxy/src/__tests__/promotionOrder.test.ts
+++ b/packages/proxy/src/__tests__/promotionOrder.test.ts
@@ -118,6 +118,26 @@
 		expect(systemClock.nowMs() - promotedMs).to.be.below(orderSettleMs / 4);
 	});
 
+	it('stays recorded if it is of a holder between two leases of this process (guards against an order with a lower token after one with a higher token)', async () => {
+		let token = 7;
+		const lease = new MemoryLease('h', {nowMs: () => clock.nowMs(), fencingToken: () => token});
+		start(lease, {
+			async requestPromotion({service, server, mayBeSent}) {
+				if (token === 7) {
+					token = 9;
+					lease.addPrior(service, orderOf(server), clock.nowMs());
+				}
+
+				return await mayBeSent() ? 'accepted' : 'notSent';
+			},
+		});
+		harness.service.server('a').isUnresponsive = true;
+		await waitUntil(() => token === 9);
+		await systemClock.sleep(noPromotionMs);
+		expect(lease.cleared).to.deep.equal([]);
+		expect(lease.orders).to.deep.equal([]);
+	});
+
 	const unsettledCases: ReadonlyArray<{readonly title: string; readonly order: PromotionOrder | undefined}> = [
 		{title: 'its requests were repeated', order: orderOf('c', true)},
 		{title: 'another server leads', order: orderOf('b')},
--- a/packages/proxy/src/promotionOrder.ts
+++ b/packages/proxy/src/promotionOrder.ts
@@ -146,7 +146,8 @@
 			return;
 		}
 
-		const order = findOrder(lease.recordedOrders(view.name), target.backend.id);
+		// This process may hold the lease anew since, and know of the order of a holder in between.
+		const order = findOrder(lease.recordedOrders(view.name).filter(({isPrior}) => !isPrior), target.backend.id);
 		if (outcome !== 'unanswered' && order !== undefined && earlierOrder === undefined) {
 			await lease.clearOrder(view.name, order, signal);
 		}
