Keep a recorded order until all servers know of its effect, also beside the removal of another one

- The removal of a settled order wrote a list from before a new order, which then neither the hosts nor the next holder knew.
Each change now writes what is known at that moment, and names the order itself in place of its server.
- An order was removed as soon as its server led.
A replica that had not heard of the new term could still receive from the former primary, and the commits were confirmed and lost.
It now stays until each listed server reports the new term.

--- a/packages/proxy/src/__tests__/promotionOrder.test.ts
+++ b/packages/proxy/src/__tests__/promotionOrder.test.ts
@@ -108,14 +108,21 @@
 		expect(replicas.map(({pausedTerm}) => pausedTerm)).to.deep.equal([5, 5]);
 	});
 
-	it('is settled once its server leads a new term (guards against a service that waits needlessly)', async () => {
+	it('is not awaited any more once its server leads a new term, and settled once all servers know of it (guards against a service that waits needlessly)', async () => {
 		const lease = createLease('ledger', orderOf('c'));
 		start(lease);
 		harness.service.server('a').isUnresponsive = true;
 		harness.service.promote('c', 6);
 		const promotedMs = systemClock.nowMs();
-		await waitUntil(() => lease.cleared.length > 0);
+		const notAwaited = () => harness.log.withMessage('the order of an earlier holder of the promotion lease is not awaited any more');
+		await waitUntil(() => notAwaited().length > 0);
 		expect(systemClock.nowMs() - promotedMs).to.be.below(orderSettleMs / 4);
+		expect(notAwaited()[0]!.fields).to.include({server: 'c', hasTakenEffect: true});
+		const formerPrimary = harness.service.server('a');
+		formerPrimary.role = 'replica';
+		formerPrimary.term = harness.service.server('c').term;
+		formerPrimary.isUnresponsive = false;
+		await waitUntil(() => lease.cleared.length > 0);
 	});
 
 	it('stays recorded if it is of a holder between two leases of this process (guards against an order with a lower token after one with a higher token)', async () => {
@@ -291,9 +298,13 @@
 		expect(counts).to.deep.equal(['late_promotions']);
 	});
 
-	it('is cleared once its effect is seen (guards against servers that must have each commit for longer than needed)', async () => {
+	it('is cleared once all servers know of its effect (guards against servers that must have each commit for longer than needed)', async () => {
 		const lease = new MemoryLease('h');
 		start(lease);
+		await waitUntil(() => harness.service.promotions.length > 0, promotionTimeoutMs);
+		await systemClock.sleep(noPromotionMs);
+		expect(lease.cleared, 'while the former primary has not heard of the new term').to.deep.equal([]);
+		harness.service.server('a').isUnresponsive = false;
 		await waitUntil(() => lease.cleared.length > 0, promotionTimeoutMs);
 		expect(harness.service.promotions.length).to.equal(1);
 		expect(lease.recordedOrders('ledger')).to.deep.equal([]);
--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -146,12 +146,12 @@
 	/** Returns the recorded orders of a service that were not cleared, of this holder and of earlier ones. */
 	recordedOrders(service: string): readonly RecordedOrder[];
 	/**
-	 * Records an order beside those that are recorded, and thereby confirms that this process still holds the lease.
+	 * Records an order beside those for other servers, and thereby confirms that this process still holds the lease.
 	 * @returns false if the lease is lost or the platform does not answer; the order may be recorded all the same
 	 */
 	recordOrder(order: PromotionOrder, signal: AbortSignal): Promise<boolean>;
 	/** Removes an order that is settled from the record. */
-	clearOrder(service: string, order: PromotionOrder | undefined, signal: AbortSignal): Promise<void>;
+	clearOrder(service: string, order: RecordedOrder, signal: AbortSignal): Promise<void>;
 };
 
 /** A request to the platform to promote a server. */
--- a/packages/proxy/src/promotionOrder.ts
+++ b/packages/proxy/src/promotionOrder.ts
@@ -60,6 +60,9 @@
 	readonly signal: AbortSignal;
 };
 
+/** A promotion, and whether an earlier one for the same server may still take effect. */
+type OrderPlan = PromotionPlan & {readonly hasEarlierOrder: boolean};
+
 type RequestOutcome = 'accepted' | 'refused' | 'unanswered' | `not sent, because ${string}`;
 
 /** Outcomes of an order whose last request had a definite result. After the other results the request is repeated. */
@@ -105,7 +108,7 @@
 	}
 
 	/**
-	 * Removes the orders from the record that can no longer take effect, or whose effect would change nothing. Hosts pass on commits only with
+	 * Removes the orders from the record that can no longer take effect, and those whose effect all servers know. Hosts pass on commits only with
 	 * the servers that the others name.
 	 */
 	clearSettled(view: ServiceView, signal: AbortSignal): void {
@@ -114,10 +117,10 @@
 			return;
 		}
 
-		const settled = lease.recordedOrders(view.name).filter(recorded => this.isSettled(view, recorded));
-		if (settled.length > 0) {
+		const orders = lease.recordedOrders(view.name);
+		if (orders.length > 0) {
 			this.clearFromMs.set(view, clock.nowMs() + clearIntervalMs);
-			void this.clearOrders(view, settled, signal);
+			void this.clearOrders(view, orders, signal);
 		}
 	}
 
@@ -136,8 +139,9 @@
 	async requestOrResume(view: ServiceView, candidate: Candidate, plan: PromotionPlan): Promise<void> {
 		const {target, pauses, signal} = plan;
 		const {lease} = this.ports;
-		const earlierOrder = findOrder(lease.recordedOrders(view.name), target.backend.id);
-		const outcome = await this.requestPromotion(view, candidate, plan);
+		const isNamed = ({order}: RecordedOrder) => order?.server === target.backend.id;
+		const hasEarlierOrder = lease.recordedOrders(view.name).some(recorded => isNamed(recorded));
+		const outcome = await this.requestPromotion(view, candidate, {...plan, hasEarlierOrder});
 		if (outcome === 'accepted') {
 			return;
 		}
@@ -147,9 +151,9 @@
 		}
 
 		// This process may hold the lease anew since, and know of the order of a holder in between.
-		const order = findOrder(lease.recordedOrders(view.name).filter(({isPrior}) => !isPrior), target.backend.id);
-		if (outcome !== 'unanswered' && order !== undefined && earlierOrder === undefined) {
-			await lease.clearOrder(view.name, order, signal);
+		const recorded = lease.recordedOrders(view.name).find(order => isNamed(order) && !order.isPrior);
+		if (outcome !== 'unanswered' && recorded !== undefined && !hasEarlierOrder) {
+			await lease.clearOrder(view.name, recorded, signal);
 		}
 
 		await pauses.endAll();
@@ -179,7 +183,7 @@
 	}
 
 	/** Requests the promotion while this process holds the promotion lease, and repeats requests without a definite result. */
-	private async requestPromotion(view: ServiceView, {backend, status}: Candidate, plan: PromotionPlan): Promise<RequestOutcome> {
+	private async requestPromotion(view: ServiceView, {backend, status}: Candidate, plan: OrderPlan): Promise<RequestOutcome> {
 		const {clock, log} = this.ports;
 		const {token, signal} = plan;
 		this.orderCounts.set(view, this.countOrders(view) + 1);
@@ -208,7 +212,7 @@
 	 * @param unansweredCount - number of earlier requests of this order that may still take effect
 	 * @returns the result, and why the request was not allowed to be sent
 	 */
-	private async requestOnce(view: ServiceView, plan: PromotionPlan, unansweredCount: number): Promise<{readonly result: PromotionResult; readonly obstacle: string | undefined}> {
+	private async requestOnce(view: ServiceView, plan: OrderPlan, unansweredCount: number): Promise<{readonly result: PromotionResult; readonly obstacle: string | undefined}> {
 		const {lease, promotionService} = this.ports;
 		let obstacle: string | undefined;
 		const result = await promotionService.requestPromotion({
@@ -229,14 +233,15 @@
 	 * @param unansweredCount - number of earlier requests of this order that may still take effect
 	 * @returns why the request must not be sent, or undefined if it may be
 	 */
-	private async prepareToSend(view: ServiceView, {target, token, findObstacle, signal}: PromotionPlan, unansweredCount: number): Promise<string | undefined> {
-		const obstacle = await findObstacle();
+	private async prepareToSend(view: ServiceView, plan: OrderPlan, unansweredCount: number): Promise<string | undefined> {
+		const {target, token, hasEarlierOrder, signal} = plan;
+		const obstacle = await plan.findObstacle();
 		if (obstacle !== undefined) {
 			return obstacle;
 		}
 
 		const order: PromotionOrder = {
-			service: view.name, server: target.backend.id, priorTerm: target.highestPriorTerm, isRepeated: unansweredCount > 0,
+			service: view.name, server: target.backend.id, priorTerm: target.highestPriorTerm, isRepeated: hasEarlierOrder || unansweredCount > 0,
 		};
 		if (!await this.recordAndConfirm(order, {token, unansweredCount}, signal)) {
 			return 'the duty is no longer held';
@@ -280,16 +285,23 @@
 		return false;
 	}
 
-	private isSettled(view: ServiceView, {order, sinceMs}: RecordedOrder): boolean {
-		const primary = view.currentPrimary;
-		const hasEffect = order !== undefined && !order.isRepeated && primary?.backend.id === order.server && primary.term > order.priorTerm;
-		return hasEffect || this.ports.clock.nowMs() - sinceMs >= unsettledOrderMs;
+	private async clearOrders(view: ServiceView, orders: readonly RecordedOrder[], signal: AbortSignal): Promise<void> {
+		for (const recorded of orders) {
+			if (await this.isSettled(view, recorded)) {
+				await this.ports.lease.clearOrder(view.name, recorded, signal);
+			}
+		}
 	}
 
-	private async clearOrders(view: ServiceView, orders: readonly RecordedOrder[], signal: AbortSignal): Promise<void> {
-		for (const {order} of orders) {
-			await this.ports.lease.clearOrder(view.name, order, signal);
+	/** A server that has not heard of the new term could still receive commits from the former primary, which the promoted server lacks. */
+	private async isSettled(view: ServiceView, {order, sinceMs}: RecordedOrder): Promise<boolean> {
+		if (this.ports.clock.nowMs() - sinceMs >= unsettledOrderMs) {
+			return true;
 		}
+
+		const primary = view.currentPrimary;
+		const hasEffect = order !== undefined && !order.isRepeated && primary?.backend.id === order.server && primary.term > order.priorTerm;
+		return hasEffect && isTermKnownToAll(view, primary.term);
 	}
 
 	/**
@@ -323,7 +335,7 @@
 	}
 }
 
-/** Checks whether an order has taken effect, and cannot do so again. */
+/** Checks whether an order has taken effect, and cannot do so again. The host then knows the new primary. */
 async function hasTakenFinalEffect(view: ServiceView, {order}: RecordedOrder): Promise<boolean> {
 	const backend = view.listBackends().find(({id}) => id === order?.server);
 	if (!order || order.isRepeated || !backend) {
@@ -331,9 +343,16 @@
 	}
 
 	const status = await probeStatus(backend);
-	return status?.role === 'primary' && status.term > order.priorTerm;
+	if (status?.role !== 'primary' || status.term <= order.priorTerm) {
+		return false;
+	}
+
+	view.recordStatus(backend, status);
+	return true;
 }
 
-function findOrder(orders: readonly RecordedOrder[], server: string): PromotionOrder | undefined {
-	return orders.find(({order}) => order?.server === server)?.order;
+/** Checks whether each listed server follows a term or a later one. */
+async function isTermKnownToAll(view: ServiceView, term: number): Promise<boolean> {
+	const statuses = await Promise.all(view.listBackends().map(async backend => probeStatus(backend)));
+	return statuses.every(status => status !== undefined && status.term >= term);
 }
--- a/packages/proxy/src/testing/memoryLease.ts
+++ b/packages/proxy/src/testing/memoryLease.ts
@@ -48,8 +48,8 @@
 		return isHeld;
 	}
 
-	async clearOrder(service: string, order: PromotionOrder | undefined): Promise<void> {
-		this.recorded.set(service, this.recordedOrders(service).filter(recorded => recorded.order?.server !== order?.server));
+	async clearOrder(service: string, order: RecordedOrder): Promise<void> {
+		this.recorded.set(service, this.recordedOrders(service).filter(recorded => recorded !== order));
 		this.cleared.push(service);
 	}
 
