Wait for commands that end pauses before the promotion lease is handed over

A stopping process released the lease while its command to resume replication was on its way, so that it could end the pauses of the next holder. The stop now waits for the check of pauses as it does for promotions. The lease is confirmed right before the command, which has no term of its own.

--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -72,7 +72,8 @@
 	/** Times from which on abandoned promotions may be tried again. */
 	private readonly retryFromMs = new Map<ServiceView, number>();
 	private readonly orders: PromotionOrders;
-	private runningPromotions = 0;
+	/** Number of promotions and of checks of pauses that are running. */
+	private runningCount = 0;
 	private isStopping = false;
 
 	constructor(private readonly services: () => readonly ServiceView[], private readonly ports: PromotionPorts) {
@@ -101,20 +102,20 @@
 	}
 
 	/**
-	 * Begins no further promotions and waits for those that are running, so that the lease can be handed over. The next holder could
+	 * Begins no further promotions and ends no further pauses, and waits for those that are running, so that the lease can be handed over. The next holder could
 	 * otherwise request a promotion of the same service while a request of this process may still take effect.
 	 * @param timeoutMs - longest wait in milliseconds
-	 * @returns false if a promotion is still running after the timeout
+	 * @returns false if one is still running after the timeout
 	 */
 	async stop(timeoutMs: number): Promise<boolean> {
 		this.isStopping = true;
 		const {clock} = this.ports;
 		const deadlineMs = clock.nowMs() + timeoutMs;
-		while (this.runningPromotions > 0 && clock.nowMs() < deadlineMs) {
+		while (this.runningCount > 0 && clock.nowMs() < deadlineMs) {
 			await clock.sleep(pollIntervalMs);
 		}
 
-		return this.runningPromotions === 0;
+		return this.runningCount === 0;
 	}
 
 	/** Checks one service and replaces its primary if necessary. */
@@ -129,12 +130,9 @@
 			}
 
 			if (need.kind === 'none') {
-				await pauseCleaner.check(async () => this.ports.lease.confirm(signal));
-			} else if (!this.isStopping && this.mayTry(view, need)) {
-				this.runningPromotions++;
-				await this.promote(view, need, signal).finally(() => {
-					this.runningPromotions--;
-				});
+				await this.runBeforeStop(async () => pauseCleaner.check(async () => this.ports.lease.confirm(signal)));
+			} else if (this.mayTry(view, need)) {
+				await this.runBeforeStop(async () => this.promote(view, need, signal));
 			}
 		} catch (error) {
 			const retryDelayMs = error instanceof PromotionHalt ? error.retryDelayMs : 0;
@@ -147,6 +145,18 @@
 		}
 	}
 
+	/** Runs a task that sends commands to servers, unless the task is stopping, which waits for its end. */
+	private async runBeforeStop(run: () => Promise<void>): Promise<void> {
+		if (this.isStopping) {
+			return;
+		}
+
+		this.runningCount++;
+		await run().finally(() => {
+			this.runningCount--;
+		});
+	}
+
 	private mayTry(view: ServiceView, need: PromotionNeed): boolean {
 		const isTooSoon = this.ports.clock.nowMs() < (this.retryFromMs.get(view) ?? 0);
 		return !isTooSoon && !(need.kind === 'leaving' && this.orders.hasPendingRepeats(view));
--- a/packages/proxy/src/replicationPauses.ts
+++ b/packages/proxy/src/replicationPauses.ts
@@ -84,14 +84,16 @@
 
 	/** Resumes replication to a server if the pause is of this promotion. */
 	async end(backend: Backend): Promise<void> {
-		if (!await this.mayResume()) {
-			this.log.warn({server: backend.id}, 'a pause is left to the next holder of the promotion lease');
+		const status = await probeStatus(backend);
+		if (!status || !this.isPausedBy(backend, status)) {
 			return;
 		}
 
-		const status = await probeStatus(backend);
-		if (status && this.isPausedBy(backend, status)) {
+		// Confirmed last, because the command has no term by which the server could refuse it.
+		if (await this.mayResume()) {
 			await sendControlCommand(backend, {kind: 'resume'});
+		} else {
+			this.log.warn({server: backend.id}, 'a pause is left to the next holder of the promotion lease');
 		}
 	}
 
