Date the copy of the store from the call that brought it when commits are confirmed

A host could confirm a commit without knowing the record of an order whose pauses had ended: its copy counted as current from the arrival of an answer, which may be seconds old by then. Witnesses now also need a copy whose call was sent at most 3.8 s ago, less than the 4 s for which those pauses hold.

--- a/packages/proxy/src/commitWitnesses.ts
+++ b/packages/proxy/src/commitWitnesses.ts
@@ -8,6 +8,11 @@
 export const witnessAgeMs = 7000;
 /** Age up to which the list of servers counts as current. */
 const currentListAgeMs = 2500;
+/**
+ * Age up to which the copy of the store is known to have the record of each order whose pauses may have ended. Shorter than the time for which
+ * the pauses of an order without an answer hold after its record.
+ */
+export const maximumCopyAgeMs = 3800;
 /** Age from which on a server that was listed when this process started has been listed for long, also if clocks differ by seconds. */
 const longRunningMs = 20_000;
 
@@ -24,6 +29,8 @@
 	readonly failureDomain: string;
 	/** Returns the time since the list of servers was last known to be current. */
 	readonly serverListAgeMs: () => number;
+	/** Returns the time since the call was sent that last brought the list of servers and the recorded orders. */
+	readonly copyAgeMs: () => number;
 };
 
 /**
@@ -48,7 +55,7 @@
 
 	/** While the list of servers may be out of date, or the entry is missing, a promotion may not know the server any more. */
 	private isWitness(backend: Backend): boolean {
-		const isListCurrent = this.ports.serverListAgeMs() <= currentListAgeMs;
+		const isListCurrent = this.ports.serverListAgeMs() <= currentListAgeMs && this.ports.copyAgeMs() <= maximumCopyAgeMs;
 		return isListCurrent && backend.server.missingSinceMs === undefined && this.wasListedLongAgo(backend);
 	}
 
--- a/packages/proxy/src/configurationAge.ts
+++ b/packages/proxy/src/configurationAge.ts
@@ -16,6 +16,8 @@
 export class ConfigurationAge {
 	private confirmedMs: number;
 	private confirmedWallMs: number;
+	/** Duration of the call that brought the last confirmation. */
+	private callDurationMs = 0;
 	private isOverdue = false;
 
 	/**
@@ -33,13 +35,21 @@
 		return this.confirmedMs <= continuity.sinceMs() ? Math.max(countedMs, clock.wallMs() - this.confirmedWallMs) : countedMs;
 	}
 
+	/** Time since the call was sent that brought the last confirmation. The copy of the store holds each change from before that time. */
+	get copyAgeMs(): number {
+		return this.ageMs + this.callDurationMs;
+	}
+
 	/** Changes the age in milliseconds above which a confirmed change may be missing. */
 	setMaximumAge(maximumAgeMs: number): void {
 		this.maximumAgeMs = maximumAgeMs;
 	}
 
-	/** Records that the configuration in force is the newest one. */
-	confirm(): void {
+	/**
+	 * Records that the configuration in force is the newest one.
+	 * @param sentMs - monotonic time at which the call was sent that showed it; now if it is omitted
+	 */
+	confirm(sentMs = this.ports.clock.nowMs()): void {
 		if (this.isOverdue) {
 			this.isOverdue = false;
 			this.ports.log.info({ageMs: Math.round(this.ageMs)}, 'the configuration is confirmed again');
@@ -47,6 +57,7 @@
 
 		this.confirmedMs = this.ports.clock.nowMs();
 		this.confirmedWallMs = this.ports.clock.wallMs();
+		this.callDurationMs = this.confirmedMs - sentMs;
 	}
 
 	/** Updates the metric and reports an overdue confirmation once; called at regular intervals. */
--- a/packages/proxy/src/sessionProxy.ts
+++ b/packages/proxy/src/sessionProxy.ts
@@ -167,6 +167,7 @@
 				hostCount: () => this.hostCount.recentMaximum,
 				// The servers and the configuration come from the same copy of the store.
 				serverListAgeMs: () => this.configurationAge.ageMs,
+				copyAgeMs: () => this.configurationAge.copyAgeMs,
 			});
 			view.configure(spec, ranksOf(configuration, spec.name));
 			if (!existingView) {
