Send the statements of a drain under load without a driver, at three moments

Cause: the test. A caller whose statement ran when the drain began gets its answer and the 57P01 in one read. The driver then has no statement to which it could attach the 57P01, reports it as an error of the connection, and refuses the next query itself ("Client has encountered a connection error and is not queryable", no code): that statement was never sent. Which order occurred was left to chance, by the phase of the event loop in which the drain began.

The callers now speak the protocol themselves and always have one statement without an answer, in either order of events. Checked as before: confirmed statements ran once, and those without a confirmation did not run and got 57P01. Checked in addition: exactly one error a caller, no reset of a connection, and the drain begins at any time, while statements are on their way, and while statements run.

--- a/packages/callers/src/__tests__/connections.test.ts
+++ b/packages/callers/src/__tests__/connections.test.ts
@@ -8,7 +8,7 @@
 import {
 	Harness, HarnessScope, queryFirstColumn, rejectionOf, waitUntil,
 } from './harness.js';
-import {queryFrame, startupPacket} from './rawCaller.js';
+import {InsertingCaller, queryFrame, startupPacket} from './rawCaller.js';
 
 /** Clock whose sleeps end only when the test calls `endSleeps`. */
 class ManualClock implements Clock {
@@ -224,33 +224,56 @@
 		expect(scope.harness.server.callerCount).to.equal(0);
 	});
 
-	it('answers each statement that it has received during a drain under load (guards against requests that are cut off without an answer, or said not to have run)', async () => {
-		await scope.start();
-		const {fakeBackend, server} = scope.harness;
-		const clients = await Promise.all(Array.from({length: 30}, async () => scope.harness.connect()));
-		const confirmed: string[] = [];
-		const rejected = new Map<string, string | undefined>();
-		const loops = clients.map(async (client, index) => {
-			for (let count = 0; rejected.size < clients.length; count++) {
-				const value = `${index}x${count}`;
-				try {
-					await client.query(`INSERT INTO t VALUES ('${value}')`);
-					confirmed.push(value);
-				} catch (error) {
-					rejected.set(value, (error as pg.DatabaseError).code);
-					return;
+	const drainMoments: ReadonlyArray<{readonly moment: string; readonly drain: (callers: readonly InsertingCaller[]) => Promise<void>}> = [
+		{
+			moment: 'at any time',
+			drain: async () => scope.harness.server.drain(5000),
+		},
+		{
+			moment: 'while statements are on their way to the proxy',
+			async drain(callers) {
+				for (const caller of callers) {
+					caller.pause();
 				}
-			}
+
+				await waitUntil(() => callers.every(({unconfirmedValue}) => unconfirmedValue === undefined));
+				for (const caller of callers) {
+					caller.resume();
+				}
+
+				await scope.harness.server.drain(5000);
+			},
+		},
+		{
+			moment: 'while statements run',
+			async drain(callers) {
+				const {fakeBackend, server} = scope.harness;
+				const gate = deferred<void>();
+				fakeBackend.gate = gate.promise;
+				await waitUntil(() => fakeBackend.openUnitCount === callers.length);
+				const drained = server.drain(5000);
+				gate.resolve();
+				await drained;
+			},
+		},
+	];
+	for (const {moment, drain} of drainMoments) {
+		it(`answers each statement that it has received when a drain under load begins ${moment} (guards against requests that are cut off without an answer, or said not to have run)`, async () => {
+			await scope.start();
+			const {fakeBackend, port} = scope.harness;
+			const callers = Array.from({length: 30}, (_, index) => new InsertingCaller(port, String(index)));
+			await waitUntil(() => fakeBackend.rows.length > 300 && callers.every(({confirmedValues}) => confirmedValues.length > 0));
+			await Promise.all([drain(callers), ...callers.map(async ({closed}) => closed)]);
+			const rows = new Set(fakeBackend.rows);
+			expect(callers.flatMap(({confirmedValues}) => confirmedValues).filter(value => !rows.has(value)), 'confirmed and not run').to.deep.equal([]);
+			const unconfirmedValues = callers.map(({unconfirmedValue}) => unconfirmedValue);
+			expect(unconfirmedValues, 'each caller has a statement without ReadyForQuery').not.to.include(undefined);
+			expect(unconfirmedValues.filter(value => rows.has(value!)), 'rejected and run').to.deep.equal([]);
+			expect(callers.map(({errorCodes}) => errorCodes), 'answer to the statement without ReadyForQuery').to.deep.equal(callers.map(() => ['57P01']));
+			expect(callers.map(({connectionError}) => connectionError).filter(error => error !== undefined)).to.deep.equal([]);
+			expect(rows.size).to.equal(fakeBackend.rows.length);
 		});
-		await waitUntil(() => confirmed.length > 300);
-		await server.drain(5000);
-		await Promise.all(loops);
-		const rows = new Set(fakeBackend.rows);
-		expect(confirmed.filter(value => !rows.has(value)), 'confirmed and not run').to.deep.equal([]);
-		expect([...rejected.keys()].filter(value => rows.has(value)), 'rejected and run').to.deep.equal([]);
-		expect([...new Set(rejected.values())]).to.deep.equal(['57P01']);
-		expect(rows.size).to.equal(fakeBackend.rows.length);
-	});
+	}
 
 	it('closes the remaining connections at the drain deadline; guards against a shutdown that never ends', async () => {
 		await scope.start();
--- a/packages/callers/src/__tests__/rawCaller.ts
+++ b/packages/callers/src/__tests__/rawCaller.ts
@@ -1,5 +1,6 @@
+import {connect, type Socket} from 'node:net';
 import {
-	buildFrame, cString, frontendTypes,
+	backendTypes, buildFrame, cString, FrameReader, frontendTypes, readErrorField,
 } from '@crocusloom/wire';
 
 /** Builds a StartupMessage of protocol 3.0. */
@@ -32,3 +33,74 @@
 		buildFrame(frontendTypes.execute, Buffer.concat([cString(''), Buffer.alloc(4)])),
 	]);
 }
+
+/** Caller without a driver. It always has one INSERT without an answer: it sends the next one as soon as it reads ReadyForQuery. */
+export class InsertingCaller {
+	/** Values of the INSERTs that were confirmed. */
+	readonly confirmedValues: string[] = [];
+	/** SQLSTATEs of the errors received. */
+	readonly errorCodes: string[] = [];
+	/** Error of the connection, for example a reset. */
+	connectionError: Error | undefined;
+	/** Value of the INSERT that has no ReadyForQuery yet. */
+	unconfirmedValue: string | undefined;
+	/** Resolves when the connection is closed. */
+	readonly closed: Promise<void>;
+	private readonly socket: Socket;
+	private readonly reader = new FrameReader('caller');
+	private statementCount = 0;
+	private isPaused = false;
+
+	constructor(port: number, private readonly name: string) {
+		this.socket = connect(port, '127.0.0.1');
+		this.socket.write(startupPacket({user: 'desk', database: 'app'}));
+		this.socket.on('data', chunk => {
+			for (const {type, bytes} of this.reader.push(chunk)) {
+				this.handleFrame(type, bytes);
+			}
+		});
+		this.socket.on('error', error => {
+			this.connectionError = error;
+		});
+		this.closed = new Promise(resolve => {
+			this.socket.on('close', () => {
+				resolve();
+			});
+		});
+	}
+
+	/** Sends no further statement until `resume`. */
+	pause(): void {
+		this.isPaused = true;
+	}
+
+	/** Sends the next statement. */
+	resume(): void {
+		this.isPaused = false;
+		this.sendNext();
+	}
+
+	private handleFrame(type: number, bytes: Buffer): void {
+		if (type === backendTypes.errorResponse) {
+			this.errorCodes.push(readErrorField(bytes, 'C')!);
+		} else if (type === backendTypes.readyForQuery) {
+			this.handleReady();
+		}
+	}
+
+	private handleReady(): void {
+		if (this.unconfirmedValue !== undefined) {
+			this.confirmedValues.push(this.unconfirmedValue);
+			this.unconfirmedValue = undefined;
+		}
+
+		if (!this.isPaused) {
+			this.sendNext();
+		}
+	}
+
+	private sendNext(): void {
+		this.unconfirmedValue = `${this.name}x${this.statementCount++}`;
+		this.socket.write(queryFrame(`INSERT INTO t VALUES ('${this.unconfirmedValue}')`));
+	}
+}
