Send orders to a database only on the connection on which its status was read

What could happen: two primaries acknowledged writes, a new group was started twice, and all acknowledged commits of a group were lost. A database refuses an obsolete order by its terms. A database that has restarted without its state has no terms, and accepted any:

- A process reads that c follows an old term, fences c and is suspended.
Meanwhile another primary is promoted with c, acknowledges commits and c loses its state.
The process wakes, dials c anew and makes it follow the replaced primary, which then acknowledges writes.
- A fence whose answer is late is repeated, and the promotion sent.
The database restarts without its state, the first fence and the promotion arrive, and an empty database leads; the others discard their logs to follow it.
- A process polls a new group and is suspended.
Another one starts the group.
The first one counts a database of that majority that has lost its state since as new.

A connection ends when its database stops, and nothing sent on it reaches a later start. A status now names its connection, and fence, promote and follow are sent on this one only, in the turn of the event loop in which they are decided, or fail. A repeated order reads the status first; in a new group orders are not repeated.

The scripted dialer of sqlDatabaseControl.test.ts lost a response that was added while the one before it was handled; it now looks for responses before it waits.

--- a/packages/group/src/__tests__/fakeDeployment.ts
+++ b/packages/group/src/__tests__/fakeDeployment.ts
@@ -88,6 +88,7 @@
 	readonly promotionRanks?: readonly number[];
 	readonly mechanisms?: SafetyMechanisms;
 	readonly promoteChecks?: boolean;
+	readonly connectionChecks?: boolean;
 	/** False for a group that starts without a primary. */
 	readonly hasPrimary?: boolean;
 	/** Names of databases that run and are not in the configuration at first. */
@@ -110,7 +111,7 @@
 	constructor(readonly options: FakeDeploymentOptions = {}) {
 		this.random = seededRandom(options.seed ?? 1);
 		this.group = new FakeGroup({
-			clock: this.clock, random: this.random, promoteChecks: options.promoteChecks, names: [...initialNames, ...options.spareNames ?? []],
+			clock: this.clock, random: this.random, promoteChecks: options.promoteChecks, connectionChecks: options.connectionChecks, names: [...initialNames, ...options.spareNames ?? []],
 		});
 		if (options.hasPrimary !== false) {
 			this.group.startWithPrimary('a', initialNames);
--- a/packages/group/src/__tests__/fakeGroup.ts
+++ b/packages/group/src/__tests__/fakeGroup.ts
@@ -1,12 +1,17 @@
 import {
-	type Clock, comparePositions, type DatabaseControl, type DatabaseStatus, type ControlResult, type LogPosition, type RandomSource, type WaitResult,
+	type Clock, comparePositions, type DatabaseControl, type DatabaseStatus, type ControlResult, type DatabaseOrder, type LogPosition, type RandomSource, type WaitResult,
 } from '@crocusloom/model';
 import {Gate} from './gate.js';
 
 export type LogRecord = {readonly term: number; readonly value: string};
 export type ControlCall = 'status' | 'fence' | 'promote' | 'follow' | 'wait';
 
-export type NetworkCall = {readonly proxy: string; readonly database: string; readonly kind: ControlCall | 'work'; readonly signal?: AbortSignal};
+/** Connection of a proxy to a database. It leads to the start of the database at which its first call arrived. */
+type FakeConnection = {readonly id: number; startCount?: number};
+
+export type NetworkCall = {
+	readonly proxy: string; readonly database: string; readonly kind: ControlCall | 'work'; readonly signal?: AbortSignal; readonly connection?: FakeConnection;
+};
 
 /** A database of the fake group, with its terms and its log. */
 export class FakeDatabase {
@@ -16,7 +21,8 @@
 	followsTerm = 0;
 	followedDatabase?: string;
 	log: LogRecord[] = [];
-	isDown = false;
+	/** Number of starts. The connections of one start end with it. */
+	startCount = 1;
 	/** Closed while the database is frozen. Calls that arrive meanwhile take effect when it opens. */
 	readonly gate = new Gate();
 	/** Number of log records received per replication step. 0 makes the replica fall behind. */
@@ -25,9 +31,19 @@
 	isEmpty = true;
 	/** Length of the primary's log when the database began to follow it. The state is rebuilt when the log reaches this length. */
 	rebuildLength?: number;
+	private isStopped = false;
 
 	constructor(readonly name: string) {}
 
+	get isDown(): boolean {
+		return this.isStopped;
+	}
+
+	set isDown(isDown: boolean) {
+		this.startCount += isDown && !this.isStopped ? 1 : 0;
+		this.isStopped = isDown;
+	}
+
 	get position(): LogPosition {
 		return {term: this.log.at(-1)?.term ?? 0, offsetBytes: this.log.length};
 	}
@@ -40,7 +56,7 @@
 		return this.isEmpty && this.followsTerm > 0;
 	}
 
-	status(): DatabaseStatus {
+	status(): Omit<DatabaseStatus, 'connectionId'> {
 		const {name, role, followsTerm, position, fenceOwner} = this;
 		const fencedTerm = this.isRebuilding ? 0 : this.fencedTerm;
 		return {
@@ -50,6 +66,7 @@
 
 	/** Simulates a restart that loses the log and the terms. */
 	loseState(): void {
+		this.startCount++;
 		Object.assign(this, {
 			role: 'replica', fencedTerm: 0, fenceOwner: '', followsTerm: 0, followedDatabase: undefined, log: [], isEmpty: true, rebuildLength: undefined,
 		});
@@ -95,6 +112,8 @@
 	readonly names?: readonly string[];
 	/** False to disable the compare-and-swap at `promote`, which shows the violations that it prevents. */
 	readonly promoteChecks?: boolean;
+	/** False to deliver an order whatever connection its sender names, which shows the violations that the connection prevents. */
+	readonly connectionChecks?: boolean;
 };
 
 const replicationIntervalMs = 8;
@@ -108,6 +127,8 @@
 	readonly interruptedLinks = new Set<string>();
 	/** Calls whose response is lost after they have taken effect. Each entry applies to one call. */
 	readonly lostResponses: Array<{readonly database: string; readonly call: ControlCall}> = [];
+	/** Calls that travel for long and take effect then, whether or not their sender still waits. Each entry applies to one call. */
+	readonly delayedCalls: Array<{readonly database: string; readonly call: ControlCall; readonly delayMs: number}> = [];
 	private isStopped = false;
 
 	constructor(readonly options: FakeGroupOptions) {
@@ -140,6 +161,7 @@
 	heal(): void {
 		this.interruptedLinks.clear();
 		this.lostResponses.length = 0;
+		this.delayedCalls.length = 0;
 		for (const database of this.databases) {
 			database.isDown = false;
 			database.recordsPerStep = 100;
@@ -166,14 +188,19 @@
 	 * Calls a database from a proxy over the simulated network, with delays, interrupted links, frozen databases and lost responses.
 	 * @returns the result of the effect; does not resolve if the request or the response is lost
 	 */
-	async call<T>({proxy, database: name, kind, signal}: NetworkCall, effect: (database: FakeDatabase) => Promise<T> | T): Promise<T> {
+	async call<T>({proxy, database: name, kind, signal, connection}: NetworkCall, effect: (database: FakeDatabase) => Promise<T> | T): Promise<T> {
 		const database = this.get(name);
 		await this.traverseNetwork(proxy, name, signal);
+		await this.options.clock.sleep(this.takeDelayMs(name, kind));
 		await database.gate.waitUntilOpen();
 		if (database.isDown) {
 			throw new Error(`${name} refuses connections`);
 		}
 
+		if (connection && this.options.connectionChecks !== false && (connection.startCount ??= database.startCount) !== database.startCount) {
+			throw new Error(`${name} has restarted and resets the connection`);
+		}
+
 		const result = await effect(database);
 		await database.gate.waitUntilOpen();
 		const lostIndex = this.lostResponses.findIndex(lostResponse => lostResponse.database === name && lostResponse.call === kind);
@@ -188,23 +215,42 @@
 
 	/** Creates the control with which a proxy calls a database. */
 	control(proxy: string, name: string, gate: Gate): DatabaseControl {
-		const callDatabase = async <T>(kind: ControlCall, signal: AbortSignal, effect: (database: FakeDatabase) => Promise<T> | T) => {
+		let connection: FakeConnection = {id: 1};
+		/** Closes the connection of a call that fails. The call may take effect nevertheless, also after later ones. */
+		const callOnConnection = async <T>(kind: ControlCall, signal: AbortSignal, effect: (database: FakeDatabase, connectionId: number) => Promise<T> | T) => {
+			const usedConnection = connection;
+			try {
+				return await this.call({
+					proxy, database: name, kind, signal, connection: usedConnection,
+				}, async database => effect(database, usedConnection.id));
+			} catch (error) {
+				connection = connection === usedConnection ? {id: usedConnection.id + 1} : connection;
+				throw error;
+			}
+		};
+
+		const callDatabase = async <T>(kind: ControlCall, signal: AbortSignal, effect: (database: FakeDatabase, connectionId: number) => Promise<T> | T) => {
 			await gate.waitUntilOpen();
-			const result = await this.call({
-				proxy, database: name, kind, signal,
-			}, effect);
+			const result = await callOnConnection(kind, signal, effect);
 			await gate.waitUntilOpen();
 			return result;
 		};
 
-		const callControlFunction = async (kind: ControlCall, signal: AbortSignal, effect: (database: FakeDatabase) => boolean): Promise<ControlResult> =>
-			callDatabase(kind, signal, database => ({accepted: effect(database), status: database.status()}));
+		const sendOrder = async (kind: ControlCall, order: DatabaseOrder, signal: AbortSignal, effect: (database: FakeDatabase) => boolean): Promise<ControlResult> => {
+			await gate.waitUntilOpen();
+			if (order.connectionId !== connection.id && this.options.connectionChecks !== false) {
+				throw new Error(`the connection to ${name} has ended`);
+			}
+
+			return callDatabase(kind, signal, (database, connectionId) => ({accepted: effect(database), status: {...database.status(), connectionId}}));
+		};
+
 		return {
 			database: name,
-			status: async signal => callDatabase('status', signal, database => database.status()),
-			fence: async (term, owner, signal) => callControlFunction('fence', signal, database => database.fence(term, owner)),
-			promote: async (term, owner, signal) => callControlFunction('promote', signal, database => this.promote(database, term, owner)),
-			follow: async (term, address, signal) => callControlFunction('follow', signal, database => database.follow(term, address.split(':')[0]!)),
+			status: async signal => callDatabase('status', signal, (database, connectionId) => ({...database.status(), connectionId})),
+			fence: async (order, signal) => sendOrder('fence', order, signal, database => database.fence(order.term, order.owner)),
+			promote: async (order, signal) => sendOrder('promote', order, signal, database => this.promote(database, order.term, order.owner)),
+			follow: async (order, signal) => sendOrder('follow', order, signal, database => database.follow(order.term, order.primaryAddress.split(':')[0]!)),
 			waitForPosition: async (position, timeoutMs, signal) => callDatabase('wait', signal, async database => this.waitForPosition(database, position, timeoutMs)),
 			close() {
 				gate.open();
@@ -262,6 +308,11 @@
 		replica.isEmpty &&= replica.log.length < replica.rebuildLength;
 	}
 
+	private takeDelayMs(name: string, kind: NetworkCall['kind']): number {
+		const index = this.delayedCalls.findIndex(({database, call}) => database === name && call === kind);
+		return index === -1 ? 0 : this.delayedCalls.splice(index, 1)[0]!.delayMs;
+	}
+
 	private async traverseNetwork(proxy: string, name: string, signal?: AbortSignal): Promise<void> {
 		const {clock, random} = this.options;
 		await clock.sleep(1 + random.next());
--- a/packages/group/src/__tests__/sqlDatabaseControl.test.ts
+++ b/packages/group/src/__tests__/sqlDatabaseControl.test.ts
@@ -76,9 +76,10 @@
 				async * read() {
 					while (!closeController.signal.aborted) {
 						yield * responseFrames.splice(0);
-						await new Promise<void>(resolve => {
-							pendingRead.wake = resolve;
-						});
+						// A response may have been added while the last one was handled.
+						if (responseFrames.length === 0) {
+							await sleepUntilWoken();
+						}
 					}
 				},
 				cancel: noop,
@@ -110,7 +111,7 @@
 	it('reads a status by column name (guards against a dependency on the column order)', async () => {
 		const control = createControl(() => ({columns: statusColumns.toReversed(), values: statusReply.values.toReversed()}));
 		expect(await control.status(signal)).to.deep.equal({
-			database: 'a', role: 'primary', fencedTerm: 7, followsTerm: 7, position: {term: 6, offsetBytes: 4096}, fenceOwner: '',
+			database: 'a', role: 'primary', fencedTerm: 7, followsTerm: 7, position: {term: 6, offsetBytes: 4096}, fenceOwner: '', connectionId: 1,
 		});
 		control.close();
 	});
@@ -138,9 +139,10 @@
 		it(`reports a fence with the result ${functionResult} and quotes the owner (guards against a refused fence that counts as accepted, and SQL injection)`, async () => {
 			const sentStatements: string[] = [];
 			const control = createControl(sql => replyTo(sql, {crocusloom_fence: functionResult}), sentStatements);
-			const result = await control.fence(8, 'o\'hara', signal);
+			const {connectionId} = await control.status(signal);
+			const result = await control.fence({term: 8, owner: 'o\'hara', connectionId}, signal);
 			expect(result.accepted).to.equal(accepted);
-			expect(sentStatements[0]).to.equal('SELECT crocusloom_fence(8, \'o\'\'hara\')');
+			expect(sentStatements[1]).to.equal('SELECT crocusloom_fence(8, \'o\'\'hara\')');
 			control.close();
 		});
 	}
@@ -148,11 +150,36 @@
 	it('matches pipelined responses in order (guards against a response that is delivered to another call)', async () => {
 		const control = createControl(sql => replyTo(sql, {crocusloom_wait_position: 'reached', crocusloom_promote: 't'}));
 		const position = {term: 6, offsetBytes: 1};
-		const results = await Promise.all([control.waitForPosition(position, 5, signal), control.promote(7, 'x', signal), control.status(signal)]);
+		const {connectionId} = await control.status(signal);
+		const results = await Promise.all([control.waitForPosition(position, 5, signal), control.promote({term: 7, owner: 'x', connectionId}, signal), control.status(signal)]);
 		expect([results[0], results[1].accepted, results[2].fencedTerm]).to.deep.equal(['reached', true, 7]);
 		control.close();
 	});
 
+	const orderCases: ReadonlyArray<{readonly name: string; readonly send: (control: SqlDatabaseControl, connectionId: number) => Promise<unknown>}> = [
+		{name: 'fence', send: async (control, connectionId) => control.fence({term: 8, owner: 'x', connectionId}, signal)},
+		{name: 'promote', send: async (control, connectionId) => control.promote({term: 8, owner: 'x', connectionId}, signal)},
+		{name: 'follow', send: async (control, connectionId) => control.follow({term: 8, primaryAddress: 'b:1', connectionId}, signal)},
+	];
+	for (const {name, send} of orderCases) {
+		it(`sends ${name} only on the connection on which the status was read (guards against an order that reaches a database which has restarted without its terms)`, async () => {
+			const sentStatements: string[] = [];
+			const replies: Array<ReturnType<Script>> = [statusReply, 'close'];
+			const control = createControl(() => replies.shift() ?? statusReply, sentStatements);
+			const {connectionId} = await control.status(signal);
+			const outcome = async (call: Promise<unknown>) => call.then(() => 'ok', (error: unknown) => (error as Error).message);
+			await outcome(control.status(signal));
+			sentStatements.length = 0;
+			expect(await outcome(send(control, connectionId))).to.include('the connection on which the status was read has ended');
+			const {connectionId: newConnectionId} = await control.status(signal);
+			expect(await outcome(send(control, connectionId))).to.include('the connection on which the status was read has ended');
+			expect(sentStatements.filter(sql => sql.includes(name))).to.deep.equal([]);
+			expect(await outcome(send(control, newConnectionId))).to.equal('ok');
+			expect(sentStatements.filter(sql => sql.includes(name))).to.have.length(1);
+			control.close();
+		});
+	}
+
 	it('reports an error and a lost connection as failures, then reconnects (guards against a control that stays broken)', async () => {
 		const replies: Array<ReturnType<Script>> = ['error', 'close', statusReply];
 		const control = createControl(() => replies.shift() ?? statusReply);
--- a/packages/group/src/controlConnection.ts
+++ b/packages/group/src/controlConnection.ts
@@ -25,7 +25,7 @@
 	/** The prepared statement and its column names, which are filled in when the row description arrives. */
 	private preparedStatement?: {readonly sql: string; readonly columns: string[]};
 
-	constructor(private readonly database: string, private readonly connection: BackendConnection, private readonly metrics: Metrics) {
+	constructor(readonly id: number, private readonly database: string, private readonly connection: BackendConnection, private readonly metrics: Metrics) {
 		void this.readResponses();
 	}
 
--- a/packages/group/src/promoter.ts
+++ b/packages/group/src/promoter.ts
@@ -1,5 +1,5 @@
 import {
-	type Logger, noopLogger, type PromotionRecord, type RandomSource,
+	type DatabaseStatus, type Logger, noopLogger, type PromotionRecord, type RandomSource,
 } from '@crocusloom/model';
 import {addressOf} from './candidate.js';
 import {findPrimary, hasState, termRequestTimesMs} from './confirmation.js';
@@ -113,7 +113,7 @@
 			const status = databaseMonitor.latestObservation?.status;
 			const isFollowingOldTerm = status && databaseMonitor.isReachable && status.fencedTerm <= primary.fencedTerm && status.followsTerm < primary.fencedTerm;
 			if (isFollowingOldTerm && this.isSafeToRejoin(databaseMonitor, primary.fencedTerm) && !this.rejoiningDatabases.has(databaseMonitor.database)) {
-				void this.rejoin(databaseMonitor, primary.fencedTerm, primary.database);
+				void this.rejoin(databaseMonitor, status, primary);
 			}
 		}
 	}
@@ -139,21 +139,23 @@
 	}
 
 	/** Fences a database at the primary's term, which stops writes at a former primary, and makes it follow the primary. */
-	private async rejoin(databaseMonitor: DatabaseMonitor, term: number, primary: string): Promise<void> {
+	private async rejoin(databaseMonitor: DatabaseMonitor, observedStatus: DatabaseStatus, primary: DatabaseStatus): Promise<void> {
 		const {monitor, owner} = this.options;
+		const {connectionId} = observedStatus;
+		const term = primary.fencedTerm;
 		this.rejoiningDatabases.add(databaseMonitor.database);
 		const failure = peerFailure('follow', databaseMonitor.database, `no answer within ${callTimeoutMs} ms`);
 		const timeoutOptions = {
 			clock: monitor.options.clock, timeoutMs: callTimeoutMs, signal: monitor.signal, failure,
 		};
 		try {
-			if (hasState(databaseMonitor.latestObservation!.status) && databaseMonitor.latestObservation!.status.fencedTerm < term) {
-				await withTimeout(timeoutOptions, async signal => databaseMonitor.control.fence(term, `${owner}/rejoin`, signal));
+			if (hasState(observedStatus) && observedStatus.fencedTerm < term) {
+				await withTimeout(timeoutOptions, async signal => databaseMonitor.control.fence({term, owner: `${owner}/rejoin`, connectionId}, signal));
 			}
 
 			const requestedAtMs = monitor.options.clock.nowMs();
-			const address = addressOf(monitor.databaseSpecs, primary);
-			const {status} = await withTimeout(timeoutOptions, async signal => databaseMonitor.control.follow(term, address, signal));
+			const primaryAddress = addressOf(monitor.databaseSpecs, primary.database);
+			const {status} = await withTimeout(timeoutOptions, async signal => databaseMonitor.control.follow({term, primaryAddress, connectionId}, signal));
 			databaseMonitor.recordStatus(status, requestedAtMs);
 		} catch {
 			// The next periodic check retries the call.
--- a/packages/group/src/promotionAttempt.ts
+++ b/packages/group/src/promotionAttempt.ts
@@ -1,5 +1,5 @@
 import {
-	type DatabaseStatus, type ControlResult, generationOfTerm, nextTerm, type PromotionRecord,
+	type DatabaseOrder, type DatabaseStatus, type ControlResult, generationOfTerm, nextTerm, type PromotionRecord,
 } from '@crocusloom/model';
 import {addressOf, chooseCandidate} from './candidate.js';
 import {
@@ -23,7 +23,7 @@
 	readonly signal: AbortSignal;
 };
 
-/** Maximum number of attempts at a fence or promote call whose response is lost. The same owner may repeat both calls. */
+/** Maximum number of attempts at a fence or promote order whose response is lost. The same owner may repeat both orders. */
 const maximumCallAttempts = 3;
 
 /** Thrown to end an attempt with an outcome other than `promoted`. */
@@ -43,6 +43,8 @@
 	private quorum: Quorum;
 	/** True if every database has responded and none has ever been a primary or followed one. */
 	private isNewGroup = false;
+	/** Statuses in the responses to the poll, on which the attempt is based. */
+	private polledStatuses: readonly DatabaseStatus[] = [];
 	private candidate?: string;
 
 	constructor(private readonly options: PromotionAttemptOptions) {
@@ -97,7 +99,7 @@
 			await this.drainPrimary();
 			const fencedStatuses = await this.fenceMajority();
 			const primary = await this.promoteCandidate(fencedStatuses);
-			await this.makeOthersFollow(primary);
+			await this.makeOthersFollow(primary, fencedStatuses);
 			return 'promoted';
 		} catch (error) {
 			this.steps.push(error instanceof Error ? error.message : String(error));
@@ -114,6 +116,7 @@
 		// A database may have been fenced for a new list meanwhile.
 		this.quorum = monitor.quorumOfGeneration(this.generation);
 		const statuses = observations.map(({status}) => status);
+		this.polledStatuses = statuses;
 		const eligibleStatuses = monitor.eligibleStatuses(statuses);
 		this.isNewGroup = isNewGroup(statuses, monitor.databaseMonitors.length);
 		this.steps.push(`${observations.length} of ${monitor.databaseMonitors.length} databases answered, ${eligibleStatuses.length} of them with state or in a new group`);
@@ -197,7 +200,7 @@
 		const candidate = chooseCandidate(listedStatuses, monitor.options.spec(), trigger.oldPrimary)!;
 		const databaseMonitor = monitor.databaseMonitorOf(candidate.database)!;
 		this.candidate = candidate.database;
-		const {accepted, status} = await this.callWithRetry(databaseMonitor, 'promote', async signal => databaseMonitor.control.promote(this.term, owner, signal));
+		const {accepted, status} = await this.sendWithRetry(databaseMonitor, 'promote', candidate, async (order, signal) => databaseMonitor.control.promote({...order, owner}, signal));
 		if (!accepted) {
 			throw new AttemptEnd('lostRace', `${candidate.database} refused the promotion; it is fenced at term ${status.fencedTerm}`);
 		}
@@ -206,13 +209,16 @@
 		return status;
 	}
 
-	private async makeOthersFollow(primary: DatabaseStatus): Promise<void> {
+	/** Makes the fenced databases follow the primary. The promoters repeat the order, and send it to the other databases. */
+	private async makeOthersFollow(primary: DatabaseStatus, fencedStatuses: readonly DatabaseStatus[]): Promise<void> {
 		const {monitor} = this.options;
-		const address = addressOf(monitor.databaseSpecs, primary.database);
-		const otherMonitors = monitor.databaseMonitors.filter(({database}) => database !== primary.database);
-		const followCalls = otherMonitors.map(async databaseMonitor => {
+		const primaryAddress = addressOf(monitor.databaseSpecs, primary.database);
+		const otherStatuses = fencedStatuses.filter(({database}) => database !== primary.database);
+		const followCalls = otherStatuses.map(async ({database, connectionId}) => {
+			const databaseMonitor = monitor.databaseMonitorOf(database)!;
 			const requestedAtMs = monitor.options.clock.nowMs();
-			const result = await this.callWithTimeout(databaseMonitor, 'follow', async signal => databaseMonitor.control.follow(this.term, address, signal));
+			const order = {term: this.term, connectionId, primaryAddress};
+			const result = await this.callWithTimeout(databaseMonitor, 'follow', async signal => databaseMonitor.control.follow(order, signal));
 			databaseMonitor.recordStatus(result.status, requestedAtMs);
 			return result;
 		});
@@ -223,25 +229,44 @@
 	}
 
 	private async fence(databaseMonitor: DatabaseMonitor): Promise<ControlResult> {
-		return this.callWithRetry(databaseMonitor, 'fence', async signal => databaseMonitor.control.fence(this.term, this.options.owner, signal));
+		const {owner} = this.options;
+		const knownStatus = this.polledStatuses.find(({database}) => database === databaseMonitor.database) ?? databaseMonitor.latestObservation?.status;
+		return this.sendWithRetry(databaseMonitor, 'fence', knownStatus, async (order, signal) => databaseMonitor.control.fence({...order, owner}, signal));
 	}
 
-	/** Retries a call whose response is lost, and records the status in its response. */
-	private async callWithRetry(databaseMonitor: DatabaseMonitor, step: 'fence' | 'promote', run: (signal: AbortSignal) => Promise<ControlResult>): Promise<ControlResult> {
+	/**
+	 * Sends an order, and records the status in its response. If the response is lost, the order is repeated on the connection on which
+	 * the status is read next. In a new group it is not, because the group may no longer be new by then.
+	 */
+	private async sendWithRetry(
+		databaseMonitor: DatabaseMonitor,
+		step: 'fence' | 'promote',
+		knownStatus: DatabaseStatus | undefined,
+		send: (order: DatabaseOrder, signal: AbortSignal) => Promise<ControlResult>,
+	): Promise<ControlResult> {
+		const maximumAttempts = this.isNewGroup ? 1 : maximumCallAttempts;
+		let status = knownStatus;
 		for (let attempt = 1; ; attempt++) {
-			const requestedAtMs = this.options.monitor.options.clock.nowMs();
 			try {
-				const result = await this.callWithTimeout(databaseMonitor, step, run);
+				const {connectionId} = status ?? await this.readStatus(databaseMonitor);
+				status = undefined;
+				const requestedAtMs = this.options.monitor.options.clock.nowMs();
+				const result = await this.callWithTimeout(databaseMonitor, step, async signal => send({term: this.term, connectionId}, signal));
 				databaseMonitor.recordStatus(result.status, requestedAtMs);
 				return result;
 			} catch (error) {
-				if (attempt === maximumCallAttempts || this.options.signal.aborted) {
+				if (attempt === maximumAttempts || this.options.signal.aborted) {
 					throw error;
 				}
 			}
 		}
 	}
 
+	private async readStatus(databaseMonitor: DatabaseMonitor): Promise<DatabaseStatus> {
+		const {status} = await this.callWithTimeout(databaseMonitor, 'monitor', async signal => databaseMonitor.pollStatus(signal));
+		return status;
+	}
+
 	private async callWithTimeout<T>(databaseMonitor: DatabaseMonitor, step: 'monitor' | 'fence' | 'promote' | 'follow', run: (signal: AbortSignal) => Promise<T>): Promise<T> {
 		const {monitor, signal} = this.options;
 		const failure = peerFailure(step, databaseMonitor.database, `no answer within ${callTimeoutMs} ms`);
--- a/packages/group/src/sqlDatabaseControl.ts
+++ b/packages/group/src/sqlDatabaseControl.ts
@@ -1,5 +1,6 @@
 import {
-	type BackendDialer, childSignal, type Clock, type DatabaseControl, type DatabaseStatus, FailureError, type ControlResult, type LogPosition, type Metrics, noopMetrics,
+	type BackendDialer, childSignal, type Clock, type DatabaseControl, type DatabaseStatus, FailureError, type ControlResult, type FollowOrder, type LogPosition, type Metrics, noopMetrics,
+	type OwnedDatabaseOrder,
 	type RandomSource, type FailureStep, type WaitResult,
 } from '@crocusloom/model';
 import {ControlConnection, type Row} from './controlConnection.js';
@@ -17,6 +18,8 @@
 	readonly metrics?: Metrics;
 };
 
+type CallOptions = {readonly step: FailureStep; readonly timeoutMs: number; readonly signal: AbortSignal};
+
 const statusSql = 'SELECT * FROM crocusloom_status()';
 const acceptedValues: ReadonlySet<string> = new Set(['t', 'true', 'accepted']);
 const waitResults: ReadonlySet<string> = new Set<WaitResult>(['reached', 'superseded', 'timeout']);
@@ -28,6 +31,7 @@
 	private connection?: ControlConnection;
 	private readonly closeController = new AbortController();
 	private dialFailureCount = 0;
+	private connectionCount = 0;
 	private nextDialAtMs = 0;
 
 	constructor(private readonly options: SqlDatabaseControlOptions) {
@@ -35,24 +39,24 @@
 	}
 
 	async status(signal: AbortSignal): Promise<DatabaseStatus> {
-		return this.callWithTimeout('monitor', callTimeoutMs, signal, async connection => this.readStatus(connection, 'monitor'));
+		return this.callWithTimeout({step: 'monitor', timeoutMs: callTimeoutMs, signal}, async () => this.connect(), async connection => this.readStatus(connection, 'monitor'));
 	}
 
-	async fence(term: number, owner: string, signal: AbortSignal): Promise<ControlResult> {
-		return this.callControlFunction('fence', `SELECT crocusloom_fence(${term}, ${quoteLiteral(owner)})`, signal);
+	async fence({term, owner, connectionId}: OwnedDatabaseOrder, signal: AbortSignal): Promise<ControlResult> {
+		return this.sendOrder({step: 'fence', sql: `SELECT crocusloom_fence(${term}, ${quoteLiteral(owner)})`, connectionId}, signal);
 	}
 
-	async promote(term: number, owner: string, signal: AbortSignal): Promise<ControlResult> {
-		return this.callControlFunction('promote', `SELECT crocusloom_promote(${term}, ${quoteLiteral(owner)})`, signal);
+	async promote({term, owner, connectionId}: OwnedDatabaseOrder, signal: AbortSignal): Promise<ControlResult> {
+		return this.sendOrder({step: 'promote', sql: `SELECT crocusloom_promote(${term}, ${quoteLiteral(owner)})`, connectionId}, signal);
 	}
 
-	async follow(term: number, primaryAddress: string, signal: AbortSignal): Promise<ControlResult> {
-		return this.callControlFunction('follow', `SELECT crocusloom_follow(${term}, ${quoteLiteral(primaryAddress)})`, signal);
+	async follow({term, primaryAddress, connectionId}: FollowOrder, signal: AbortSignal): Promise<ControlResult> {
+		return this.sendOrder({step: 'follow', sql: `SELECT crocusloom_follow(${term}, ${quoteLiteral(primaryAddress)})`, connectionId}, signal);
 	}
 
 	async waitForPosition(position: LogPosition, timeoutMs: number, signal: AbortSignal): Promise<WaitResult> {
 		const sql = `SELECT crocusloom_wait_position(${position.term}, ${position.offsetBytes}, ${Math.ceil(timeoutMs)})`;
-		return this.callWithTimeout('acknowledge', timeoutMs + callTimeoutMs, signal, async connection => {
+		return this.callWithTimeout({step: 'acknowledge', timeoutMs: timeoutMs + callTimeoutMs, signal}, async () => this.connect(), async connection => {
 			const result = firstValue(await connection.query(sql, 'acknowledge'));
 			if (result === undefined || !waitResults.has(result)) {
 				throw this.createError('acknowledge', `unexpected result of crocusloom_wait_position(): ${result}`);
@@ -67,9 +71,9 @@
 		this.connection?.close();
 	}
 
-	/** Calls a control function and then reads the status, in one round trip. */
-	private async callControlFunction(step: FailureStep, sql: string, signal: AbortSignal): Promise<ControlResult> {
-		return this.callWithTimeout(step, callTimeoutMs, signal, async connection => {
+	/** Sends an order on its connection and then reads the status, in one round trip. */
+	private async sendOrder({step, sql, connectionId}: {readonly step: FailureStep; readonly sql: string; readonly connectionId: number}, signal: AbortSignal): Promise<ControlResult> {
+		return this.callWithTimeout({step, timeoutMs: callTimeoutMs, signal}, () => this.requireConnection(connectionId, step), async connection => {
 			const [rows, status] = await Promise.all([connection.query(sql, step), this.readStatus(connection, step)]);
 			return {accepted: acceptedValues.has(firstValue(rows) ?? ''), status};
 		});
@@ -77,7 +81,7 @@
 
 	private async readStatus(connection: ControlConnection, step: FailureStep): Promise<DatabaseStatus> {
 		const [row] = await connection.queryPrepared(statusSql, step);
-		const status = row && parseStatus(this.database, row);
+		const status = row && parseStatus(row, this.database, connection.id);
 		if (!status) {
 			throw this.createError(step, 'the result of crocusloom_status() lacks a column or has a value that is not a number');
 		}
@@ -86,7 +90,11 @@
 	}
 
 	/** Runs a call with a timeout. On timeout the connection is closed, because later responses on it would queue behind the missing one. */
-	private async callWithTimeout<T>(step: FailureStep, timeoutMs: number, signal: AbortSignal, run: (connection: ControlConnection) => Promise<T>): Promise<T> {
+	private async callWithTimeout<T>(
+		{step, timeoutMs, signal}: CallOptions,
+		getConnection: () => Promise<ControlConnection> | ControlConnection,
+		run: (connection: ControlConnection) => Promise<T>,
+	): Promise<T> {
 		const failure = peerFailure(step, this.database, `no answer within ${timeoutMs} ms`);
 		let usedConnection: ControlConnection | undefined;
 		let isUnfinished = true;
@@ -95,7 +103,7 @@
 			return await withTimeout({
 				clock: this.options.clock, timeoutMs, signal: callController.signal, failure,
 			}, async () => {
-				usedConnection = await this.connect();
+				usedConnection = await getConnection();
 				try {
 					return await run(usedConnection);
 				} finally {
@@ -111,6 +119,15 @@
 		}
 	}
 
+	/** @throws FailureError `peer` if the connection has ended */
+	private requireConnection(connectionId: number, step: FailureStep): ControlConnection {
+		if (!this.connection?.isUsable || this.connection.id !== connectionId) {
+			throw this.createError(step, 'the connection on which the status was read has ended');
+		}
+
+		return this.connection;
+	}
+
 	private async connect(): Promise<ControlConnection> {
 		if (this.connection?.isUsable) {
 			return this.connection;
@@ -145,7 +162,7 @@
 				return connection;
 			});
 			this.dialFailureCount = 0;
-			this.connection = new ControlConnection(database, backendConnection, this.options.metrics ?? noopMetrics);
+			this.connection = new ControlConnection(++this.connectionCount, database, backendConnection, this.options.metrics ?? noopMetrics);
 			return this.connection;
 		} catch (error) {
 			this.delayNextDial();
@@ -172,7 +189,7 @@
 	return Object.values(rows[0] ?? {})[0];
 }
 
-function parseStatus(database: string, row: Row): DatabaseStatus | undefined {
+function parseStatus(row: Row, database: string, connectionId: number): DatabaseStatus | undefined {
 	const numbers = [row.fenced_term, row.follows_term, row.log_term, row.log_offset].map(Number);
 	if (numbers.some(number => !Number.isSafeInteger(number))) {
 		return undefined;
@@ -186,5 +203,6 @@
 		followsTerm,
 		position: {term, offsetBytes},
 		fenceOwner: row.fence_owner ?? '',
+		connectionId,
 	};
 }
--- a/packages/model/src/ports.ts
+++ b/packages/model/src/ports.ts
@@ -7,11 +7,13 @@
 	type DatabaseStatus,
 	type ExchangeResult,
 	type ControlResult,
+	type FollowOrder,
 	type GroupState,
 	type HolderStats,
 	type ListedHost,
 	type LogPosition,
 	type Member,
+	type OwnedDatabaseOrder,
 	type PromotionRecord,
 	type RoutingExplanation,
 	type StatementMode,
@@ -74,16 +76,16 @@
 	list(signal: AbortSignal): Promise<readonly ListedHost[]>;
 };
 
-/** Control calls to one database. Methods throw FailureError if the database does not answer. */
+/** Control calls to one database. Methods throw FailureError if the database does not answer, or if the connection of an order has ended. */
 export type DatabaseControl = {
 	readonly database: string;
 	status(signal: AbortSignal): Promise<DatabaseStatus>;
 	/** Fences the database at `term`. Accepted if `term` is above the fenced term, or equal to it with the same owner. */
-	fence(term: number, owner: string, signal: AbortSignal): Promise<ControlResult>;
+	fence(order: OwnedDatabaseOrder, signal: AbortSignal): Promise<ControlResult>;
 	/** Makes the database the primary if it is still fenced at `term` by `owner`. */
-	promote(term: number, owner: string, signal: AbortSignal): Promise<ControlResult>;
+	promote(order: OwnedDatabaseOrder, signal: AbortSignal): Promise<ControlResult>;
 	/** Makes the database a replica of the primary of `term`, unless it is fenced at a higher term. Log records that the primary lacks are discarded. */
-	follow(term: number, primaryAddress: string, signal: AbortSignal): Promise<ControlResult>;
+	follow(order: FollowOrder, signal: AbortSignal): Promise<ControlResult>;
 	/** Waits until the database holds `position` within `position.term`. */
 	waitForPosition(position: LogPosition, timeoutMs: number, signal: AbortSignal): Promise<WaitResult>;
 	close(): void;
--- a/packages/model/src/types.ts
+++ b/packages/model/src/types.ts
@@ -84,8 +84,22 @@
 	readonly position: LogPosition;
 	/** Owner of the fence at `fencedTerm`. */
 	readonly fenceOwner: string;
+	/** Identifies the connection on which the status was read. The connection ends when the database stops, so it never leads to a later start of it. */
+	readonly connectionId: number;
 };
 
+/**
+ * Order to a database. It is sent only on the connection on which its sender read the status that led to it: a database that has
+ * restarted since may have lost its terms, by which it would refuse an order that has become obsolete.
+ */
+export type DatabaseOrder = {readonly term: number; readonly connectionId: number};
+
+/** Order to fence or promote a database. */
+export type OwnedDatabaseOrder = DatabaseOrder & {readonly owner: string};
+
+/** Order to follow a primary. */
+export type FollowOrder = DatabaseOrder & {readonly primaryAddress: string};
+
 /** Result of a fence, promote or follow call. `status` is the state after the call; after a refusal it usually carries the higher fenced term. */
 export type ControlResult = {readonly accepted: boolean; readonly status: DatabaseStatus};
 
