Ignore a status that was requested before a database lost its state

A database without state may follow a primary only if a majority has confirmed its term since the loss. A status from before the loss that arrived after one from after it reset the time of the loss, so that the check was left out. The test fails before: the time of the loss is undefined.

--- a/packages/group/src/__tests__/lateOrders.test.ts
+++ b/packages/group/src/__tests__/lateOrders.test.ts
@@ -1,6 +1,8 @@
 import {expect} from 'chai';
+import {DatabaseMonitor} from '../databaseMonitor.js';
 import {PromotionAttempt} from '../promotionAttempt.js';
 import {FakeDeployment, type FakeDeploymentOptions, type FakeProxy} from './fakeDeployment.js';
+import {Gate} from './gate.js';
 
 type LateOrderCase = {
 	readonly name: string;
@@ -156,4 +158,22 @@
 			});
 		}
 	}
+
+	it('a database stays without state when an earlier status of it arrives late (guards against a database that follows a replaced primary after it has forgotten the newer term)', async () => {
+		const {signal} = new AbortController();
+		const deployment = new FakeDeployment({promotionRanks: [-1]});
+		const {clock} = deployment;
+		const monitor = new DatabaseMonitor(deployment.group.control('p0', 'a', new Gate()), clock, () => undefined, signal);
+		const statusWithState = {...deployment.group.get('a').status(), connectionId: 1};
+		const statusWithoutState = {
+			...statusWithState, fencedTerm: 0, followsTerm: 0, connectionId: 2,
+		};
+		await deployment.run(10);
+		monitor.recordStatus(statusWithoutState, clock.nowMs() - 2);
+		monitor.recordStatus(statusWithState, clock.nowMs() - 5);
+		expect(monitor.statelessSinceMs).not.to.equal(undefined);
+		monitor.recordStatus(statusWithState, clock.nowMs());
+		expect(monitor.statelessSinceMs).to.equal(undefined);
+		deployment.stop();
+	});
 });
--- a/packages/group/src/databaseMonitor.ts
+++ b/packages/group/src/databaseMonitor.ts
@@ -115,7 +115,7 @@
 		this.awaitedPositions.delete(position);
 	}
 
-	private updateHeldPositions({status, receivedAtMs}: StatusObservation): void {
+	private updateHeldPositions({status, requestedAtMs, receivedAtMs}: StatusObservation): void {
 		if (!hasState(status)) {
 			this.firstStatelessResponseAtMs ??= receivedAtMs;
 			// The database can no longer serve reads at the positions that it held before it lost its state.
@@ -123,6 +123,11 @@
 			return;
 		}
 
+		// A status from before the loss may arrive after one from after it.
+		if (requestedAtMs < (this.firstStatelessResponseAtMs ?? 0)) {
+			return;
+		}
+
 		this.firstStatelessResponseAtMs = undefined;
 		if (status.fencedTerm === status.position.term) {
 			this.recordHeldPosition(status.position);
