Deliver orders late in the random schedules of database groups, and judge each promotion

Calls may travel for up to 5 s and take effect although their sender has given up, was suspended, or has sent later ones meanwhile; new schedules hold mostly such faults, with databases that lose their terms. Each promotion is judged when it takes effect: its log must hold every write that was acknowledged in an earlier term.

--- a/packages/group/src/__tests__/fakeDeployment.ts
+++ b/packages/group/src/__tests__/fakeDeployment.ts
@@ -300,6 +300,10 @@
 		const finalLog = this.group.get(newestPromotion.database).log;
 		const finalValues = finalLog.map(({value}) => value);
 		const lostWrites = this.acknowledgedWrites.filter(({value}) => finalValues.filter(other => other === value).length !== 1);
+		const writesLostByPromotions = this.group.promotions.flatMap(({database, term, log}) => {
+			const promotedValues = new Set(log.map(({value}) => value));
+			return this.acknowledgedWrites.filter(write => write.term < term && !promotedValues.has(write.value)).map(write => ({...write, database, promotedTerm: term}));
+		});
 		const writesInSharedTerms = this.acknowledgedWrites.filter(write => this.acknowledgedWrites.some(({term, database}) => term === write.term && database !== write.database));
 		const writesAtReplacedPrimaries = this.acknowledgedWrites.filter(write => this.group.promotions.some(({term, atMs}) => term > write.term && atMs < write.startedAtMs));
 		const staleReads = this.completedReads.filter(({log, requiredValues}) => !containsAll(log, requiredValues));
@@ -307,6 +311,7 @@
 		const promotedTerms = this.group.promotions.map(({term}) => term);
 		return [
 			...lostWrites.map(({value, term}) => `lost: ${value} of term ${term}`),
+			...writesLostByPromotions.map(({value, term, database, promotedTerm}) => `lost: ${value} of term ${term} by the promotion of ${database} in term ${promotedTerm}`),
 			...writesInSharedTerms.map(({term}) => `two primaries acknowledged in term ${term}`),
 			...writesAtReplacedPrimaries.map(({value, term}) => `replaced primary of term ${term} acknowledged ${value}`),
 			...staleReads.map(({kind}) => `stale: ${kind} read`),
--- a/packages/group/src/__tests__/schedules.test.ts
+++ b/packages/group/src/__tests__/schedules.test.ts
@@ -3,6 +3,7 @@
 import {FakeDeployment, type FakeProxy} from './fakeDeployment.js';
 
 const scheduleCount = Number(process.env.CROCUSLOOM_SCHEDULES ?? 300);
+const lateOrderScheduleCount = Number(process.env.CROCUSLOOM_SCHEDULES ?? 100);
 /** The schedules with changes of the databases take five times as long. */
 const changeScheduleCount = Number(process.env.CROCUSLOOM_SCHEDULES ?? 100);
 const seed = Number(process.env.CROCUSLOOM_SEED ?? 20_251);
@@ -11,6 +12,8 @@
 const changeLoadDurationMs = 6000;
 /** Upper bound for a change of primary, from section 7 of `docs/design.md`. */
 const recoveryLimitMs = 13_000;
+/** Longest travel time of a call, longer than its sender waits and than a promotion takes. */
+const maximumDelayMs = 5000;
 const databases = ['a', 'b', 'c'] as const;
 
 /** `primary` stands for the database that is the primary when the fault is injected. */
@@ -29,6 +32,13 @@
 	fc.record({kind: fc.constant('pause' as const), proxy: proxyArbitrary}),
 	fc.record({kind: fc.constant('resume' as const), proxy: proxyArbitrary}),
 	fc.record({kind: fc.constant('lose' as const), database: databaseArbitrary, call: fc.constantFrom('fence' as const, 'promote' as const, 'follow' as const, 'status' as const)}),
+	fc.record({
+		kind: fc.constant('delay' as const),
+		database: databaseArbitrary,
+		call: fc.constantFrom('fence' as const, 'promote' as const, 'follow' as const, 'status' as const, 'wait' as const),
+		delayMs: fc.nat({max: maximumDelayMs}),
+		callCount: fc.integer({min: 1, max: 3}),
+	}),
 	fc.record({kind: fc.constant('cutReplication' as const), database: databaseArbitrary}),
 	fc.record({kind: fc.constant('leave' as const), database: databaseArbitrary}),
 	fc.record({kind: fc.constant('heal' as const)}),
@@ -44,7 +54,27 @@
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('cutStore' as const), proxy: proxyArbitrary})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('lagAny' as const), name: anyDatabaseArbitrary})},
 );
-type Fault = typeof changeFaultArbitrary extends fc.Arbitrary<infer F> ? F : never;
+/** Faults of the schedules in which orders travel for long, their senders are suspended, and databases lose their terms meanwhile. */
+const lateOrderFaultArbitrary = fc.oneof(
+	{weight: 1, arbitrary: faultArbitrary},
+	{
+		weight: 2,
+		arbitrary: fc.record({
+			kind: fc.constant('delay' as const),
+			database: fc.constantFrom(...databases),
+			call: fc.constantFrom('fence' as const, 'promote' as const, 'follow' as const),
+			delayMs: fc.integer({min: 300, max: maximumDelayMs}),
+			callCount: fc.integer({min: 1, max: 3}),
+		}),
+	},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('pause' as const), proxy: proxyArbitrary})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('resume' as const), proxy: proxyArbitrary})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('restartEmpty' as const), database: databaseArbitrary})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('isolate' as const), database: databaseArbitrary, proxy: proxyArbitrary})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('cutDatabase' as const), database: databaseArbitrary, other: databaseArbitrary})},
+);
+type FaultOf<A> = A extends fc.Arbitrary<infer F> ? F : never;
+type Fault = FaultOf<typeof changeFaultArbitrary> | FaultOf<typeof lateOrderFaultArbitrary>;
 type ScheduledFault = {readonly afterMs: number; readonly fault: Fault};
 
 const faultInjectors: {readonly [K in Fault['kind']]: (deployment: FakeDeployment, fault: Extract<Fault, {kind: K}>) => void} = {
@@ -88,6 +118,9 @@
 	lose(deployment, {database: name, call}) {
 		deployment.group.lostResponses.push({database: name, call});
 	},
+	delay(deployment, {database: name, call, delayMs, callCount}) {
+		deployment.group.delayedCalls.push(...Array.from({length: callCount}, () => ({database: name, call, delayMs})));
+	},
 	cutReplication(deployment, {database: name}) {
 		for (const other of databases) {
 			deployment.group.cut(name, other);
@@ -229,6 +262,19 @@
 		expect(Math.min(totals.writes, totals.reads, totals.promotions)).to.be.greaterThan(0);
 	});
 
+	it(`keep all guarantees in ${lateOrderScheduleCount} schedules with late orders (guards against orders of an earlier term that take effect after a newer one)`, async () => {
+		const totals = {
+			writes: 0, reads: 0, promotions: 0, changes: 0,
+		};
+		const faults = fc.array(fc.record({afterMs: fc.nat({max: 900}), fault: lateOrderFaultArbitrary}), {minLength: 4, maxLength: 16});
+		await fc.assert(fc.asyncProperty(fc.nat(), fc.constantFrom(2, 3), faults, async (runSeed, proxyCount, schedule) => {
+			const deployment = new FakeDeployment({seed: runSeed, promotionRanks: [0, 1, 2].slice(0, proxyCount)});
+			await runSchedule(deployment, schedule, changeLoadDurationMs, totals);
+		}), {...runParameters, numRuns: lateOrderScheduleCount});
+		console.log(`      ${totals.writes} writes acknowledged, ${totals.reads} reads answered, ${totals.promotions} promotions`);
+		expect(Math.min(totals.writes, totals.reads, totals.promotions)).to.be.greaterThan(0);
+	});
+
 	it(`keep all guarantees in ${changeScheduleCount} schedules with changes of the databases (guards against majorities of two lists that do not intersect)`, async () => {
 		const totals = {
 			writes: 0, reads: 0, promotions: 0, changes: 0,
