Leave out entries of unknown kinds that a peer reports

A host that received an entry of a kind which it does not know from a peer, as from a host of a newer release, stored it and then failed to build the configuration ("Cannot read properties of undefined (reading 'safeParse')"). The entry stayed, so every later change failed in the same way, and was passed on to each peer that asked. Entries of the store were filtered already; those of peers now are by the same function. The test failed for 4 of 5 keys before.

--- a/packages/control/src/__tests__/configurationStore.test.ts
+++ b/packages/control/src/__tests__/configurationStore.test.ts
@@ -379,6 +379,19 @@
 		expect(store.invalidEntries.map(({key}) => key)).to.have.members(Object.keys(oddValues));
 	});
 
+	it('skips entries with unknown keys that a peer reports, and follows changes afterwards (guards against a host of another release that stops the others)', async () => {
+		const {store} = await startHost();
+		await accept(createRank('first', 'c1'));
+		const receive = deployment.network.handlers.get('a')!.get('configuration.changed')!;
+		const unknownEntries = ['shards/x', 'ranks', 'ranks/', 'constructor/x', ''].map(key => ({key, revision: 2, value: '{"spec":{}}'}));
+		const entries = [...unknownEntries, {key: 'ranks/second', revision: 3, value: JSON.stringify({spec: rankSpec(0.1)})}];
+		await receive({sinceRevision: 1, revision: 3, entries}, 'b', new AbortController().signal);
+		expect([...store.current().ranks.keys()]).to.deep.equal(['first', 'second']);
+		deployment.platform.revision = 3;
+		expect(await accept(createRank('third', 'c2'))).to.include({type: 'accepted', revision: 4});
+		expect([...store.current().ranks.keys()]).to.deep.equal(['first', 'second', 'third']);
+	});
+
 	it('notifies all listeners although one of them throws (guards against a change that hides itself from the others)', () => {
 		const log = new RecordingLogger();
 		const replica = new ConfigurationReplica(log);
--- a/packages/control/src/peerPropagation.ts
+++ b/packages/control/src/peerPropagation.ts
@@ -4,7 +4,7 @@
 import {z} from 'zod';
 import {pullTimeoutMs, revisionCheckIntervalMs} from './changeTiming.js';
 import {
-	changesSince, firstChanges, type ChangeSet, type ConfigurationEntry, type EntryKey,
+	changesSince, firstChanges, toEntryKey, type ChangeSet, type ConfigurationEntry,
 } from './configurationState.js';
 import {type ConfigurationReplica} from './configurationReplica.js';
 
@@ -19,12 +19,14 @@
 } as const;
 
 const entrySchema = z.object({
-	key: z.string().transform(key => key as EntryKey),
+	key: z.string().transform(key => toEntryKey(key, '')),
 	revision: z.int().min(0),
 	value: z.string().optional(),
 	lastValid: z.object({revision: z.int().min(0), value: z.string()}).optional(),
 });
-const changeSetSchema = z.object({sinceRevision: z.int().min(0), revision: z.int().min(0), entries: z.array(entrySchema)});
+/** Entries that are not resources of this release are left out, as those of the store are. */
+const entriesSchema = z.array(entrySchema).transform(entries => entries.flatMap(({key, ...entry}): readonly ConfigurationEntry[] => key ? [{key, ...entry}] : []));
+const changeSetSchema = z.object({sinceRevision: z.int().min(0), revision: z.int().min(0), entries: entriesSchema});
 const changesResponseSchema = z.object({
 	changes: changeSetSchema, hasMore: z.boolean().default(false), highestKnownRevision: z.int().min(0), ready: z.boolean(),
 });
