Start the tasks of a database group again after an unexpected error

An unexpected error in the promoter of a group, the task that reports its states to peers, or the one that settles a change of its databases was logged, and the process went on without that task: the group kept a failed primary until the process was restarted, and peers took its databases for unreachable. The tasks are now supervised as all others of the process are.

--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -169,6 +169,7 @@
 		membership: dependencies.resolve(MembershipService),
 		peers: dependencies.resolve(PeerTransport),
 		localMonitors: dependencies.resolve(GroupMonitors),
+		log: dependencies.resolve(tokens.log),
 	}));
 }
 
--- a/packages/group/src/__tests__/groupStateDirectory.test.ts
+++ b/packages/group/src/__tests__/groupStateDirectory.test.ts
@@ -60,6 +60,8 @@
 	readonly failingHosts = new Set<string>();
 	holderByDatabase: Readonly<Record<string, string>> = {a: 'h0', b: 'h1', c: 'h1'};
 	probeCallCount = 0;
+	/** True while all lookups in the membership throw an unexpected error. */
+	areLookupsFailing = false;
 	/** Bytes of the notifications, including the framing of the transport. */
 	sentBytes = 0;
 	readonly groups: ReadonlyMap<string, FakeGroup>;
@@ -109,12 +111,24 @@
 		}
 	}
 
+	private failIfLookupsFail(): void {
+		if (this.areLookupsFailing) {
+			throw new Error('an unexpected error of a lookup');
+		}
+	}
+
 	private startHost(host: string): void {
 		const {clock, random, store} = this;
 		const membership: Membership = {
 			self: memberOf(host),
-			members: () => this.hostNames.map(name => memberOf(name)),
-			holderOf: database => memberOf(this.holderByDatabase[database]!),
+			members: () => {
+				this.failIfLookupsFail();
+				return this.hostNames.map(name => memberOf(name));
+			},
+			holderOf: database => {
+				this.failIfLookupsFail();
+				return memberOf(this.holderByDatabase[database]!);
+			},
 			reportUnreachable() {
 				// Which hosts are reachable is determined by the fake network.
 			},
@@ -269,6 +283,29 @@
 		}));
 	}
 
+	const unexpectedErrorCases: ReadonlyArray<{readonly name: string; readonly guardsAgainst: string; readonly check: (deployment: DirectoryDeployment) => void}> = [
+		{
+			name: 'replaces a failed primary', guardsAgainst: 'a group without a primary until the process is restarted', check(deployment) {
+				expect(deployment.firstGroup.promotions.map(({term}) => term)).to.deep.equal([1, 2]);
+			},
+		},
+		{
+			name: 'reports its states to peers periodically', guardsAgainst: 'peers that take the databases for unreachable until the process is restarted', check(deployment) {
+				expect(deployment.directories.get('h2')!.reportOf('g', 'h0')!.confirmedAgeMs).to.be.lessThan(1000);
+			},
+		},
+	];
+	for (const {name, guardsAgainst, check} of unexpectedErrorCases) {
+		it(`${name} after unexpected errors of its tasks (guards against ${guardsAgainst})`, withDeployment(async deployment => {
+			deployment.firstGroup.get('a').isDown = true;
+			deployment.areLookupsFailing = true;
+			await deployment.run(2000);
+			deployment.areLookupsFailing = false;
+			await deployment.run(5000);
+			check(deployment);
+		}));
+	}
+
 	it('fails with notRun if no monitor responds to a probe (guards against a read without a proven position)', withDeployment(async deployment => {
 		deployment.failingHosts.add('h0').add('h1');
 		const outcome = deployment.directories.get('h2')!.commitPosition('g', signal).then(() => 'answered', (error: unknown) => (error as {failure: {kind: string}}).failure.kind);
--- a/packages/group/src/groupMonitors.ts
+++ b/packages/group/src/groupMonitors.ts
@@ -1,7 +1,7 @@
 import {createHash} from 'node:crypto';
 import {
 	type Clock, type ConfigurationSource, type DatabaseControl, type DatabaseGroupSpec, type DatabaseSpec, type DatabaseListState, type GroupState, type GroupViews,
-	type KeyValueStore, type Logger, type Membership, type PromotionRecord, type RandomSource, type Resource,
+	type KeyValueStore, type Logger, type Membership, noopLogger, type PromotionRecord, type RandomSource, type Resource, runSupervised,
 } from '@crocusloom/model';
 import {majoritySize} from './confirmation.js';
 import {type GroupStateDirectory, type LocalMonitors} from './groupStateDirectory.js';
@@ -158,7 +158,7 @@
 			},
 			log,
 		});
-		void promoter.run();
+		void this.supervise('promoter', monitor, async () => promoter.run());
 		if (previousDatabases) {
 			this.startSettler(group, monitor);
 		}
@@ -167,7 +167,13 @@
 	private startSettler(group: string, monitor: GroupMonitor): void {
 		const {settleDatabases, log} = this.options;
 		const settle = async (generation: number, signal: AbortSignal) => await settleDatabases?.(group, generation, signal) ?? false;
-		void new ListChangeSettler({monitor, settle, log}).run();
+		const settler = new ListChangeSettler({monitor, settle, log});
+		void this.supervise('list change settler', monitor, async () => settler.run());
+	}
+
+	private async supervise(task: string, {signal}: GroupMonitor, run: () => Promise<void>): Promise<void> {
+		const {clock, log = noopLogger} = this.options;
+		await runSupervised(task, run, {clock, log}, signal);
 	}
 
 	private publishPromotion(monitor: GroupMonitor, record: PromotionRecord): void {
--- a/packages/group/src/groupStateDirectory.ts
+++ b/packages/group/src/groupStateDirectory.ts
@@ -1,6 +1,7 @@
 import {setMaxListeners} from 'node:events';
 import {
-	type Clock, FailureError, type GroupDirectory, type GroupState, type GroupView, type LogPosition, type Membership, type PeerRpc, type PromotionRecord, toFailure,
+	type Clock, FailureError, type GroupDirectory, type GroupState, type GroupView, type Logger, type LogPosition, type Membership, noopLogger, type PeerRpc, type PromotionRecord, runSupervised,
+	toFailure,
 } from '@crocusloom/model';
 import {SharedProbe} from './sharedProbe.js';
 import {
@@ -22,6 +23,7 @@
 	readonly membership: Membership;
 	readonly peers: PeerRpc;
 	readonly localMonitors: LocalMonitors;
+	readonly log?: Logger;
 };
 
 type RemoteState = {readonly state: GroupState; readonly receivedAtMs: number};
@@ -44,12 +46,12 @@
 
 	/** Registers the peer methods and starts to publish states periodically. */
 	start(): void {
-		const {peers} = this.options;
+		const {clock, log = noopLogger, peers} = this.options;
 		peers.handle(groupStateMethod, (parameters, callerHost) => {
 			this.recordRemoteStates(decodeStates(parameters, callerHost) ?? [], callerHost);
 		});
 		peers.handle(commitPositionMethod, async (parameters, _callerHost, signal) => this.handleCommitPosition(parameters as CommitPositionMessage, signal));
-		void this.publishPeriodically();
+		void runSupervised('group states', async () => this.publishPeriodically(), {clock, log}, this.closeController.signal);
 	}
 
 	close(): void {
