Run no statement of a caller whose connection has been closed by a drain

A drain that began between the moment at which the frame of a statement was taken and the moment at which the session went on, told the caller that the statement had not run (57P01, outcome=not_run), and the statement ran. Today's process begins a drain in a turn of the event loop of its own, in which no session is in between, so no caller is known to have met it.

--- a/packages/callers/src/__tests__/connections.test.ts
+++ b/packages/callers/src/__tests__/connections.test.ts
@@ -275,6 +275,36 @@
 		});
 	}
 
+	for (let taskCount = 0; taskCount < 6; taskCount++) {
+		it(`does not run a statement that it rejects when a drain begins ${taskCount} tasks after its arrival (guards against "not run" for a statement that ran)`, async () => {
+			await scope.start();
+			const {fakeBackend, port, server} = scope.harness;
+			const caller = new InsertingCaller(port, 'x');
+			await waitUntil(() => caller.confirmedValues.length > 0);
+			caller.pause();
+			await waitUntil(() => caller.unconfirmedValue === undefined);
+			const {connections} = server as unknown as {readonly connections: ReadonlySet<{readonly socket: Socket}>};
+			const drainAfterTasks = async () => {
+				for (let count = 0; count < taskCount; count++) {
+					await Promise.resolve();
+				}
+
+				await server.drain(5000);
+			};
+
+			for (const {socket} of connections) {
+				socket.on('data', () => {
+					void drainAfterTasks();
+				});
+			}
+
+			caller.resume();
+			await caller.closed;
+			expect(fakeBackend.rows).to.deep.equal(caller.confirmedValues);
+			expect(caller.errorCodes).to.deep.equal(['57P01']);
+		});
+	}
+
 	it('closes the remaining connections at the drain deadline; guards against a shutdown that never ends', async () => {
 		await scope.start();
 		const busyClient = await scope.harness.connect();
--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -69,6 +69,10 @@
 				}
 
 				const exchange = await this.collector.collect();
+				if (this.isShutDown) {
+					return;
+				}
+
 				if (exchange.kind === 'end') {
 					this.sessionContext.channel.end();
 					return;
