Compare positions for the later one in one place

The choice of the later of two positions stood in four modules of the proxy. No change of what callers see.

--- a/packages/model/src/position.ts
+++ b/packages/model/src/position.ts
@@ -11,6 +11,15 @@
 	return a.term === b.term ? a.offsetBytes - b.offsetBytes : a.term - b.term;
 }
 
+/**
+ * Returns the later of two positions of one group.
+ * @param known - position so far; undefined if none is known
+ * @param reported - position that is compared with it
+ */
+export function laterPosition(known: LogPosition | undefined, reported: LogPosition): LogPosition {
+	return known && holdsPosition(known, reported) ? known : reported;
+}
+
 /** Formats a position for log messages, as `term.offset`. */
 export function formatPosition({term, offsetBytes}: LogPosition): string {
 	return `${term}.${offsetBytes}`;
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, comparePositions, type Logger, type LogPosition, errorMessageOf, type RandomSource,
+	type Clock, errorMessageOf, holdsPosition, laterPosition, type Logger, type LogPosition, type RandomSource,
 } from '@crocusloom/model';
 import {
 	AdmissionQueue, type RankPolicy, type SlotGrant, type SlotRequest,
@@ -205,7 +205,7 @@
 			return true;
 		}
 
-		return this.appliedPosition !== undefined && comparePositions(this.appliedPosition, position) >= 0;
+		return this.appliedPosition !== undefined && holdsPosition(this.appliedPosition, position);
 	}
 
 	/** Requests a slot. Unless the request is inside a transaction, the grant includes a reserved connection. */
@@ -477,10 +477,6 @@
 	}
 }
 
-function laterPosition(known: LogPosition | undefined, reported: LogPosition): LogPosition {
-	return known && comparePositions(known, reported) >= 0 ? known : reported;
-}
-
 /** Number of slots that can be in use at a time, because each statement in a slot has a connection. */
 function usableSlots({slots}: BackendServer, {connections}: BackendLimits): number {
 	return Math.max(1, Math.min(slots, connections.serverLimit));
--- a/packages/proxy/src/commitEvidence.ts
+++ b/packages/proxy/src/commitEvidence.ts
@@ -1,4 +1,4 @@
-import {comparePositions, type LogPosition} from '@crocusloom/model';
+import {holdsPosition, laterPosition, type LogPosition} from '@crocusloom/model';
 import {type CommitSample, type CommitSamples} from './commitSamples.js';
 
 /** Whether a log is known to hold each commit that was acknowledged by servers that have departed. */
@@ -70,12 +70,10 @@
 		}
 
 		const {requiredPosition} = this;
-		return requiredPosition && comparePositions(position, requiredPosition) < 0 ? {kind: 'incomplete', requiredPosition} : {kind: 'proven'};
+		return requiredPosition && !holdsPosition(position, requiredPosition) ? {kind: 'incomplete', requiredPosition} : {kind: 'proven'};
 	}
 
 	private require(position: LogPosition): void {
-		if (!this.requiredPosition || comparePositions(position, this.requiredPosition) > 0) {
-			this.requiredPosition = position;
-		}
+		this.requiredPosition = laterPosition(this.requiredPosition, position);
 	}
 }
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, comparePositions, formatPosition, type LogPosition,
+	type Clock, formatPosition, laterPosition, type LogPosition,
 } from '@crocusloom/model';
 import {type ConfigurationAge} from './configurationAge.js';
 import {type DecisionLog} from './decisionLog.js';
@@ -277,8 +277,8 @@
 	}
 
 	private recordCommit({position}: Answer): void {
-		if (position && (!this.sessionPosition || comparePositions(position, this.sessionPosition) > 0)) {
-			this.sessionPosition = position;
+		if (position) {
+			this.sessionPosition = laterPosition(this.sessionPosition, position);
 		}
 	}
 
--- a/packages/proxy/src/targetSearch.ts
+++ b/packages/proxy/src/targetSearch.ts
@@ -1,4 +1,4 @@
-import {type Clock, comparePositions, type LogPosition} from '@crocusloom/model';
+import {type Clock, laterPosition} from '@crocusloom/model';
 import {type Backend} from './backend.js';
 import {chooseReadBackend} from './placement.js';
 import {type ServiceView} from './serviceView.js';
@@ -93,7 +93,7 @@
 			return undefined;
 		}
 
-		const minimumPosition = freshness.kind === 'readYourWrites' ? laterPosition(boundPosition, sessionPosition) : boundPosition;
+		const minimumPosition = freshness.kind === 'readYourWrites' ? laterPosition(sessionPosition, boundPosition) : boundPosition;
 		const chooseBackend = () => chooseReadBackend(view, {minimumPosition, excludedBackends: execution.excludedBackends, failureDomain: this.ports.failureDomain});
 		let backend = chooseBackend();
 		if (!backend && execution.excludedBackends.size > 0) {
@@ -131,7 +131,3 @@
 		const unsubscribe = view.onChange(finish);
 	});
 }
-
-function laterPosition(a: LogPosition, b: LogPosition | undefined): LogPosition {
-	return b && comparePositions(b, a) > 0 ? b : a;
-}
