--- a/packages/proxy/src/replicationPauses.ts
+++ b/packages/proxy/src/replicationPauses.ts
@@ -16,13 +16,15 @@
 	}
 }
 
+/** Term of the last command to pause that a server answered, and its answer. */
+type AnsweredPause = {readonly term: number; readonly status: ServerStatus};
+
 /**
  * Pauses of replication that one promotion has made. Only these are ended by it: a later holder of the promotion lease may have paused
  * the same servers for a promotion of its own, which the end of its pauses would deprive of commits.
  */
 export class ReplicationPauses {
-	private readonly termsByBackend = new Map<Backend, number>();
-	private readonly statusByBackend = new Map<Backend, ServerStatus>();
+	private readonly pauses = new Map<Backend, AnsweredPause>();
 
 	/**
 	 * @param log - logger
@@ -32,12 +34,12 @@
 
 	/** Servers that answered the command to pause. */
 	get backends(): readonly Backend[] {
-		return [...this.termsByBackend.keys()];
+		return [...this.pauses.keys()];
 	}
 
 	/** Answers to the last command to pause of each server. */
 	get answers(): ReadonlyArray<{readonly backend: Backend; readonly status: ServerStatus}> {
-		return [...this.statusByBackend].map(([backend, status]) => ({backend, status}));
+		return [...this.pauses].map(([backend, {status}]) => ({backend, status}));
 	}
 
 	/**
@@ -79,7 +81,7 @@
 
 	/** Checks whether a server is paused by this promotion, and not by another one or not at all. */
 	isPausedBy(backend: Backend, {role, pausedTerm}: ServerStatus): boolean {
-		return role === 'replica' && pausedTerm === this.termsByBackend.get(backend);
+		return role === 'replica' && pausedTerm === this.pauses.get(backend)?.term;
 	}
 
 	/** Resumes replication to a server if the pause is of this promotion. */
@@ -103,14 +105,13 @@
 	/** Asks twice, as an answer may be lost. A server that follows the new term receives nothing from the old primary either. */
 	private async isStillPaused(backend: Backend): Promise<boolean> {
 		const status = await probeStatus(backend) ?? await probeStatus(backend);
-		return status !== undefined && (this.isPausedBy(backend, status) || status.term >= this.termsByBackend.get(backend)!);
+		return status !== undefined && (this.isPausedBy(backend, status) || status.term >= this.pauses.get(backend)!.term);
 	}
 
 	private async sendPause(backend: Backend, term: number): Promise<ServerStatus | undefined> {
 		const status = await sendControlCommand(backend, {kind: 'pause', term});
 		if (status) {
-			this.termsByBackend.set(backend, term);
-			this.statusByBackend.set(backend, status);
+			this.pauses.set(backend, {term, status});
 		}
 
 		return status;
