--- a/packages/proxy/src/targetSearch.ts
+++ b/packages/proxy/src/targetSearch.ts
@@ -1,9 +1,9 @@
 import {type Clock, laterPosition} from '@crocusloom/model';
-import {type Backend} from './backend.js';
 import {chooseReadBackend} from './placement.js';
 import {type ServiceView} from './serviceView.js';
 import {type AnswerError} from './statement.js';
-import {type Target, type WorkContext} from './work.js';
+import {type StatementExecution} from './statementExecution.js';
+import {type Target} from './work.js';
 
 /** Delay before a server that lacks a position or is overloaded is tried again. */
 export const retryDelayMs = 8;
@@ -23,21 +23,6 @@
 	}
 }
 
-/** State of one statement across all attempts to run it. */
-export type StatementExecution = {
-	readonly context: WorkContext;
-	readonly deadlineMs: number;
-	/** Servers that refused the statement. */
-	readonly excludedBackends: Set<Backend>;
-	attemptCount: number;
-	waitedMs: number;
-	target: Target | undefined;
-	/** View of the service at the time of the last search; the service may be removed while the statement runs. */
-	view: ServiceView | undefined;
-	/** True if a write may have reached a server. */
-	isWriteSent: boolean;
-};
-
 export type SearchPorts = {
 	readonly clock: Clock;
 	readonly failureDomain: string;
