Say why a commit is not confirmed if not even a server was asked

The answer and the log line of a write whose view or server is missing blamed the server for giving no position. Both now name what is missing.

--- a/packages/proxy/src/writeConfirmer.ts
+++ b/packages/proxy/src/writeConfirmer.ts
@@ -39,8 +39,16 @@
 
 	private async confirmCommit(execution: StatementExecution, {position}: Answer): Promise<CommitConfirmation> {
 		const {view, target} = execution;
-		if (!view || !target || !position) {
-			return {kind: 'unconfirmed', reason: 'the server gave no position'};
+		if (!position) {
+			return unconfirmed('the server gave no position');
+		}
+
+		if (!target) {
+			return unconfirmed('the server that acknowledged it is not known');
+		}
+
+		if (!view) {
+			return unconfirmed('the servers of the service are not known');
 		}
 
 		return view.confirmCommit({position, primary: target.backend}, Math.max(minimumConfirmationMs, remainingMs(execution, this.ports.clock)));
@@ -55,6 +63,10 @@
 	}
 }
 
+function unconfirmed(reason: string): CommitConfirmation {
+	return {kind: 'unconfirmed', reason};
+}
+
 /** Returns the label of the metric for a confirmation. */
 function outcomeOf(confirmation: CommitConfirmation): string {
 	return confirmation.kind === 'confirmed' && confirmation.wasKnown ? 'known' : confirmation.kind;
