Split the view of a backend server into modules with one job

Contact and suspicion, positions, the load with its limit on slots, and control commands each have a module. No change of what callers and operators see.

--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -1,43 +1,20 @@
 import {
-	type Clock, errorMessageOf, holdsPosition, laterPosition, type Logger, type LogPosition, type RandomSource,
+	type Clock, type Logger, type LogPosition, type RandomSource,
 } from '@crocusloom/model';
 import {
 	AdmissionQueue, type RankPolicy, type SlotGrant, type SlotRequest,
 } from '@crocusloom/work';
+import {BackendLoad} from './backendLoad.js';
 import {ConnectionPool} from './connectionPool.js';
-import {witnessAgeMs} from './commitWitnesses.js';
 import {type ConnectionShare} from './connectionShare.js';
+import {ControlCommands} from './controlCommands.js';
 import {type PooledConnection} from './pooledConnection.js';
-import {
-	type BackendDialer, type BackendServer, ConnectionError, type ConnectionFailure,
-} from './ports.js';
-import {noParameters, type SessionParameters} from './sessionParameters.js';
-import {SlotLimit} from './slotLimit.js';
+import {type BackendDialer, type BackendServer} from './ports.js';
+import {ServerContact} from './serverContact.js';
+import {ServerPositions} from './serverPositions.js';
 import {type Answer, type BackendCommand, type ServerStatus} from './statement.js';
-import {withTimeout} from './withTimeout.js';
-
-/** Mean run time that is assumed until the first statement has run. */
-const initialRunMs = 20;
-/** Weight of the newest run time in the exponential moving average. */
-const runMeanWeight = 0.1;
-/** Initial backoff after a replica lacked a position. During it, the replica gets no read that needs a newer position than it is known to have applied. */
-const initialLagBackoffMs = 40;
-/** Upper limit of the backoff, which doubles each time the replica lacks a position. */
-const maximumLagBackoffMs = 320;
-/** Number of pause lengths by which, at a congested server, each rank from the third on pauses longer than the rank above it. */
-const lessUrgentPauseFactor = 2;
-/** Time without contact, while work is in flight, after which the reachability of the server's host is checked. */
-const silenceThresholdMs = 250;
-/** Time in which the host must accept a connection in the reachability check. */
-const reachabilityTimeoutMs = 250;
-/** Concurrent connection attempts per reachability check, because a lost packet is retransmitted only after the timeout. */
-const reachabilityAttempts = 2;
-/** Minimum time between two reachability checks. */
-const reachabilityRetryMs = 200;
-/** Time after which a listed server that never answered may belong to an entry without a server. */
-export const unconfirmedServerGraceMs = 15_000;
-/** Minimum time between two reachability checks of such a server. */
-const unconfirmedRetryMs = 2000;
+
+export {unconfirmedServerGraceMs} from './serverContact.js';
 
 export type BackendPorts = {
 	readonly dialer: BackendDialer;
@@ -62,65 +39,26 @@
 export class Backend {
 	readonly pool: ConnectionPool;
 	readonly queue: AdmissionQueue;
-	/** Time of the last sign that the server is alive: an answer, an accepted connection, or a refusal at its connection limit. */
-	lastContactMs: number;
 	/** Time since which the entry of this process of the server has been listed. */
 	readonly listedSinceMs: number;
-	private entry: BackendServer;
-	private readonly slotLimit: SlotLimit;
+	private readonly contact: ServerContact;
+	private readonly positions: ServerPositions;
+	private readonly load: BackendLoad;
+	private readonly controlCommands: ControlCommands;
 	private ranks: readonly RankPolicy[];
-	private appliedPosition: LogPosition | undefined;
-	private newestPosition: LogPosition | undefined;
-	/** Newest position that was reported on a connection which is older than a promotion. */
-	private newestEstablishedPosition: LogPosition | undefined;
-	/** Time of the last sign that the process of the server may have ended. */
-	private disturbedMs = Number.NEGATIVE_INFINITY;
-	private laggingUntilMs = 0;
-	private lagBackoffMs = initialLagBackoffMs;
-	/** Pause of a congested server after its last answer. Does not apply to the most urgent rank and to open transactions. */
-	private pause = {startedMs: 0, durationMs: 0};
-	/** True while the host refuses connections or is unreachable. */
-	private isDown = false;
-	private lastCheckMs = 0;
 	private leavingSinceMs: number | undefined;
-	private meanRunMs = initialRunMs;
-	private inFlight = 0;
-	/** Time since which at least one command has been in flight continuously. */
-	private inFlightSinceMs = 0;
-	private isChecking = false;
-	private failuresSinceContact = 0;
-	/** False until the server has answered or accepted a connection for the first time. */
-	private hasAnswered = false;
-	/** True after another server answered at the address. */
-	private isReplaced = false;
 	private hasRetired = false;
 
-	constructor(entry: BackendServer, limits: BackendLimits, private readonly ports: BackendPorts) {
-		this.entry = entry;
+	constructor(private entry: BackendServer, limits: BackendLimits, private readonly ports: BackendPorts) {
 		this.ranks = limits.ranks;
-		this.lastContactMs = ports.clock.nowMs();
-		this.listedSinceMs = this.lastContactMs;
+		this.listedSinceMs = ports.clock.nowMs();
 		this.updateLeavingSince();
-		this.slotLimit = new SlotLimit(usableSlots(entry, limits));
-		this.pool = new ConnectionPool(entry, limits.connections, {
-			...ports,
-			onAvailable: () => {
-				this.queue.grantWaiting();
-			},
-			onDialResult: failure => {
-				this.recordDialResult(failure);
-			},
-			onConnectionLost: () => {
-				this.disturbedMs = ports.clock.nowMs();
-			},
-		});
-		this.queue = new AdmissionQueue(entry.id, {slotLimit: this.slotLimit.value, ranks: limits.ranks}, ports.clock, {
-			mayReserve: moreUrgentRanks => this.ports.clock.nowMs() >= this.pause.startedMs + this.pauseMsForRank(moreUrgentRanks) && this.pool.mayReserve(),
-			reserve: () => {
-				this.pool.reserve();
-			},
-			isUnresponsive: () => false,
-		});
+		this.contact = this.createContact();
+		this.positions = new ServerPositions(ports.clock, ports.onPosition);
+		this.load = this.createLoad(limits);
+		this.pool = this.createPool(limits);
+		this.queue = this.createQueue();
+		this.controlCommands = this.createControlCommands();
 	}
 
 	get server(): BackendServer {
@@ -131,6 +69,11 @@
 		return this.entry.id;
 	}
 
+	/** Time of the last sign that the server is alive: an answer, an accepted connection, or a refusal at its connection limit. */
+	get lastContactMs(): number {
+		return this.contact.lastContactMs;
+	}
+
 	/** Time since service discovery listed the server as leaving; 0 if it is not leaving. */
 	get leavingForMs(): number {
 		return this.leavingSinceMs === undefined ? 0 : this.ports.clock.nowMs() - this.leavingSinceMs;
@@ -138,7 +81,7 @@
 
 	/** True while connections to the server fail or its reachability is being checked. */
 	get isSuspected(): boolean {
-		return this.isChecking || this.isDown || this.isReplaced;
+		return this.contact.isSuspected;
 	}
 
 	/**
@@ -146,66 +89,67 @@
 	 * than the log of the new primary.
 	 */
 	get heldPosition(): LogPosition | undefined {
-		return this.newestPosition;
+		return this.positions.held;
 	}
 
 	/** The same, as far as it was reported on a connection that is older than any promotion under way, so that the server has not restarted since. */
 	get establishedPosition(): LogPosition | undefined {
-		return this.newestEstablishedPosition;
+		return this.positions.established;
 	}
 
 	/** Time since the last sign that the process of the server may have ended: a connection that it closed, or a host that is not reached. */
 	get undisturbedForMs(): number {
-		return this.ports.clock.nowMs() - this.disturbedMs;
+		return this.contact.undisturbedForMs;
 	}
 
 	/** True if another server answered at the address of this one, which is therefore gone with its log although its entry remains. */
 	get isReplacedAtAddress(): boolean {
-		return this.isReplaced;
+		return this.contact.isReplacedAtAddress;
 	}
 
 	/** True once the server has answered or accepted a connection. */
 	get isConfirmed(): boolean {
-		return this.hasAnswered;
+		return this.contact.isConfirmed;
 	}
 
 	/** True if the server never answered although it was tried and was listed for the grace time, so that its entry may have no server. */
 	get isUnconfirmed(): boolean {
-		return !this.hasAnswered && this.noContactForMs >= unconfirmedServerGraceMs;
+		return this.contact.isUnconfirmed;
 	}
 
 	/** Time since the last contact if an attempt to reach the server has failed since then; 0 otherwise. */
 	get noContactForMs(): number {
-		return this.failuresSinceContact === 0 ? 0 : this.ports.clock.nowMs() - this.lastContactMs;
+		return this.contact.noContactForMs;
+	}
+
+	/** True once the server takes no new work because it is no longer listed. */
+	get isRetired(): boolean {
+		return this.hasRetired;
 	}
 
 	/** Applies a changed discovery entry or changed limits. */
 	configure(entry: BackendServer, limits: BackendLimits): void {
 		if (entry.startedAtMs !== this.entry.startedAtMs) {
-			this.appliedPosition = undefined;
+			this.positions.forgetApplied();
 		}
 
-		this.isReplaced &&= entry.revision === this.entry.revision;
+		this.contact.configure(entry);
 		this.entry = entry;
 		this.updateLeavingSince();
 		this.ranks = limits.ranks;
-		this.slotLimit.setCeiling(usableSlots(entry, limits));
+		this.load.setCeiling(usableSlots(entry, limits));
 		this.pool.configure(entry, limits.connections);
 		this.applySlotLimit();
 	}
 
 	/** Estimates the latency of a new statement in milliseconds: the pending work per slot that this proxy may use. */
 	expectedLatencyMs(): number {
-		return (this.meanRunMs * (this.inFlight + this.queue.waitingCount + 1)) / this.slotLimit.value;
+		return this.load.expectedLatencyMs(this.queue.waitingCount);
 	}
 
 	/** Returns false if the server is currently assumed to lack the position. */
 	mayHavePosition(position: LogPosition | undefined): boolean {
-		if (position === undefined || this.ports.clock.nowMs() >= this.laggingUntilMs) {
-			return true;
-		}
-
-		return this.appliedPosition !== undefined && holdsPosition(this.appliedPosition, position);
+		return this.positions.mayHave(position);
 	}
 
 	/** Requests a slot. Unless the request is inside a transaction, the grant includes a reserved connection. */
@@ -220,18 +164,14 @@
 	 */
 	async run(connection: PooledConnection, command: BackendCommand, statementClass: string, minimumPosition?: LogPosition): Promise<Answer> {
 		const startedMs = this.ports.clock.nowMs();
-		if (this.inFlight === 0) {
-			this.inFlightSinceMs = startedMs;
-		}
-
-		this.inFlight++;
+		this.load.recordStart(startedMs);
 		try {
 			const answer = await connection.backendConnection.run({command, minimumPosition});
 			connection.isInTransaction = answer.state !== 'idle';
 			this.recordAnswer(answer, command, {statementClass, startedMs, openedMs: connection.openedMs});
 			return answer;
 		} finally {
-			this.inFlight--;
+			this.load.recordEnd();
 		}
 	}
 
@@ -242,25 +182,7 @@
 	 * @throws ConnectionError if the server does not answer in time
 	 */
 	async runControlCommand(command: BackendCommand, timeoutMs: number): Promise<ServerStatus | undefined> {
-		if (this.hasRetired) {
-			return this.runOnNewConnection(command, timeoutMs);
-		}
-
-		this.pool.reserve();
-		const pendingConnection = this.pool.acquire(noParameters);
-		const connection = await this.withConnectionTimeout(pendingConnection, timeoutMs, () => {
-			void pendingConnection.then(lateConnection => {
-				this.pool.release(lateConnection);
-			}, () => undefined);
-		});
-		try {
-			const answer = await this.withConnectionTimeout(connection.backendConnection.run({command}), timeoutMs, () => {
-				connection.close();
-			});
-			return this.recordStatus(connection.backendConnection.readStatus(answer), connection.openedMs);
-		} finally {
-			this.pool.release(connection);
-		}
+		return this.hasRetired ? this.controlCommands.runOnNewConnection(command, timeoutMs) : this.controlCommands.run(command, timeoutMs);
 	}
 
 	/**
@@ -268,21 +190,13 @@
 	 * connection stays open after a timeout.
 	 * @throws ConnectionError if the server does not answer in time
 	 */
-	async probeStatusOn({backendConnection, openedMs}: PooledConnection, timeoutMs: number): Promise<ServerStatus | undefined> {
-		const answer = await this.withConnectionTimeout(backendConnection.run({command: {kind: 'status'}}), timeoutMs, () => undefined);
-		return this.recordStatus(backendConnection.readStatus(answer), openedMs);
+	async probeStatusOn(connection: PooledConnection, timeoutMs: number): Promise<ServerStatus | undefined> {
+		return this.controlCommands.requestStatusOn(connection, timeoutMs);
 	}
 
 	/** Records that a control command or status probe failed. Only the first failure since the last contact is logged. */
 	recordProbeFailure(error: unknown): void {
-		this.failuresSinceContact++;
-		if (this.failuresSinceContact > 1) {
-			return;
-		}
-
-		this.ports.log.warn({
-			server: this.id, reason: errorMessageOf(error), lastHeardMs: Math.round(this.ports.clock.nowMs() - this.lastContactMs),
-		}, 'a backend server did not answer a question about its status');
+		this.contact.recordProbeFailure(error);
 	}
 
 	/**
@@ -290,21 +204,10 @@
 	 * @param warmConnections - connections to keep open ahead of demand
 	 */
 	maintain(warmConnections: number): void {
-		const nowMs = this.ports.clock.nowMs();
-		const isSilent = this.inFlight > 0 && nowMs - Math.max(this.lastContactMs, this.inFlightSinceMs) > silenceThresholdMs;
-		const retryMs = this.isUnconfirmed ? unconfirmedRetryMs : reachabilityRetryMs;
-		if (!this.isChecking && (isSilent || this.isDown) && nowMs - this.lastCheckMs >= retryMs) {
-			void this.checkReachability();
-		}
-
+		this.contact.checkIfSilent(this.load.inFlightSinceMs);
 		this.pool.maintain(this.isSuspected ? 0 : warmConnections);
 	}
 
-	/** True once the server takes no new work because it is no longer listed. */
-	get isRetired(): boolean {
-		return this.hasRetired;
-	}
-
 	/** Takes no new work, and lets the statements and transactions that are running end by themselves. */
 	retire(): void {
 		this.hasRetired = true;
@@ -320,104 +223,96 @@
 
 	/** Checks whether the host accepts at least one of several concurrent connection attempts. An attempt that fails in another way counts as not accepted. */
 	async isHostReachable(): Promise<boolean> {
-		const attempts = Array.from({length: reachabilityAttempts}, async () => this.ports.dialer.isReachable(this.entry, reachabilityTimeoutMs));
-		const results = await Promise.allSettled(attempts);
-		for (const result of results) {
-			if (result.status === 'rejected') {
-				this.recordProbeFailure(result.reason);
-			}
-		}
+		return this.contact.isHostReachable();
+	}
 
-		return results.some(result => result.status === 'fulfilled' && result.value);
+	private createContact(): ServerContact {
+		return new ServerContact(this.entry, {
+			...this.ports,
+			onUnreachable: () => {
+				this.endUnreachable();
+			},
+		});
 	}
 
-	/** Runs a control command for work that still runs, while the pool opens no connections any more. */
-	private async runOnNewConnection(command: BackendCommand, timeoutMs: number): Promise<ServerStatus | undefined> {
-		const connection = await this.ports.dialer.dial(this.entry, timeoutMs);
-		try {
-			const answer = await this.withConnectionTimeout(connection.run({command}), timeoutMs, () => undefined);
-			return this.recordStatus(connection.readStatus(answer), this.ports.clock.nowMs());
-		} finally {
-			connection.close();
-		}
+	private createLoad(limits: BackendLimits): BackendLoad {
+		return new BackendLoad(usableSlots(this.entry, limits), {
+			clock: this.ports.clock,
+			onLimitChange: () => {
+				this.applySlotLimit();
+			},
+			onPauseEnd: () => {
+				this.queue.grantWaiting();
+			},
+		});
 	}
 
-	/** Closes all connections of a server whose host is unreachable, so that its work fails at once instead of timing out. */
-	private async checkReachability(): Promise<void> {
-		this.isChecking = true;
-		const startedMs = this.ports.clock.nowMs();
-		const isReachable = await this.isHostReachable();
-		this.isChecking = false;
-		this.lastCheckMs = this.ports.clock.nowMs();
-		if (isReachable || this.lastContactMs >= startedMs) {
-			this.isDown = false;
-			return;
-		}
+	private createPool({connections}: BackendLimits): ConnectionPool {
+		return new ConnectionPool(this.entry, connections, {
+			...this.ports,
+			onAvailable: () => {
+				this.queue.grantWaiting();
+			},
+			onDialResult: failure => {
+				this.contact.recordDialResult(failure);
+			},
+			onConnectionLost: () => {
+				this.contact.recordDisturbance();
+			},
+		});
+	}
 
-		this.failuresSinceContact++;
-		if (this.isDown) {
-			return;
-		}
+	private createQueue(): AdmissionQueue {
+		return new AdmissionQueue(this.entry.id, {slotLimit: this.load.limit, ranks: this.ranks}, this.ports.clock, {
+			mayReserve: moreUrgentRanks => this.load.hasPausedFor(moreUrgentRanks) && this.pool.mayReserve(),
+			reserve: () => {
+				this.pool.reserve();
+			},
+			isUnresponsive: () => false,
+		});
+	}
+
+	private createControlCommands(): ControlCommands {
+		return new ControlCommands({
+			...this.ports,
+			pool: this.pool,
+			server: () => this.entry,
+			onAnswer: (status, openedMs) => {
+				this.recordStatus(status, openedMs);
+			},
+		});
+	}
 
-		this.isDown = true;
-		this.disturbedMs = this.ports.clock.nowMs();
+	/** Closes all connections of a server whose host is unreachable, so that its work fails at once instead of timing out. */
+	private endUnreachable(): void {
 		this.ports.log.warn({
-			server: this.id, silentMs: Math.round(this.ports.clock.nowMs() - this.lastContactMs), inFlight: this.inFlight,
+			server: this.id, silentMs: Math.round(this.ports.clock.nowMs() - this.lastContactMs), inFlight: this.load.inFlightCount,
 		}, 'a silent backend server cannot be reached; its connections are ended');
 		this.pool.closeAll();
 		this.queue.rejectWaiters('unreachable', 'the backend server cannot be reached');
 	}
 
-	private recordStatus(status: ServerStatus | undefined, openedMs: number): ServerStatus | undefined {
-		this.recordContact();
+	private recordStatus(status: ServerStatus | undefined, openedMs: number): void {
+		this.contact.recordContact();
 		if (status) {
-			this.recordPosition(status.receivedPosition, openedMs);
+			this.positions.recordReceived(status.receivedPosition, openedMs);
 			this.pool.recordServerConnections(status.connections);
 		}
-
-		return status;
-	}
-
-	private recordPosition(position: LogPosition, openedMs: number): void {
-		this.newestPosition = laterPosition(this.newestPosition, position);
-		if (this.ports.clock.nowMs() - openedMs >= witnessAgeMs) {
-			this.newestEstablishedPosition = laterPosition(this.newestEstablishedPosition, position);
-		}
-
-		this.ports.onPosition?.();
-	}
-
-	private recordContact(): void {
-		this.lastContactMs = this.ports.clock.nowMs();
-		this.failuresSinceContact = 0;
-		this.hasAnswered = true;
-		this.isDown = false;
-		this.isReplaced = false;
-	}
-
-	private async withConnectionTimeout<T>(work: Promise<T>, timeoutMs: number, onTimeout: () => void): Promise<T> {
-		return withTimeout(work, timeoutMs, () => {
-			onTimeout();
-			return new ConnectionError({kind: 'unreachable', message: `no answer within ${timeoutMs} ms`}, 'execute', this.id);
-		});
 	}
 
-	/** Records the result of an attempt to connect. A refusal at the connection limit counts as contact, because the server is alive. */
-	private recordDialResult(failure: ConnectionFailure | undefined): void {
-		if (failure === undefined || failure.kind === 'connectionLimit') {
-			this.recordContact();
-			return;
+	private recordAnswer({position, error}: Answer, command: BackendCommand, {statementClass, startedMs, openedMs}: RunRecord): void {
+		this.contact.recordContact();
+		if (position) {
+			this.positions.recordApplied(position, openedMs);
 		}
 
-		this.failuresSinceContact++;
-		if (failure.kind === 'refused' || failure.kind === 'unreachable') {
-			this.isDown = true;
-			this.disturbedMs = this.ports.clock.nowMs();
-		}
-
-		if (failure.kind === 'wrongServer' && !this.isReplaced) {
-			this.isReplaced = true;
-			this.ports.log.warn({server: this.id, address: this.entry.address, reason: failure.message}, 'another server answers at the address of a backend server');
+		if (error?.kind === 'overloaded') {
+			this.load.recordOverload();
+		} else if (error?.kind === 'stale') {
+			this.positions.recordLag();
+		} else if (command.kind === 'data' || command.kind === 'executePrepared') {
+			this.positions.recordServed();
+			this.load.recordRunTime(statementClass, startedMs);
 		}
 	}
 
@@ -425,55 +320,8 @@
 		this.leavingSinceMs = this.entry.isLeaving ? this.leavingSinceMs ?? this.ports.clock.nowMs() : undefined;
 	}
 
-	private recordAnswer(answer: Answer, command: BackendCommand, {statementClass, startedMs, openedMs}: RunRecord): void {
-		const nowMs = this.ports.clock.nowMs();
-		this.recordContact();
-		if (answer.position) {
-			this.appliedPosition = answer.position;
-			this.recordPosition(answer.position, openedMs);
-		}
-
-		if (answer.error?.kind === 'overloaded') {
-			if (this.slotLimit.recordOverload(nowMs)) {
-				this.applySlotLimit();
-			}
-
-			return;
-		}
-
-		if (answer.error?.kind === 'stale') {
-			this.laggingUntilMs = nowMs + this.lagBackoffMs;
-			this.lagBackoffMs = Math.min(maximumLagBackoffMs, this.lagBackoffMs * 2);
-			return;
-		}
-
-		if (command.kind === 'data' || command.kind === 'executePrepared') {
-			this.lagBackoffMs = initialLagBackoffMs;
-			this.recordRunTime(statementClass, nowMs - startedMs, nowMs);
-		}
-	}
-
-	private recordRunTime(statementClass: string, runMs: number, nowMs: number): void {
-		this.meanRunMs += (runMs - this.meanRunMs) * runMeanWeight;
-		if (this.slotLimit.recordServed(statementClass, runMs, nowMs)) {
-			this.applySlotLimit();
-		}
-
-		this.pause = {startedMs: nowMs, durationMs: this.slotLimit.pauseMs(runMs)};
-		if (this.pause.durationMs > 0) {
-			setTimeout(() => {
-				this.queue.grantWaiting();
-			}, this.pause.durationMs).unref();
-		}
-	}
-
-	/** Returns the pause of a rank. Less urgent ranks pause longer, so that more urgent ones find a free slot. */
-	private pauseMsForRank(moreUrgentRanks: number): number {
-		return moreUrgentRanks === 0 ? 0 : this.pause.durationMs * (1 + ((moreUrgentRanks - 1) * lessUrgentPauseFactor));
-	}
-
 	private applySlotLimit(): void {
-		this.queue.configure({slotLimit: this.slotLimit.value, ranks: this.ranks});
+		this.queue.configure({slotLimit: this.load.limit, ranks: this.ranks});
 	}
 }
 
