Split the view of a service into modules with one job

The set of listed and retired servers has a module, and so do departures. They and the samples of the commit position are composed in the history of commits, which also checks a log for acknowledged commits. No change of what callers and operators see.

--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -2,20 +2,21 @@
 	type Clock, type ClockContinuity, type Logger, type LogPosition,
 } from '@crocusloom/model';
 import {type RankPolicy} from '@crocusloom/work';
-import {Backend, type BackendPorts} from './backend.js';
+import {type Backend, type BackendLimits, type BackendPorts} from './backend.js';
 import {type CommitConfirmation, CommitConfirmer} from './commitConfirmation.js';
 import {type AcknowledgedCommit, type ConfirmationMembership} from './confirmationRules.js';
-import {type CommitProof, CommitEvidence} from './commitEvidence.js';
-import {CommitSampler} from './commitSampler.js';
-import {CommitSamples} from './commitSamples.js';
+import {type CommitProof} from './commitEvidence.js';
+import {CommitHistory} from './commitHistory.js';
+import {type CommitSamples} from './commitSamples.js';
 import {CommitWitnesses, type WitnessPorts} from './commitWitnesses.js';
-import {type ConnectionShare, connectionShareFor} from './connectionShare.js';
+import {connectionShareFor} from './connectionShare.js';
 import {type KnownPrimary, LeadershipProver, type ProofOutcome} from './leadershipProver.js';
 import {type PooledConnection} from './pooledConnection.js';
 import {
 	type BackendServer, type ConfirmServers, type IsNamedInOrder, type ServiceSpec,
 } from './ports.js';
 import {PrimarySearch} from './primarySearch.js';
+import {ServiceBackends} from './serviceBackends.js';
 import {type ServerStatus} from './statement.js';
 
 /** A primary that this proxy had contact with within this time counts as reachable without a check. */
@@ -31,25 +32,18 @@
 	readonly continuity: ClockContinuity;
 };
 
-/** View of one service in this proxy: its servers, its primary and samples of its commit position. */
+/** View of one service in this proxy: its servers, its primary and its commits. */
 export class ServiceView {
-	readonly samples = new CommitSamples();
-	private readonly evidence = new CommitEvidence(this.samples);
 	/** Called when the primary or the list of servers changes. */
 	private readonly listeners = new Set<Listener>();
-	private readonly backends = new Map<string, Backend>();
-	/** Servers that are no longer listed and still have connections in use. */
-	private readonly retiredBackends = new Set<Backend>();
-	/** Listed servers that are known to have departed, because another server answers at their address. */
-	private readonly replacedBackends = new Set<Backend>();
-	private hasServers = false;
+	private readonly backends: ServiceBackends;
 	/** Members when the service was removed from the configuration; undefined while it is configured. */
 	private lastMembers: readonly Backend[] | undefined;
 	private readonly prover: LeadershipProver;
 	private readonly witnesses: CommitWitnesses;
 	private readonly confirmer: CommitConfirmer;
 	private readonly search: PrimarySearch;
-	private readonly sampler: CommitSampler;
+	private readonly commits: CommitHistory;
 	private ranks: readonly RankPolicy[] = [];
 	private readonly clock: Clock;
 	private readonly log: Logger;
@@ -57,6 +51,7 @@
 	constructor(private spec: ServiceSpec, private readonly ports: ViewPorts) {
 		this.clock = ports.clock;
 		this.log = ports.log;
+		this.backends = this.createBackends();
 		this.search = this.createSearch();
 		this.witnesses = new CommitWitnesses(ports);
 		this.confirmer = new CommitConfirmer(() => this.confirmationMembership(), ports.clock);
@@ -64,7 +59,7 @@
 			() => this.currentPrimary && {primary: this.currentPrimary, others: this.listMembers().filter(backend => backend !== this.currentPrimary?.backend), syncReplicas: this.spec.syncReplicas},
 			() => this.clock.nowMs(),
 		);
-		this.sampler = this.createSampler();
+		this.commits = this.createCommitHistory();
 	}
 
 	get name(): string {
@@ -84,7 +79,7 @@
 
 	/** Returns the servers that service discovery lists. */
 	listBackends(): readonly Backend[] {
-		return [...this.backends.values()];
+		return this.backends.list();
 	}
 
 	/** Returns the listed servers that can hold commits: all but those that are gone, as another server answers at their address. */
@@ -97,6 +92,11 @@
 		return this.ports.confirmServers();
 	}
 
+	/** Samples of the commit position. */
+	get samples(): CommitSamples {
+		return this.commits.samples;
+	}
+
 	/** Number of replicas that must receive a commit before it is acknowledged. */
 	get syncReplicas(): number {
 		return this.spec.syncReplicas;
@@ -111,37 +111,23 @@
 
 	/** Recomputes the connection shares after the configuration or the number of hosts changed. */
 	applyLimits(): void {
-		for (const backend of this.backends.values()) {
-			backend.configure(backend.server, this.limits());
-		}
+		this.backends.applyLimits();
 	}
 
 	/** Replaces the servers of the service by those that service discovery lists. */
 	setServers(servers: readonly BackendServer[]): void {
-		const listed = new Map(servers.map(server => [server.id, server]));
-		for (const [id, backend] of this.backends) {
-			if (!listed.has(id)) {
-				this.removeBackend(backend);
-			}
-		}
-
-		for (const server of servers) {
-			this.addOrUpdate(server);
-		}
-
-		this.hasServers = true;
+		this.backends.setServers(servers);
 		this.notifyListeners();
 	}
 
 	/** Maintains connections and searches for an unknown primary. Called at regular intervals. */
 	maintain(): void {
-		for (const backend of this.backends.values()) {
+		for (const backend of this.listBackends()) {
 			backend.maintain(backend === this.search.primary?.backend ? 1 : 0);
 		}
 
 		this.maintainRetired();
-		this.sampler.dropSamplesOfUnknownAge();
-		this.sampleAfterDepartures();
+		this.commits.maintain();
 		if (!this.search.primary) {
 			void this.findPrimary();
 		}
@@ -193,20 +179,12 @@
 
 	/** Records the log with which a server is promoted. A server that was the primary before acknowledged nothing as a replica since then. */
 	recordPromotedLog(backend: Backend, position: LogPosition): void {
-		if (this.search.lastPrimary?.backend !== backend) {
-			this.evidence.recordPromotedLog(position);
-		}
+		this.commits.recordPromotedLog(backend, position);
 	}
 
 	/** Checks whether a log that ends at a position holds each acknowledged commit that a departed server may have taken with it. */
 	checkCommits(position: LogPosition): CommitProof {
-		this.recordReplacedServers();
-		const serverCount = this.listMembers().length;
-		if (!this.search.lastPrimary && serverCount <= this.spec.syncReplicas) {
-			return {kind: 'tooFew', serverCount};
-		}
-
-		return this.spec.syncReplicas === 0 ? {kind: 'proven'} : this.evidence.check(position);
+		return this.commits.check(position);
 	}
 
 	/**
@@ -217,8 +195,7 @@
 	async prove(primary: KnownPrimary, heldConnection?: PooledConnection): Promise<ProofOutcome> {
 		const outcome = await this.prover.prove(primary, heldConnection);
 		if (outcome.kind === 'leads') {
-			this.samples.add(outcome.startedMs, outcome.position);
-			this.evidence.recordSample({takenMs: outcome.startedMs, position: outcome.position});
+			this.commits.recordSample({takenMs: outcome.startedMs, position: outcome.position});
 		} else if (outcome.kind === 'replaced') {
 			this.invalidatePrimary(primary, 'a server knows a newer term');
 		}
@@ -243,36 +220,50 @@
 	 * @returns undefined if no position can be determined at present
 	 */
 	async minimumPositionFor(arrivedMs: number, maxAgeMs: number, waitLimitMs: number): Promise<LogPosition | undefined> {
-		return this.sampler.minimumPositionFor(arrivedMs, maxAgeMs, waitLimitMs);
+		return this.commits.minimumPositionFor(arrivedMs, maxAgeMs, waitLimitMs);
 	}
 
 	/** True while a server that takes no new work still has connections in use. */
 	get hasRunningWork(): boolean {
-		return this.retiredBackends.size > 0;
+		return this.backends.hasRunningWork;
 	}
 
 	/** Takes no new work, because the service is no longer configured, and lets running work end by itself. */
 	retire(): void {
 		this.lastMembers = this.listMembers();
-		for (const backend of this.listBackends()) {
-			this.removeBackend(backend);
-		}
+		this.backends.retire();
 	}
 
 	/** Maintains the connections of servers that take no new work, until the last one is closed. */
 	maintainRetired(): void {
-		for (const backend of this.retiredBackends) {
-			backend.maintain(0);
-			if (backend.pool.openCount === 0) {
-				this.retiredBackends.delete(backend);
-			}
-		}
+		this.backends.maintainRetired();
 	}
 
 	close(): void {
-		for (const backend of [...this.listBackends(), ...this.retiredBackends]) {
-			backend.close();
-		}
+		this.backends.close();
+	}
+
+	private createBackends(): ServiceBackends {
+		return new ServiceBackends({
+			...this.ports,
+			service: this.name,
+			limits: () => this.limits(),
+			onPosition: () => {
+				this.confirmer.recordProgress();
+			},
+			onInitial: backend => {
+				this.witnesses.recordInitial(backend);
+			},
+			onRemoved: (backend, sinceMs) => {
+				this.commits.recordRemoved(backend, sinceMs);
+				this.search.forget(backend);
+			},
+			onPrimaryClaim: backend => {
+				if (this.search.primary?.backend !== backend) {
+					this.search.findAtOnce();
+				}
+			},
+		});
 	}
 
 	private createSearch(): PrimarySearch {
@@ -291,16 +282,15 @@
 		});
 	}
 
-	private createSampler(): CommitSampler {
-		return new CommitSampler(this.samples, {
+	private createCommitHistory(): CommitHistory {
+		return new CommitHistory({
+			...this.ports,
 			primary: () => this.currentPrimary,
 			lastPrimary: () => this.search.lastPrimary,
+			listBackends: () => this.listBackends(),
 			listMembers: () => this.listMembers(),
+			syncReplicas: () => this.spec.syncReplicas,
 			prove: async primary => this.prove(primary),
-			checkCommits: position => this.checkCommits(position),
-			confirmServers: this.ports.confirmServers,
-			clock: this.clock,
-			continuity: this.ports.continuity,
 		});
 	}
 
@@ -317,97 +307,10 @@
 		};
 	}
 
-	private limits(): {readonly connections: ConnectionShare; readonly ranks: readonly RankPolicy[]} {
+	private limits(): BackendLimits {
 		return {connections: connectionShareFor(this.spec.maxConnections, this.ports.hostCount()), ranks: this.ranks};
 	}
 
-	/** Removes a server that is no longer listed. Its entry may only have lapsed, so the work that it is running goes on. */
-	private removeBackend(backend: Backend): void {
-		this.recordDeparture(backend, backend.server.missingSinceMs ?? this.clock.nowMs());
-		this.forget(backend);
-		backend.retire();
-		this.retiredBackends.add(backend);
-		this.log.info({service: this.name, server: backend.id, connectionsInUse: backend.pool.openCount}, 'a backend server is no longer listed');
-	}
-
-	/**
-	 * Records that a server departed with its log. A primary has no commit alone, except those with which it was promoted, and an entry
-	 * that never had a server has none.
-	 */
-	private recordDeparture(backend: Backend, sinceMs: number): void {
-		if (backend !== this.search.lastPrimary?.backend && !backend.isUnconfirmed && !this.replacedBackends.has(backend)) {
-			this.evidence.recordDeparture(backend.id, sinceMs);
-		}
-	}
-
-	private recordReplacedServers(): void {
-		for (const backend of this.backends.values()) {
-			if (backend.isReplacedAtAddress && backend.isConfirmed && !this.replacedBackends.has(backend)) {
-				this.recordDeparture(backend, this.clock.nowMs());
-				this.replacedBackends.add(backend);
-			}
-		}
-	}
-
-	/** Asks the primary for its position if a server has departed since the last sample, because the primary may fail before a read asks. */
-	private sampleAfterDepartures(): void {
-		this.recordReplacedServers();
-		const hasMissingServer = this.listBackends().some(({server}) => (server.missingSinceMs ?? Number.NEGATIVE_INFINITY) > this.samples.newestSampleMs);
-		if (this.search.primary && !this.search.primary.backend.isSuspected && (hasMissingServer || this.evidence.hasUnresolvedDepartures)) {
-			void this.sampler.refresh();
-		}
-	}
-
-	private forget(backend: Backend): void {
-		this.backends.delete(backend.id);
-		this.replacedBackends.delete(backend);
-		this.search.forget(backend);
-	}
-
-	private addOrUpdate(server: BackendServer): void {
-		const existing = this.backends.get(server.id);
-		if (existing?.server.startedAtMs === server.startedAtMs && existing.server.address === server.address) {
-			this.updateBackend(existing, server);
-			return;
-		}
-
-		if (existing) {
-			// The earlier process of the server is gone, and its work with it.
-			this.recordDeparture(existing, this.clock.nowMs());
-			this.forget(existing);
-			existing.close();
-		}
-
-		const backend = new Backend(server, this.limits(), {
-			...this.ports,
-			onPosition: () => {
-				this.confirmer.recordProgress();
-			},
-		});
-		this.backends.set(server.id, backend);
-		if (!this.hasServers) {
-			this.witnesses.recordInitial(backend);
-		}
-
-		this.log.info({
-			service: this.name, server: server.id, address: server.address, failureDomain: server.failureDomain, role: server.role, leaving: server.isLeaving, restarted: existing !== undefined,
-		}, 'a backend server is listed');
-	}
-
-	private updateBackend(backend: Backend, server: BackendServer): void {
-		const previous = backend.server;
-		backend.configure(server, this.limits());
-		if (server.isLeaving !== previous.isLeaving || server.role !== previous.role) {
-			this.log.info({
-				service: this.name, server: server.id, role: server.role, roleBefore: previous.role, leaving: server.isLeaving, revision: server.revision,
-			}, 'a backend server changed its state');
-		}
-
-		if (server.role === 'primary' && previous.role !== 'primary' && this.search.primary?.backend !== backend) {
-			this.search.findAtOnce();
-		}
-	}
-
 	private notifyListeners(): void {
 		for (const listener of this.listeners) {
 			listener();
