Split the connection pool into modules with one job

The backoff between attempts to connect and the limits on idle connections each have a module. No change of what callers and operators see.

--- a/packages/proxy/src/connectionPool.ts
+++ b/packages/proxy/src/connectionPool.ts
@@ -1,5 +1,7 @@
 import {type Clock, type Logger, type RandomSource} from '@crocusloom/model';
 import {type ConnectionShare} from './connectionShare.js';
+import {DialBackoff} from './dialBackoff.js';
+import {IdleLimits} from './idleLimits.js';
 import {PooledConnection} from './pooledConnection.js';
 import {
 	type BackendDialer, type BackendServer, ConnectionError, type ConnectionFailure,
@@ -10,26 +12,6 @@
 const dialTimeoutMs = 700;
 /** Maximum number of connections that are opened concurrently, because each takes a slot of the backend server. */
 const maximumConcurrentDials = 2;
-/** Backoff after the server refused a connection because of its limit, while this host holds less than its guaranteed share. */
-const guaranteedShareBackoffMs = 200;
-/** Backoff at the server's limit while this host holds its guaranteed share or more. Longer, because other hosts need the connections. */
-const borrowedShareBackoffMs = 2500;
-/** Backoff at the server's limit if connections are scarce. Shorter, because idle connections are then closed soon. */
-const scarceBackoffMs = 150;
-/** Backoff after any other failed attempt, so that an unreachable server is not flooded with attempts. */
-const failedDialBackoffMs = 100;
-/** Idle time after which a connection above the guaranteed share is closed, so that other hosts can use it. */
-const surplusIdleTimeoutMs = 1000;
-/** Idle timeout of all connections if they are scarce and the server has few left or has not reported its usage recently. */
-const crowdedIdleTimeoutMs = 400;
-/** Idle timeout of all connections if they are scarce and the server has almost none left, so that it refuses other hosts. */
-const fullIdleTimeoutMs = 50;
-/** Fraction of the server's limit from which on the server counts as crowded. */
-const crowdedThreshold = 0.85;
-/** Fraction of the server's limit from which on the server counts as full. */
-const fullThreshold = 0.95;
-/** Age after which the number of open connections that the server reported is no longer used. */
-const serverReportMaxAgeMs = 3000;
 
 type Waiter = {
 	readonly parameters: SessionParameters;
@@ -58,16 +40,14 @@
 	private pendingDials = 0;
 	private reservedCount = 0;
 	private inUseCount = 0;
-	private nextDialMs = 0;
-	/** True if the last attempt was refused because the server is at its connection limit. */
-	private isAtServerLimit = false;
+	private readonly backoff: DialBackoff;
+	private readonly idleLimits: IdleLimits;
 	private isClosed = false;
-	/** Open connections of all hosts together, as last reported by the server. */
-	private serverReport: {readonly count: number; readonly atMs: number} | undefined;
-	/** Failed attempts since the last success. Only the first is logged, but each refusal at the server's limit is. */
-	private failedDials = 0;
 
-	constructor(private server: BackendServer, private share: ConnectionShare, private readonly ports: PoolPorts) {}
+	constructor(private server: BackendServer, private share: ConnectionShare, private readonly ports: PoolPorts) {
+		this.backoff = new DialBackoff(ports);
+		this.idleLimits = new IdleLimits(ports.clock);
+	}
 
 	get openCount(): number {
 		return this.connections.size;
@@ -85,7 +65,7 @@
 
 	/** Records the number of open connections of all hosts together, as reported by the server. */
 	recordServerConnections(count: number): void {
-		this.serverReport = {count, atMs: this.ports.clock.nowMs()};
+		this.idleLimits.recordServerConnections(count);
 	}
 
 	/** True if a unit of work may start, because a connection is idle or may be opened for it. */
@@ -171,24 +151,15 @@
 	/** Closes idle connections that other proxies may need. */
 	private closeSurplusIdle(): void {
 		const nowMs = this.ports.clock.nowMs();
-		const usedFraction = this.share.isScarce ? this.usedFraction() : 0;
-		const keptCount = usedFraction >= crowdedThreshold ? 0 : this.share.guaranteed;
-		const idleTimeoutMs = usedFraction >= fullThreshold ? fullIdleTimeoutMs : (usedFraction >= crowdedThreshold ? crowdedIdleTimeoutMs : surplusIdleTimeoutMs);
-		while (this.connections.size > keptCount && this.idle[0] && nowMs - this.idle[0].idleSinceMs > idleTimeoutMs) {
+		const {keptCount, timeoutMs} = this.idleLimits.limitFor(this.share);
+		while (this.connections.size > keptCount && this.idle[0] && nowMs - this.idle[0].idleSinceMs > timeoutMs) {
 			this.idle.shift()!.close();
 		}
 	}
 
-	/** Returns the fraction of the server's limit that all hosts use. Without a recent report the server counts as crowded. */
-	private usedFraction(): number {
-		const {serverReport} = this;
-		const isKnown = serverReport !== undefined && this.ports.clock.nowMs() - serverReport.atMs <= serverReportMaxAgeMs;
-		return isKnown ? serverReport.count / this.share.serverLimit : crowdedThreshold;
-	}
-
 	/** Returns the connection limit of the pool. During the backoff at the server's limit, only the open connections are available. */
 	private currentLimit(): number {
-		const isPausing = this.isAtServerLimit && this.ports.clock.nowMs() < this.nextDialMs;
+		const isPausing = this.backoff.isAtServerLimit && this.backoff.isWaiting;
 		return isPausing ? Math.min(this.share.maximum, this.connections.size) : this.share.maximum;
 	}
 
@@ -224,7 +195,7 @@
 		return !this.isClosed
 			&& this.pendingDials < maximumConcurrentDials
 			&& this.connections.size + this.pendingDials < this.currentLimit()
-			&& this.ports.clock.nowMs() >= this.nextDialMs;
+			&& !this.backoff.isWaiting;
 	}
 
 	private dialForWaiters(): void {
@@ -236,7 +207,7 @@
 			void this.dial();
 		}
 
-		if (this.pendingDials === 0 && this.connections.size === 0 && !this.isAtServerLimit) {
+		if (this.pendingDials === 0 && this.connections.size === 0 && !this.backoff.isAtServerLimit) {
 			this.failWaiters(new ConnectionError({kind: 'unreachable', message: 'no connection, and the last attempt failed a moment ago'}, 'connect', this.server.id));
 		}
 	}
@@ -260,8 +231,7 @@
 		}
 
 		this.connections.add(connection);
-		this.isAtServerLimit = false;
-		this.failedDials = 0;
+		this.backoff.recordSuccess();
 		connection.backendConnection.onClose(() => {
 			this.removeConnection(connection);
 			if (!connection.isClosedHere) {
@@ -284,31 +254,18 @@
 
 	private handleDialFailure(error: unknown): void {
 		const failure: ConnectionFailure = error instanceof ConnectionError ? error.failure : {kind: 'protocol', message: String(error)};
-		const {clock, random, log, onDialResult} = this.ports;
-		this.isAtServerLimit = failure.kind === 'connectionLimit';
-		this.nextDialMs = clock.nowMs() + (this.isAtServerLimit ? this.serverLimitBackoffMs() * (0.5 + (random.next() / 2)) : failedDialBackoffMs);
-
-		this.failedDials++;
-		if (this.failedDials === 1 || this.isAtServerLimit) {
-			log.warn({
+		if (this.backoff.recordFailure(failure, this.share, this.connections.size)) {
+			this.ports.log.warn({
 				server: this.server.id, failure: failure.kind, reason: failure.message, openConnections: this.connections.size, waiting: this.waiters.length,
 			}, 'a connection to a backend server could not be opened');
 		}
 
-		onDialResult(failure);
-		if (this.connections.size === 0 && this.pendingDials === 0 && !this.isAtServerLimit) {
+		this.ports.onDialResult(failure);
+		if (this.connections.size === 0 && this.pendingDials === 0 && !this.backoff.isAtServerLimit) {
 			this.failWaiters(error);
 		}
 	}
 
-	private serverLimitBackoffMs(): number {
-		if (this.share.isScarce) {
-			return scarceBackoffMs;
-		}
-
-		return this.connections.size < this.share.guaranteed ? guaranteedShareBackoffMs : borrowedShareBackoffMs;
-	}
-
 	private closedError(): ConnectionError {
 		return new ConnectionError({kind: 'closed', message: 'the backend server is no longer used'}, 'connect', this.server.id);
 	}
