Split the session into modules with one job

The parameters and prepared statements of a session, and the records of its decisions, each have a module. No change of what callers and operators see.

--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -18,6 +18,7 @@
 export * from './routeTable.js';
 export * from './serviceView.js';
 export * from './session.js';
+export {type SessionIdentity} from './sessionDecisions.js';
 export * from './sessionProxy.js';
 export * from './sessionParameters.js';
 export * from './statement.js';
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -1,38 +1,20 @@
-import {
-	type Clock, formatPosition, laterPosition, type LogPosition,
-} from '@crocusloom/model';
-import {type ConfigurationAge} from './configurationAge.js';
-import {type DecisionLog} from './decisionLog.js';
+import {laterPosition, type LogPosition} from '@crocusloom/model';
 import {type Route} from './ports.js';
-import {type RouteTable} from './routeTable.js';
-import {noParameters, type SessionParameters, sharedPreparedName} from './sessionParameters.js';
+import {type SessionDecisionPorts, SessionDecisions, type SessionIdentity} from './sessionDecisions.js';
+import {sharedPreparedName} from './sessionParameters.js';
+import {SessionSettings} from './sessionSettings.js';
 import {
-	type Answer, errorAnswer, localAnswer, type PreparedStatement, type Statement, type TransactionState,
+	type Answer, errorAnswer, localAnswer, type Statement, type TransactionState,
 } from './statement.js';
 import {isRefused, type StatementRunner} from './statementRunner.js';
 import {
-	type DataWork, type OpenTransaction, type WorkContext, type WorkResult,
+	type DataWork, type OpenTransaction, type WorkContext,
 } from './work.js';
 
-/** Maximum number of parameters, and of prepared statements, per session. Bounds memory. */
-const maximumNamesPerSession = 256;
 /** Added to the idle timeout of transactions, so that a late timer does not abort the transaction of a caller that keeps to the timeout. */
 const idleTimeoutSlackMs = 250;
 
-export type SessionPorts = {
-	readonly clock: Clock;
-	readonly routes: RouteTable;
-	readonly configurationAge: ConfigurationAge;
-	readonly runner: StatementRunner;
-	readonly decisionLog: DecisionLog;
-};
-
-export type SessionIdentity = {
-	/** Unique name of the session in the logs. */
-	readonly name: string;
-	readonly database: string;
-	readonly user: string;
-};
+export type SessionPorts = SessionDecisionPorts & {readonly runner: StatementRunner};
 
 type Transaction = {
 	readonly route: Route;
@@ -51,8 +33,8 @@
 
 /** Session of one caller. Statements run one at a time. */
 export class Session {
-	private parameters: SessionParameters = noParameters;
-	private readonly prepared = new Map<string, PreparedStatement>();
+	private readonly settings = new SessionSettings();
+	private readonly decisions: SessionDecisions;
 	private sessionPosition: LogPosition | undefined;
 	private transaction: Transaction | undefined;
 	private state: TransactionState = 'idle';
@@ -70,7 +52,9 @@
 		invalid: ({reason}) => this.refuseMalformed(reason),
 	};
 
-	constructor(private readonly identity: SessionIdentity, private readonly ports: SessionPorts) {}
+	constructor(private readonly identity: SessionIdentity, private readonly ports: SessionPorts) {
+		this.decisions = new SessionDecisions(identity, ports);
+	}
 
 	/** True if no statement is running and no transaction is open, so that the session can be closed. */
 	get isIdle(): boolean {
@@ -182,7 +166,7 @@
 	}
 
 	private async execute(statement: StatementOf<'execute'>): Promise<Answer> {
-		const prepared = this.prepared.get(statement.name);
+		const prepared = this.settings.preparedStatement(statement.name);
 		if (!prepared) {
 			return this.refuse('unknownPrepared', `no statement is prepared as ${statement.name}`);
 		}
@@ -197,25 +181,20 @@
 	}
 
 	private set({name, value}: StatementOf<'set'>): Answer {
-		if (this.parameters.size >= maximumNamesPerSession && !this.parameters.has(name)) {
-			return this.refuse('malformed', `a session may set ${maximumNamesPerSession} values`);
-		}
-
-		this.parameters = new Map([...this.parameters, [name, value]]);
-		return localAnswer(this.state);
+		return this.answerFor(this.settings.set(name, value));
 	}
 
 	private prepare({name, mode, shape}: StatementOf<'prepare'>): Answer {
-		if (this.prepared.size >= maximumNamesPerSession && !this.prepared.has(name)) {
-			return this.refuse('malformed', `a session may prepare ${maximumNamesPerSession} statements`);
-		}
+		return this.answerFor(this.settings.prepare(name, {mode, shape}));
+	}
 
-		this.prepared.set(name, {mode, shape});
-		return localAnswer(this.state);
+	/** Answers a change of the settings, which the session may refuse. */
+	private answerFor(refusalReason: string | undefined): Answer {
+		return refusalReason === undefined ? localAnswer(this.state) : this.refuseMalformed(refusalReason);
 	}
 
 	private deallocate({name}: StatementOf<'deallocate'>): Answer {
-		return this.prepared.delete(name)
+		return this.settings.deallocate(name)
 			? localAnswer(this.state)
 			: this.refuse('unknownPrepared', `no statement is prepared as ${name}`);
 	}
@@ -233,7 +212,7 @@
 
 		const startedMs = this.ports.clock.nowMs();
 		const result = await this.ports.runner.runSingle(this.contextFor(id, route, startedMs), work);
-		this.recordDecision(id, work.mode, result, startedMs);
+		this.decisions.record(id, work.mode, result, startedMs);
 		if (work.mode === 'write' && !result.answer.error) {
 			this.recordCommit(result.answer);
 		}
@@ -247,7 +226,7 @@
 		if (!transaction.openTransaction) {
 			const beginResult = await this.ports.runner.begin(context, transaction.readOnly);
 			if (isRefused(beginResult)) {
-				this.recordDecision(id, 'begin', beginResult, startedMs);
+				this.decisions.record(id, 'begin', beginResult, startedMs);
 				return {...beginResult.answer, state: work.command.kind === 'commit' ? 'idle' : 'failed'};
 			}
 
@@ -255,7 +234,7 @@
 		}
 
 		const result = await this.ports.runner.runInTransaction(context, transaction.openTransaction, work, transaction.hasWritten);
-		this.recordDecision(id, work.command.kind === 'commit' ? 'commit' : work.mode, result, startedMs);
+		this.decisions.record(id, work.command.kind === 'commit' ? 'commit' : work.mode, result, startedMs);
 		return this.validateTransactionAnswer(result.answer, transaction, work);
 	}
 
@@ -270,7 +249,7 @@
 	}
 
 	private contextFor(requestId: string, route: Route, arrivedMs: number): WorkContext {
-		const {parameters, sessionPosition, identity} = this;
+		const {settings: {parameters}, sessionPosition, identity} = this;
 		return {
 			requestId, route, callerKey: identity.name, parameters, sessionPosition, arrivedMs,
 		};
@@ -315,7 +294,7 @@
 
 	private refuseUnknownDatabase(id: string): Answer {
 		const answer = errorAnswer('unknownDatabase', `no route has the name ${this.identity.database}`, 'idle');
-		this.recordDecision(id, 'route', {
+		this.decisions.record(id, 'route', {
 			answer, server: undefined, leadTerm: undefined, minimumPosition: undefined, attempts: 0, waitedMs: 0,
 		}, this.ports.clock.nowMs());
 		return answer;
@@ -325,24 +304,4 @@
 	private refuse(kind: 'malformed' | 'unknownPrepared', message: string): Answer {
 		return errorAnswer(kind, message, this.state === 'idle' ? 'idle' : 'failed');
 	}
-
-	private recordDecision(requestId: string, operation: string, result: WorkResult, startedMs: number): void {
-		const {answer, server, leadTerm, minimumPosition, attempts, waitedMs} = result;
-		this.ports.decisionLog.record({
-			requestId,
-			session: this.identity.name,
-			database: this.identity.database,
-			operation,
-			outcome: answer.error?.kind ?? 'completed',
-			reason: answer.error?.message,
-			server,
-			leadTerm,
-			minimumPosition: minimumPosition && formatPosition(minimumPosition),
-			configurationVersion: this.ports.routes.version,
-			configurationAgeMs: Math.round(this.ports.configurationAge.ageMs),
-			attempts,
-			waitedMs: Math.round(waitedMs),
-			tookMs: Math.round(this.ports.clock.nowMs() - startedMs),
-		}, answer.error === undefined);
-	}
 }
--- a/packages/proxy/src/sessionProxy.ts
+++ b/packages/proxy/src/sessionProxy.ts
@@ -10,7 +10,8 @@
 } from './ports.js';
 import {ranksOf, RouteTable} from './routeTable.js';
 import {ServiceView} from './serviceView.js';
-import {Session, type SessionIdentity} from './session.js';
+import {Session} from './session.js';
+import {type SessionIdentity} from './sessionDecisions.js';
 import {StatementRunner} from './statementRunner.js';
 
 /** Interval of connection maintenance and of the search for unknown primaries. */
