--- a/packages/proxy/src/targetSearch.ts
+++ b/packages/proxy/src/targetSearch.ts
@@ -1,9 +1,9 @@
-import {type Clock, comparePositions, type LogPosition} from '@crocusloom/model';
-import {type Backend} from './backend.js';
+import {type Clock, laterPosition} from '@crocusloom/model';
 import {chooseReadBackend} from './placement.js';
 import {type ServiceView} from './serviceView.js';
 import {type AnswerError} from './statement.js';
-import {type Target, type WorkContext} from './work.js';
+import {type StatementExecution} from './statementExecution.js';
+import {type Target} from './work.js';
 
 /** Delay before a server that lacks a position or is overloaded is tried again. */
 export const retryDelayMs = 8;
@@ -23,21 +23,6 @@
 	}
 }
 
-/** State of one statement across all attempts to run it. */
-export type StatementExecution = {
-	readonly context: WorkContext;
-	readonly deadlineMs: number;
-	/** Servers that refused the statement. */
-	readonly excludedBackends: Set<Backend>;
-	attemptCount: number;
-	waitedMs: number;
-	target: Target | undefined;
-	/** View of the service at the time of the last search; the service may be removed while the statement runs. */
-	view: ServiceView | undefined;
-	/** True if a write may have reached a server. */
-	isWriteSent: boolean;
-};
-
 export type SearchPorts = {
 	readonly clock: Clock;
 	readonly failureDomain: string;
@@ -93,7 +78,7 @@
 			return undefined;
 		}
 
-		const minimumPosition = freshness.kind === 'readYourWrites' ? laterPosition(boundPosition, sessionPosition) : boundPosition;
+		const minimumPosition = freshness.kind === 'readYourWrites' ? laterPosition(sessionPosition, boundPosition) : boundPosition;
 		const chooseBackend = () => chooseReadBackend(view, {minimumPosition, excludedBackends: execution.excludedBackends, failureDomain: this.ports.failureDomain});
 		let backend = chooseBackend();
 		if (!backend && execution.excludedBackends.size > 0) {
@@ -131,7 +116,3 @@
 		const unsubscribe = view.onChange(finish);
 	});
 }
-
-function laterPosition(a: LogPosition, b: LogPosition | undefined): LogPosition {
-	return b && comparePositions(b, a) > 0 ? b : a;
-}
