Step a former primary down while its successor is silent

Callers got a success for writes that were not found later, or no primary for as long as its successor was away. After a promotion whose primary fell silent at once, the former primary came back and went on in its old term. A further promotion took the highest term from the servers that answer, so that its term was no higher than that of the silent primary; the former one was not told to step down, each attempt failed with 'replication to a could not be paused', and ended the pause of the one replica that had not heard of the new term. This one then received from the former primary, and a host that had started since passed on its commits.

The term of a promotion is now above that of the known primary. The new test waited for the promotion in vain before.

--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -302,6 +302,20 @@
 		expect(formerPrimary.role).to.equal('replica');
 	}).timeout(15_000);
 
+	it('steps a former primary down whose term no server that answers knows to be replaced (guards against a former primary that goes on as long as its successor is silent)', async () => {
+		await startHarness();
+		const {service, view} = harness;
+		const [formerPrimary, currentPrimary, otherReplica] = service.servers as [MemoryServer, MemoryServer, MemoryServer];
+		currentPrimary.partitionedFrom.add(otherReplica);
+		service.promote(currentPrimary.id, 1);
+		view.invalidatePrimary(view.currentPrimary!, 'the test promoted another server');
+		await waitUntil(() => view.currentPrimary?.backend.id === currentPrimary.id);
+		startPromotions(createPromotionService(service));
+		currentPrimary.isUnresponsive = true;
+		await waitUntil(() => service.promotions.length > 1, 8000);
+		expect(formerPrimary.term).to.be.at.least(currentPrimary.term);
+	}).timeout(15_000);
+
 	it('recognizes the primary again after a former one has stepped down for a promotion that was refused (guards against hosts that wait for a primary of a term that nobody leads)', async () => {
 		const [formerPrimary, currentPrimary] = await startWithFormerPrimary();
 		const {view} = harness;
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -194,13 +194,14 @@
 			requireAllCommits(view, statuses.filter(({backend}) => others.includes(backend)).flatMap(({status}) => status ? [status.receivedPosition] : []));
 		}
 
-		const highestPriorTerm = Math.max(0, ...statuses.map(({status}) => status?.term ?? 0));
+		const primaryTerm = view.currentPrimary?.term ?? 0;
+		const highestPriorTerm = Math.max(primaryTerm, ...statuses.map(({status}) => status?.term ?? 0));
 		const term = Math.max(highestPriorTerm, ...statuses.map(({status}) => status?.pausedTerm ?? 0)) + 1;
 		this.ports.log.info({
 			service: view.name, need: need.kind, primary: primary?.id, term, others: others.map(({id}) => id),
 		}, 'a promotion begins');
 		const pauses = new ReplicationPauses(this.ports.log, async () => this.ports.lease.fencingToken() === token && this.ports.lease.confirm(signal));
-		const terms: PromotionTerms = {term, primaryTerm: view.currentPrimary?.term ?? 0, syncReplicas: view.syncReplicas};
+		const terms: PromotionTerms = {term, primaryTerm, syncReplicas: view.syncReplicas};
 		const candidate = need.kind === 'leaving'
 			? await this.switchOver(need.primary, others, terms, pauses)
 			: await this.pauseAndChooseSuccessor(view, others, terms, pauses);
