Let the holder of the promotion lease record facts of a service that all hosts follow

Two faults that lose acknowledged commits have one cause: what the host that promotes knows of a server or a term, the hosts that pass on commits do not know. Only the store reaches them all. A record of each service is added to it, which has the servers that a holder of the lease has reached and a term. The store changes it only while the lease is held, by compare-and-swap, so that a call that takes effect late cannot change it behind the next holder. All hosts follow the records with the one watch that they have. Nothing uses them yet.

--- a/packages/proxy/src/__tests__/proxyHarness.ts
+++ b/packages/proxy/src/__tests__/proxyHarness.ts
@@ -4,11 +4,12 @@
 import {
 	type BackendDialer, type BackendServer, type ConfirmServers, type FreshnessRule, type IsNamedInOrder, type PromotionService, type ProxyConfiguration, type Route,
 } from '../ports.js';
+import {type ServiceRecords} from '../serviceRecords.js';
 import {type ServiceView} from '../serviceView.js';
 import {type Session} from '../session.js';
 import {SessionProxy} from '../sessionProxy.js';
 import {type Answer, type ErrorKind, type Statement} from '../statement.js';
-import {MemoryService, promotionServiceOf} from '../testing/index.js';
+import {MemoryService, MemoryServiceRecords, promotionServiceOf} from '../testing/index.js';
 
 const freshnessRules: Readonly<Record<string, FreshnessRule>> = {
 	strict: {kind: 'primary'},
@@ -31,6 +32,8 @@
 	readonly isNamedInOrder?: IsNamedInOrder;
 	/** Dials the servers; the service itself if it is omitted. */
 	readonly dialer?: BackendDialer;
+	/** Records of the services; if they are omitted, an earlier holder of the promotion lease has reached all servers that run. */
+	readonly serviceRecords?: ServiceRecords;
 	/** Servers that service discovery lists; all if it is omitted. */
 	readonly servers?: readonly BackendServer[];
 };
@@ -44,11 +47,13 @@
 
 /** Starts a proxy in front of an in-memory service, which may lack a primary. */
 export function createProxy(service: MemoryService, clock: Clock = systemClock, options: ProxyOptions = {}): Harness {
-	const {confirmServers = async () => true, isNamedInOrder = () => false, dialer = service, servers = service.listings()} = options;
+	const {
+		confirmServers = async () => true, isNamedInOrder = () => false, dialer = service, servers = service.listings(), serviceRecords = recordsOf(service),
+	} = options;
 	const log = new RecordingLogger();
 	const lifetime = new AbortController();
 	const proxy = new SessionProxy({
-		clock, random: {next: () => 0.5}, log, metrics: noopMetrics, dialer, confirmServers, isNamedInOrder, failureDomain: 'a', configurationBoundMs: 3000,
+		clock, random: {next: () => 0.5}, log, metrics: noopMetrics, dialer, confirmServers, isNamedInOrder, serviceRecords, failureDomain: 'a', configurationBoundMs: 3000,
 	});
 	const configure = (version: number, databases: readonly string[]) => {
 		const routes = databases.map((database): [string, Route] => [database, {
@@ -80,6 +85,16 @@
 	};
 }
 
+const recordsByService = new WeakMap<MemoryService, MemoryServiceRecords>();
+
+/** Returns the records that all hosts of a service share, in which the servers that run have been reached. */
+function recordsOf(service: MemoryService): ServiceRecords {
+	const records = recordsByService.get(service) ?? new MemoryServiceRecords();
+	recordsByService.set(service, records);
+	records.addReached(service.name, service.servers.filter(({isRunning}) => isRunning).map(({id}) => id));
+	return records;
+}
+
 /**
  * Creates a promotion service that promotes servers at once.
  * @param responsesToLose - number of requests whose response is lost
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -16,6 +16,7 @@
 export * from './promotion.js';
 export {orderSettleMs, promotionRequestTimeoutMs, unsettledOrderMs} from './promotionOrder.js';
 export * from './routeTable.js';
+export * from './serviceRecords.js';
 export * from './serviceView.js';
 export * from './session.js';
 export * from './sessionProxy.js';
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -16,6 +16,7 @@
 	type BackendServer, type ConfirmServers, type IsNamedInOrder, type ServiceSpec,
 } from './ports.js';
 import {PrimarySearch} from './primarySearch.js';
+import {type ServiceRecord, type ServiceRecords} from './serviceRecords.js';
 import {type ServerStatus} from './statement.js';
 
 /** A primary that this proxy had contact with within this time counts as reachable without a check. */
@@ -28,6 +29,7 @@
 	readonly hostCount: () => number;
 	readonly confirmServers: ConfirmServers;
 	readonly isNamedInOrder: IsNamedInOrder;
+	readonly serviceRecords: ServiceRecords;
 	readonly continuity: ClockContinuity;
 };
 
@@ -76,6 +78,24 @@
 		return this.search.primary;
 	}
 
+	/** What holders of the promotion lease have recorded for all hosts. It is as old as the list of servers. */
+	get record(): ServiceRecord {
+		return this.ports.serviceRecords.recordOf(this.name);
+	}
+
+	/** Reads the record from the platform. Returns undefined if it does not answer. */
+	async readRecord(signal: AbortSignal): Promise<ServiceRecord | undefined> {
+		return this.ports.serviceRecords.read(this.name, signal);
+	}
+
+	/**
+	 * Changes the record while this process holds the promotion lease.
+	 * @returns false if the lease is lost or the platform does not answer; the change may be made all the same
+	 */
+	async changeRecord(change: (record: ServiceRecord) => ServiceRecord, token: number, signal: AbortSignal): Promise<boolean> {
+		return this.ports.serviceRecords.change(this.name, change, token, signal);
+	}
+
 	/** Checks whether the host of the primary, or of the last known primary, had contact with this proxy recently or accepts a connection. */
 	async isPrimaryReachable(): Promise<boolean> {
 		const backend = (this.search.primary ?? this.search.lastPrimary)?.backend;
--- a/packages/proxy/src/sessionProxy.ts
+++ b/packages/proxy/src/sessionProxy.ts
@@ -9,6 +9,7 @@
 	type BackendDialer, type BackendServer, type ConfirmServers, type IsNamedInOrder, type ProxyConfiguration,
 } from './ports.js';
 import {ranksOf, RouteTable} from './routeTable.js';
+import {type ServiceRecords} from './serviceRecords.js';
 import {ServiceView} from './serviceView.js';
 import {Session, type SessionIdentity} from './session.js';
 import {StatementRunner} from './statementRunner.js';
@@ -28,6 +29,7 @@
 	readonly dialer: BackendDialer;
 	readonly confirmServers: ConfirmServers;
 	readonly isNamedInOrder: IsNamedInOrder;
+	readonly serviceRecords: ServiceRecords;
 	/** Failure domain of this process. */
 	readonly failureDomain: string;
 	/** Time after the confirmation of a change within which it must be in force. */
