Take no server for a witness that a promotion may leave out

Callers got a success for a write, and the promoted server lacked it. A promotion leaves out a listed server that its host never reached for 15 s, as its entry may have no server. Another host reached that server, and passed on commits because the server had them: before the promotion or during it.

Naming the server in the recorded order would not do, as a commit from before may be at the old primary and that server alone. Now the holder of the promotion lease records which servers it has reached. Only these are witnesses, at all hosts, and a promotion leaves out only servers that no holder has recorded, which it reads from the store after it acquired the lease. So a server that is a witness anywhere is never left out, whatever the clocks say. The departure of a server that this host never reached, but a holder did, now counts as well.

Cost: one write for each server that joins and one for each service at first.

--- a/packages/proxy/src/__tests__/lostCommitPaths.test.ts
+++ b/packages/proxy/src/__tests__/lostCommitPaths.test.ts
@@ -6,7 +6,7 @@
 } from '../ports.js';
 import {PromotionTask} from '../promotion.js';
 import {
-	HostDialer, MemoryLease, MemoryService, promotionServiceOf,
+	HostDialer, MemoryLease, MemoryService, MemoryServiceRecords, promotionServiceOf,
 } from '../testing/index.js';
 import {
 	advanceableClock, type Harness, run as runStatement, startProxy,
@@ -71,7 +71,9 @@
 		}
 
 		clock = advanceableClock();
-		hosts = [await startProxy(service, clock), await startProxy(service, clock, {dialer: promoterDialer})];
+		const serviceRecords = new MemoryServiceRecords();
+		serviceRecords.addReached(service.name, service.ids.filter(id => !cutFromStart.includes(id)));
+		hosts = [await startProxy(service, clock, {serviceRecords}), await startProxy(service, clock, {dialer: promoterDialer, serviceRecords})];
 		servedRows = [];
 		await write();
 		await Promise.all(hosts[0]!.view.listBackends().map(async backend => backend.runControlCommand({kind: 'status'}, 250)));
--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -239,6 +239,22 @@
 		expect(['b', 'c']).to.include(service.promotions[0]!.server);
 	}).timeout(15_000);
 
+	it('waits for a listed server that an earlier holder of the lease reached and this one did not (guards against a server that is left out and confirmed commits at another host)', async () => {
+		const service = new MemoryService('ledger', ['a', 'b', 'c', 'unreached']);
+		const clock = advanceableClock();
+		harness = await startProxy(service, clock);
+		harness.stop();
+		service.server('unreached').isUnresponsive = true;
+		await startHarness(service, clock);
+		startPromotions(createPromotionService(service));
+		service.server('a').isUnresponsive = true;
+		clock.offsetMs = unconfirmedServerGraceMs;
+		await systemClock.sleep(noPromotionMs);
+		expect(service.promotions, 'the server may hold an acknowledged commit').to.deep.equal([]);
+		service.server('unreached').isUnresponsive = false;
+		await waitUntil(() => service.promotions.length > 0);
+	}).timeout(15_000);
+
 	it('waits for a replica that never answered if too few others are paused (guards against lost commits)', async () => {
 		const service = new MemoryService('ledger', ['a', 'b', 'c']);
 		const clock = advanceableClock();
--- a/packages/proxy/src/commitWitnesses.ts
+++ b/packages/proxy/src/commitWitnesses.ts
@@ -31,11 +31,13 @@
 	readonly serverListAgeMs: () => number;
 	/** Returns the time since the call was sent that last brought the list of servers and the recorded orders. */
 	readonly copyAgeMs: () => number;
+	/** Checks whether a holder of the promotion lease has recorded that it reached a server. */
+	readonly isRecordedAsReached: (serverId: string) => boolean;
 };
 
 /**
  * Knows which servers are witnesses: each promotion that is under way has paused them before its order. A server that was listed or
- * restarted lately may be unknown to a promotion.
+ * restarted lately may be unknown to a promotion, and one that no holder of the promotion lease has reached may be left out of it.
  */
 export class CommitWitnesses {
 	/** Servers that were listed when this process first knew the list, so that it cannot tell since when they are. */
@@ -56,7 +58,7 @@
 	/** While the list of servers may be out of date, or the entry is missing, a promotion may not know the server any more. */
 	private isWitness(backend: Backend): boolean {
 		const isListCurrent = this.ports.serverListAgeMs() <= currentListAgeMs && this.ports.copyAgeMs() <= maximumCopyAgeMs;
-		return isListCurrent && backend.server.missingSinceMs === undefined && this.wasListedLongAgo(backend);
+		return isListCurrent && backend.server.missingSinceMs === undefined && this.ports.isRecordedAsReached(backend.id) && this.wasListedLongAgo(backend);
 	}
 
 	private wasListedLongAgo(backend: Backend): boolean {
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -9,6 +9,7 @@
 import {
 	type Candidate, pollIntervalMs, PromotionHalt, PromotionOrders, type PromotionPorts, type PromotionTarget,
 } from './promotionOrder.js';
+import {ReachedServerRecorder} from './reachedServerRecorder.js';
 import {ReplicationPauses, sendControlCommand} from './replicationPauses.js';
 import {findObstacle} from './promotionObstacles.js';
 import {type ServiceView} from './serviceView.js';
@@ -48,6 +49,9 @@
 	hasSteppedDown: boolean;
 };
 
+/** Service and pauses of a promotion that is under way, and the signal that ends it. */
+type PauseScope = {readonly view: ServiceView; readonly pauses: ReplicationPauses; readonly signal: AbortSignal};
+
 type UnprovenKind = Exclude<CommitProof['kind'], 'proven'>;
 type ProofOf<K extends UnprovenKind> = Extract<CommitProof, {kind: K}>;
 
@@ -68,6 +72,8 @@
  */
 export class PromotionTask {
 	private readonly monitors = new Map<ServiceView, ServiceMonitors>();
+	/** Kept without the lease, as what was tried under it may be recorded later. */
+	private readonly reachedServers = new Map<ServiceView, ReachedServerRecorder>();
 	private readonly activeChecks = new Set<ServiceView>();
 	/** Times from which on abandoned promotions may be tried again. */
 	private readonly retryFromMs = new Map<ServiceView, number>();
@@ -130,6 +136,7 @@
 			}
 
 			if (need.kind === 'none') {
+				void this.reachedServersOf(view).check(this.ports.lease.fencingToken(), signal);
 				await this.runBeforeStop(async () => pauseCleaner.check(async () => this.ports.lease.confirm(signal)));
 			} else if (this.mayTry(view, need)) {
 				await this.runBeforeStop(async () => this.promote(view, need, signal));
@@ -172,6 +179,12 @@
 		return monitors;
 	}
 
+	private reachedServersOf(view: ServiceView): ReachedServerRecorder {
+		const recorder = this.reachedServers.get(view) ?? new ReachedServerRecorder(view, this.ports.clock);
+		this.reachedServers.set(view, recorder);
+		return recorder;
+	}
+
 	private async promote(view: ServiceView, need: PromotionNeed, signal: AbortSignal): Promise<void> {
 		// The pauses of a process that has lost the lease would replace and end those of the next holder.
 		const token = this.ports.lease.fencingToken();
@@ -210,10 +223,11 @@
 			service: view.name, need: need.kind, primary: primary?.id, term, others: others.map(({id}) => id),
 		}, 'a promotion begins');
 		const pauses = new ReplicationPauses(this.ports.log, async () => this.ports.lease.fencingToken() === token && this.ports.lease.confirm(signal));
+		const scope: PauseScope = {view, pauses, signal};
 		const terms: PromotionTerms = {term, primaryTerm: view.currentPrimary?.term ?? 0, syncReplicas: view.syncReplicas};
 		const candidate = need.kind === 'leaving'
-			? await this.switchOver(need.primary, others, terms, pauses)
-			: await this.pauseAndChooseSuccessor(view, others, terms, pauses);
+			? await this.switchOver(need.primary, others, terms, scope)
+			: await this.pauseAndChooseSuccessor(others, terms, scope);
 		const target: PromotionTarget = {backend: candidate.backend, highestPriorTerm};
 		logPauses(this.ports.log, view, pauses, candidate);
 		await this.orders.requestOrResume(view, candidate, {
@@ -231,7 +245,7 @@
 	}
 
 	/** Makes a leaving primary step down and waits until another server has its complete log. */
-	private async switchOver(primary: Backend, others: readonly Backend[], terms: PromotionTerms, pauses: ReplicationPauses): Promise<Candidate> {
+	private async switchOver(primary: Backend, others: readonly Backend[], terms: PromotionTerms, scope: PauseScope): Promise<Candidate> {
 		const stayingBackends = others.filter(backend => !backend.server.isLeaving);
 		const statuses = await Promise.all((stayingBackends.length > 0 ? stayingBackends : others).map(async backend => ({backend, status: await probeStatus(backend)})));
 		const answeringBackends = statuses.filter(({status}) => status).map(({backend}) => backend);
@@ -257,19 +271,19 @@
 			await this.ports.clock.sleep(pollIntervalMs);
 		}
 
-		return this.pauseAndChooseCandidate([...others, primary], {...terms, term: terms.term + 1}, pauses);
+		return this.pauseAndChooseCandidate([...others, primary], {...terms, term: terms.term + 1}, scope);
 	}
 
 	/**
 	 * Pauses replication to the servers and chooses the successor of a primary that does not answer.
 	 * @throws PromotionHalt if none of them is known to have each acknowledged commit
 	 */
-	private async pauseAndChooseSuccessor(view: ServiceView, others: readonly Backend[], terms: PromotionTerms, pauses: ReplicationPauses): Promise<Candidate> {
-		const candidate = await this.pauseAndChooseCandidate(others, terms, pauses);
+	private async pauseAndChooseSuccessor(others: readonly Backend[], terms: PromotionTerms, scope: PauseScope): Promise<Candidate> {
+		const candidate = await this.pauseAndChooseCandidate(others, terms, scope);
 		try {
-			requireAllCommits(view, [candidate.status.receivedPosition]);
+			requireAllCommits(scope.view, [candidate.status.receivedPosition]);
 		} catch (error) {
-			await pauses.endAll();
+			await scope.pauses.endAll();
 			throw error;
 		}
 
@@ -277,16 +291,18 @@
 	}
 
 	/**
-	 * Pauses replication to the servers and chooses the one with the most complete log. An entry without a server, which never answered,
-	 * is left out once enough others are paused, so that it does not keep a primary from being replaced for ever.
+	 * Pauses replication to the servers and chooses the one with the most complete log. An entry without a server, which never answered this
+	 * process or any recorded holder of the promotion lease, is left out once enough others are paused, so that it does not keep a primary
+	 * from being replaced for ever. Such a server confirms no commits at any host.
 	 * @throws PromotionHalt if one cannot be paused, because it might be the only one with an acknowledged commit
 	 */
-	private async pauseAndChooseCandidate(others: readonly Backend[], {term, primaryTerm, syncReplicas}: PromotionTerms, pauses: ReplicationPauses): Promise<Candidate> {
+	private async pauseAndChooseCandidate(others: readonly Backend[], {term, primaryTerm, syncReplicas}: PromotionTerms, {view, pauses, signal}: PauseScope): Promise<Candidate> {
 		const results = await Promise.all(others.map(async backend => ({backend, status: await pauses.pause(backend, term, primaryTerm)})));
 		const candidates = results.filter((result): result is Candidate => result.status !== undefined);
 		const unpausedBackends = results.filter(({status}) => !status).map(({backend}) => backend);
-		const hasEnoughCandidates = candidates.length > syncReplicas;
-		const blockingBackends = unpausedBackends.filter(backend => !(hasEnoughCandidates && backend.isUnconfirmed));
+		const unconfirmedBackends = candidates.length > syncReplicas ? unpausedBackends.filter(({isUnconfirmed}) => isUnconfirmed) : [];
+		const leftOutBackends = await this.reachedServersOf(view).findNeverReached(unconfirmedBackends, signal);
+		const blockingBackends = unpausedBackends.filter(backend => !leftOutBackends.includes(backend));
 		if (blockingBackends.length > 0 || candidates.length === 0) {
 			await pauses.endAll();
 			const receivingIds = blockingBackends.map(({id}) => id);
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -24,7 +24,7 @@
 
 type Listener = () => void;
 
-export type ViewPorts = BackendPorts & WitnessPorts & {
+export type ViewPorts = BackendPorts & Omit<WitnessPorts, 'isRecordedAsReached'> & {
 	/** Returns the number of hosts that share the servers' connections. */
 	readonly hostCount: () => number;
 	readonly confirmServers: ConfirmServers;
@@ -60,7 +60,7 @@
 		this.clock = ports.clock;
 		this.log = ports.log;
 		this.search = this.createSearch();
-		this.witnesses = new CommitWitnesses(ports);
+		this.witnesses = new CommitWitnesses({...ports, isRecordedAsReached: id => this.isRecordedAsReached(id)});
 		this.confirmer = new CommitConfirmer(() => this.confirmationMembership(), ports.clock);
 		this.prover = new LeadershipProver(
 			() => this.currentPrimary && {primary: this.currentPrimary, others: this.listMembers().filter(backend => backend !== this.currentPrimary?.backend), syncReplicas: this.spec.syncReplicas},
@@ -352,14 +352,19 @@
 
 	/**
 	 * Records that a server departed with its log. A primary has no commit alone, except those with which it was promoted, and an entry
-	 * that never had a server has none.
+	 * that never had a server, as far as this process and all holders of the promotion lease know, has none.
 	 */
 	private recordDeparture(backend: Backend, sinceMs: number): void {
-		if (backend !== this.search.lastPrimary?.backend && !backend.isUnconfirmed && !this.replacedBackends.has(backend)) {
+		const hadServer = !backend.isUnconfirmed || this.isRecordedAsReached(backend.id);
+		if (backend !== this.search.lastPrimary?.backend && hadServer && !this.replacedBackends.has(backend)) {
 			this.evidence.recordDeparture(backend.id, sinceMs);
 		}
 	}
 
+	private isRecordedAsReached(serverId: string): boolean {
+		return this.record.reachedServers.includes(serverId);
+	}
+
 	private recordReplacedServers(): void {
 		for (const backend of this.backends.values()) {
 			if (backend.isReplacedAtAddress && backend.isConfirmed && !this.replacedBackends.has(backend)) {
