Resume a replica that does not know the new term only when no host passes on earlier commits

Callers got a success for a write that the promoted server lacked. A replica that was paused for a promotion and did not hear of the new term was resumed 2.5 s after the effect, because the new primary may need it. It then received from the former primary, which nobody could tell to step down, and so had its commits acknowledged; a host that reached only these two passed them on. A further promotion that was abandoned, and the search for orphaned pauses, ended such pauses as well.

Waiting longer only moves the moment. The former primary gives way: the holder records the new term for all hosts, which pass on no commit of an earlier term, and the pause ends 3.8 s later, when each host knows the record or has no current copy of the store, and so no witness. The pause ends sooner if the replica knows the term or the former primary is a replica. All three ways to end a pause obey the same rule.

Cost: one write and 1.5 s of pause, only if a replica does not hear of the term within 0.2 s.

--- a/packages/proxy/src/orphanedPauseCleaner.ts
+++ b/packages/proxy/src/orphanedPauseCleaner.ts
@@ -30,9 +30,9 @@
 
 	/**
 	 * Checks for orphaned pauses if a check is due. Called while the service needs no promotion.
-	 * @param confirmLease - confirms the promotion lease. Without it, a pause may be of the next holder.
+	 * @param mayResume - confirms the promotion lease, without which a pause may be of the next holder, and that the server may receive again
 	 */
-	async check(confirmLease: () => Promise<boolean>): Promise<void> {
+	async check(mayResume: (status: ServerStatus) => Promise<boolean>): Promise<void> {
 		const primary = this.view.currentPrimary?.backend;
 		const nowMs = this.clock.nowMs();
 		if (!primary || primary.noContactForMs > 0 || nowMs - this.lastCheckMs < checkIntervalMs) {
@@ -44,12 +44,13 @@
 		await Promise.all(others.map(async backend => {
 			const status = await probeStatus(backend);
 			if (status) {
-				await this.endExpiredPause(backend, status, confirmLease);
+				await this.endExpiredPause(backend, status, mayResume);
 			}
 		}));
 	}
 
-	private async endExpiredPause(backend: Backend, {role, pausedTerm}: ServerStatus, confirmLease: () => Promise<boolean>): Promise<void> {
+	private async endExpiredPause(backend: Backend, status: ServerStatus, mayResume: (status: ServerStatus) => Promise<boolean>): Promise<void> {
+		const {role, pausedTerm} = status;
 		if (role !== 'replica' || pausedTerm === 0) {
 			this.seenPauses.delete(backend);
 			return;
@@ -62,7 +63,7 @@
 			return;
 		}
 
-		if (nowMs - seenPause.sinceMs >= promotionSettleMs && await confirmLease()) {
+		if (nowMs - seenPause.sinceMs >= promotionSettleMs && await mayResume(status)) {
 			this.log.warn({service: this.view.name, server: backend.id, pausedTerm}, 'a pause that was left behind is ended');
 			await sendControlCommand(backend, {kind: 'resume'});
 		}
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -14,6 +14,7 @@
 import {findObstacle} from './promotionObstacles.js';
 import {type ServiceView} from './serviceView.js';
 import {type ServerStatus} from './statement.js';
+import {TermRecorder} from './termRecorder.js';
 
 /** Interval between two checks of each primary. */
 const checkIntervalMs = 100;
@@ -26,11 +27,19 @@
 /** Time for which the old primary is repeatedly told to step down after a promotion. */
 const stepDownTimeoutMs = 20_000;
 const stepDownRetryDelayMs = 500;
+/** Time in which replicas usually learn the new term. After it the term is recorded, so that those which did not can be resumed. */
+const termRecordDelayMs = 200;
+/** Time after which a pause that could not be ended is left to the search for orphaned pauses. */
+const endPauseTimeoutMs = 20_000;
 /** Time after which a promotion is tried again for which no server was known to have each acknowledged commit. */
 const unprovenRetryDelayMs = 300;
 
 /** Monitors of one service. They exist while this process holds the promotion lease. */
-type ServiceMonitors = {readonly primaryMonitor: PrimaryMonitor; readonly pauseCleaner: OrphanedPauseCleaner};
+type ServiceMonitors = {
+	readonly primaryMonitor: PrimaryMonitor;
+	readonly pauseCleaner: OrphanedPauseCleaner;
+	readonly termRecorder: TermRecorder;
+};
 
 /** Terms with which a promotion pauses and steps down servers. */
 type PromotionTerms = {
@@ -46,9 +55,22 @@
 type FormerPrimary = {
 	/** Undefined if no primary was known. */
 	readonly backend: Backend | undefined;
+	/** Highest term that was known before the promotion. A replica that knows it receives from no primary before the former one. */
+	readonly term: number;
 	hasSteppedDown: boolean;
 };
 
+/** A promotion that took effect, whose pauses are to be ended. */
+type EffectivePromotion = {
+	readonly view: ServiceView;
+	readonly pauses: ReplicationPauses;
+	readonly formerPrimary: FormerPrimary;
+	readonly newTerm: number;
+	/** Fencing token of the promotion. */
+	readonly token: number;
+	readonly signal: AbortSignal;
+};
+
 /** Service and pauses of a promotion that is under way, and the signal that ends it. */
 type PauseScope = {readonly view: ServiceView; readonly pauses: ReplicationPauses; readonly signal: AbortSignal};
 
@@ -137,7 +159,7 @@
 
 			if (need.kind === 'none') {
 				void this.reachedServersOf(view).check(this.ports.lease.fencingToken(), signal);
-				await this.runBeforeStop(async () => pauseCleaner.check(async () => this.ports.lease.confirm(signal)));
+				await this.runBeforeStop(async () => pauseCleaner.check(async status => this.mayEndOrphanedPause(view, status, signal)));
 			} else if (this.mayTry(view, need)) {
 				await this.runBeforeStop(async () => this.promote(view, need, signal));
 			}
@@ -174,6 +196,7 @@
 		const monitors = this.monitors.get(view) ?? {
 			primaryMonitor: new PrimaryMonitor(view, clock, log),
 			pauseCleaner: new OrphanedPauseCleaner(view, clock, log),
+			termRecorder: new TermRecorder(view, clock),
 		};
 		this.monitors.set(view, monitors);
 		return monitors;
@@ -222,7 +245,11 @@
 		this.ports.log.info({
 			service: view.name, need: need.kind, primary: primary?.id, term, others: others.map(({id}) => id),
 		}, 'a promotion begins');
-		const pauses = new ReplicationPauses(this.ports.log, async () => this.ports.lease.fencingToken() === token && this.ports.lease.confirm(signal));
+		const pauses = new ReplicationPauses(
+			this.ports.log,
+			async () => this.ports.lease.fencingToken() === token && this.ports.lease.confirm(signal),
+			status => this.mayReceive(view, status),
+		);
 		const scope: PauseScope = {view, pauses, signal};
 		const terms: PromotionTerms = {term, primaryTerm: view.currentPrimary?.term ?? 0, syncReplicas: view.syncReplicas};
 		const candidate = need.kind === 'leaving'
@@ -238,10 +265,30 @@
 		view.recordPromotedLog(candidate.backend, candidate.status.receivedPosition);
 		const newTerm = await this.completePromotion(view, target, term, startedMs);
 		void this.reportLongerLogs(view, candidate);
-		const formerPrimary: FormerPrimary = {backend: primary, hasSteppedDown: need.kind === 'leaving'};
+		const formerPrimary: FormerPrimary = {backend: primary, term: highestPriorTerm, hasSteppedDown: need.kind === 'leaving'};
 		void this.stepDownWhenReachable(formerPrimary, newTerm, signal);
 		const pausedBackends = pauses.backends.filter(backend => backend !== candidate.backend);
-		await Promise.all(pausedBackends.map(async backend => this.endPause(backend, pauses, formerPrimary, newTerm)));
+		await Promise.all(pausedBackends.map(async backend => this.endPause(backend, {
+			view, pauses, formerPrimary, newTerm, token, signal,
+		})));
+	}
+
+	/**
+	 * Checks whether a server may receive again: it knows the newest term, or no host passes on a commit of an earlier one any more. It could
+	 * otherwise receive from a primary that was replaced.
+	 */
+	private mayReceive(view: ServiceView, {term}: ServerStatus): boolean {
+		return term >= view.newestTerm || this.monitorsOf(view).termRecorder.isVisible(view.newestTerm);
+	}
+
+	/** Checks the same for a pause that an earlier promotion left behind, and records the newest term if it has to be. */
+	private async mayEndOrphanedPause(view: ServiceView, status: ServerStatus, signal: AbortSignal): Promise<boolean> {
+		const token = this.ports.lease.fencingToken();
+		if (token !== undefined && !this.mayReceive(view, status)) {
+			await this.monitorsOf(view).termRecorder.record(view.newestTerm, token, signal);
+		}
+
+		return this.mayReceive(view, status) && this.ports.lease.confirm(signal);
 	}
 
 	/** Makes a leaving primary step down and waits until another server has its complete log. */
@@ -356,27 +403,40 @@
 	/**
 	 * Resumes replication to a server that is still paused after a promotion. A server that has not heard of the new term could receive
 	 * from the former primary, which would then acknowledge commits that the new primary lacks. The pause therefore lasts until the server
-	 * knows the term or the former primary has stepped down. If neither happens in time, replication is resumed all the same, because the
-	 * new primary may need the server for its commits.
+	 * knows the term or the former primary has stepped down. If neither happens in time, the new term is recorded for all hosts, and
+	 * replication is resumed once none of them passes on commits of the former primary, because the new primary may need the server for its
+	 * commits.
 	 */
-	private async endPause(backend: Backend, pauses: ReplicationPauses, formerPrimary: FormerPrimary, newTerm: number): Promise<void> {
+	private async endPause(backend: Backend, {
+		view, pauses, formerPrimary, newTerm, token, signal,
+	}: EffectivePromotion): Promise<void> {
+		const {termRecorder} = this.monitorsOf(view);
 		const startedMs = this.ports.clock.nowMs();
-		for (;;) {
+		const mayReceive = (status: ServerStatus) => status.term >= newTerm || (formerPrimary.hasSteppedDown && status.term >= formerPrimary.term) || this.mayReceive(view, status);
+		while (!signal.aborted) {
 			const status = await probeStatus(backend);
 			if (status && !pauses.isPausedBy(backend, status)) {
 				return;
 			}
 
 			const waitedMs = this.ports.clock.nowMs() - startedMs;
-			const isOverdue = waitedMs >= promotionSettleMs;
-			if (isOverdue || formerPrimary.hasSteppedDown || (status !== undefined && status.term >= newTerm)) {
+			const isOverdue = waitedMs >= promotionSettleMs && (this.ports.lease.fencingToken() !== token || waitedMs >= endPauseTimeoutMs);
+			const isSafe = status !== undefined && (status.term >= newTerm || formerPrimary.hasSteppedDown || waitedMs >= promotionSettleMs) && mayReceive(status);
+			if (isSafe) {
 				this.ports.log.info({
 					server: backend.id, term: status?.term, newTerm, formerPrimaryHasSteppedDown: formerPrimary.hasSteppedDown, waitedMs: Math.round(waitedMs),
 				}, 'replication is resumed after a promotion');
-				await pauses.end(backend);
+			}
+
+			if (isOverdue || isSafe) {
+				await pauses.end(backend, mayReceive);
 				return;
 			}
 
+			if (waitedMs >= termRecordDelayMs) {
+				void termRecorder.record(newTerm, token, signal);
+			}
+
 			await this.ports.clock.sleep(pollIntervalMs);
 		}
 	}
--- a/packages/proxy/src/replicationPauses.ts
+++ b/packages/proxy/src/replicationPauses.ts
@@ -27,8 +27,9 @@
 	/**
 	 * @param log - logger
 	 * @param mayResume - confirms that no other process may have paused the same servers with the same term
+	 * @param mayReceive - checks whether a server may receive again: it does not receive from a primary that was replaced, or no host passes on the commits of that one
 	 */
-	constructor(private readonly log: Logger, private readonly mayResume: () => Promise<boolean>) {}
+	constructor(private readonly log: Logger, private readonly mayResume: () => Promise<boolean>, private readonly mayReceive: (status: ServerStatus) => boolean) {}
 
 	/** Servers that answered the command to pause. */
 	get backends(): readonly Backend[] {
@@ -82,13 +83,21 @@
 		return role === 'replica' && pausedTerm === this.termsByBackend.get(backend);
 	}
 
-	/** Resumes replication to a server if the pause is of this promotion. */
-	async end(backend: Backend): Promise<void> {
+	/**
+	 * Resumes replication to a server if the pause is of this promotion.
+	 * @param mayReceive - checks whether the server may receive again
+	 */
+	async end(backend: Backend, mayReceive = this.mayReceive): Promise<void> {
 		const status = await probeStatus(backend);
 		if (!status || !this.isPausedBy(backend, status)) {
 			return;
 		}
 
+		if (!mayReceive(status)) {
+			this.log.warn({server: backend.id, term: status.term, pausedTerm: status.pausedTerm}, 'a server stays paused, because it may receive from a primary that was replaced');
+			return;
+		}
+
 		// Confirmed last, because the command has no term by which the server could refuse it.
 		if (await this.mayResume()) {
 			await sendControlCommand(backend, {kind: 'resume'});
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -78,6 +78,11 @@
 		return this.search.primary;
 	}
 
+	/** Highest term that any server has reported. */
+	get newestTerm(): number {
+		return this.search.newestTerm;
+	}
+
 	/** What holders of the promotion lease have recorded for all hosts. It is as old as the list of servers. */
 	get record(): ServiceRecord {
 		return this.ports.serviceRecords.recordOf(this.name);
@@ -333,7 +338,7 @@
 			witnesses: this.witnesses.select(members),
 			ordered: members.filter(({id}) => this.ports.isNamedInOrder(this.name, id)),
 			syncReplicas: this.spec.syncReplicas,
-			newestTerm: this.search.newestTerm,
+			newestTerm: Math.max(this.search.newestTerm, this.record.term),
 		};
 	}
 
