--- a/packages/proxy/src/commitHistory.ts
+++ b/packages/proxy/src/commitHistory.ts
@@ -12,6 +12,8 @@
 	readonly primary: () => KnownPrimary | undefined;
 	/** Returns the last known primary. */
 	readonly lastPrimary: () => KnownPrimary | undefined;
+	/** Tells whether a holder of the promotion lease has recorded that it reached a server. */
+	readonly isRecordedAsReached: (serverId: string) => boolean;
 	/** Returns the servers that service discovery lists. */
 	readonly listBackends: () => readonly Backend[];
 	/** Returns the servers that can hold commits. */
--- a/packages/proxy/src/departures.ts
+++ b/packages/proxy/src/departures.ts
@@ -8,6 +8,8 @@
 	readonly listBackends: () => readonly Backend[];
 	/** Returns the last known primary. */
 	readonly lastPrimary: () => KnownPrimary | undefined;
+	/** Tells whether a holder of the promotion lease has recorded that it reached a server. */
+	readonly isRecordedAsReached: (serverId: string) => boolean;
 	readonly clock: Clock;
 };
 
@@ -43,10 +45,11 @@
 
 	/**
 	 * Records that a server departed with its log. A primary has no commit alone, except those with which it was promoted, and an entry
-	 * that never had a server has none.
+	 * that never had a server, as far as this process and all holders of the promotion lease know, has none.
 	 */
 	private record(backend: Backend, sinceMs: number): void {
-		if (backend !== this.ports.lastPrimary()?.backend && !backend.isUnconfirmed && !this.replacedBackends.has(backend)) {
+		const hadServer = !backend.isUnconfirmed || this.ports.isRecordedAsReached(backend.id);
+		if (backend !== this.ports.lastPrimary()?.backend && hadServer && !this.replacedBackends.has(backend)) {
 			this.evidence.recordDeparture(backend.id, sinceMs);
 		}
 	}
--- a/packages/proxy/src/promotion.ts
+++ b/packages/proxy/src/promotion.ts
@@ -9,10 +9,12 @@
 import {
 	type Candidate, pollIntervalMs, PromotionHalt, PromotionOrders, type PromotionPorts, type PromotionTarget,
 } from './promotionOrder.js';
+import {ReachedServerRecorder} from './reachedServerRecorder.js';
 import {ReplicationPauses, sendControlCommand} from './replicationPauses.js';
 import {findObstacle} from './promotionObstacles.js';
 import {type ServiceView} from './serviceView.js';
 import {type ServerStatus} from './statement.js';
+import {TermRecorder} from './termRecorder.js';
 
 /** Interval between two checks of each primary. */
 const checkIntervalMs = 100;
@@ -25,11 +27,19 @@
 /** Time for which the old primary is repeatedly told to step down after a promotion. */
 const stepDownTimeoutMs = 20_000;
 const stepDownRetryDelayMs = 500;
+/** Time in which replicas usually learn the new term. After it the term is recorded, so that those which did not can be resumed. */
+const termRecordDelayMs = 200;
+/** Time after which a pause that could not be ended is left to the search for orphaned pauses. */
+const endPauseTimeoutMs = 20_000;
 /** Time after which a promotion is tried again for which no server was known to have each acknowledged commit. */
 const unprovenRetryDelayMs = 300;
 
 /** Monitors of one service. They exist while this process holds the promotion lease. */
-type ServiceMonitors = {readonly primaryMonitor: PrimaryMonitor; readonly pauseCleaner: OrphanedPauseCleaner};
+type ServiceMonitors = {
+	readonly primaryMonitor: PrimaryMonitor;
+	readonly pauseCleaner: OrphanedPauseCleaner;
+	readonly termRecorder: TermRecorder;
+};
 
 /** Terms with which a promotion pauses and steps down servers. */
 type PromotionTerms = {
@@ -45,9 +55,25 @@
 type FormerPrimary = {
 	/** Undefined if no primary was known. */
 	readonly backend: Backend | undefined;
+	/** Highest term that was known before the promotion. A replica that knows it receives from no primary before the former one. */
+	readonly term: number;
 	hasSteppedDown: boolean;
 };
 
+/** A promotion that took effect, whose pauses are to be ended. */
+type EffectivePromotion = {
+	readonly view: ServiceView;
+	readonly pauses: ReplicationPauses;
+	readonly formerPrimary: FormerPrimary;
+	readonly newTerm: number;
+	/** Fencing token of the promotion. */
+	readonly token: number;
+	readonly signal: AbortSignal;
+};
+
+/** Service and pauses of a promotion that is under way, and the signal that ends it. */
+type PauseScope = {readonly view: ServiceView; readonly pauses: ReplicationPauses; readonly signal: AbortSignal};
+
 type UnprovenKind = Exclude<CommitProof['kind'], 'proven'>;
 type ProofOf<K extends UnprovenKind> = Extract<CommitProof, {kind: K}>;
 
@@ -68,6 +94,8 @@
  */
 export class PromotionTask {
 	private readonly monitors = new Map<ServiceView, ServiceMonitors>();
+	/** Kept without the lease, as what was tried under it may be recorded later. */
+	private readonly reachedServers = new Map<ServiceView, ReachedServerRecorder>();
 	private readonly activeChecks = new Set<ServiceView>();
 	/** Times from which on abandoned promotions may be tried again. */
 	private readonly retryFromMs = new Map<ServiceView, number>();
@@ -130,7 +158,8 @@
 			}
 
 			if (need.kind === 'none') {
-				await this.runBeforeStop(async () => pauseCleaner.check(async () => this.ports.lease.confirm(signal)));
+				void this.reachedServersOf(view).check(this.ports.lease.fencingToken(), signal);
+				await this.runBeforeStop(async () => pauseCleaner.check(async status => this.mayEndOrphanedPause(view, status, signal)));
 			} else if (this.mayTry(view, need)) {
 				await this.runBeforeStop(async () => this.promote(view, need, signal));
 			}
@@ -167,11 +196,18 @@
 		const monitors = this.monitors.get(view) ?? {
 			primaryMonitor: new PrimaryMonitor(view, clock, log),
 			pauseCleaner: new OrphanedPauseCleaner(view, clock, log),
+			termRecorder: new TermRecorder(view, clock),
 		};
 		this.monitors.set(view, monitors);
 		return monitors;
 	}
 
+	private reachedServersOf(view: ServiceView): ReachedServerRecorder {
+		const recorder = this.reachedServers.get(view) ?? new ReachedServerRecorder(view, this.ports.clock);
+		this.reachedServers.set(view, recorder);
+		return recorder;
+	}
+
 	private async promote(view: ServiceView, need: PromotionNeed, signal: AbortSignal): Promise<void> {
 		// The pauses of a process that has lost the lease would replace and end those of the next holder.
 		const token = this.ports.lease.fencingToken();
@@ -210,11 +246,16 @@
 		this.ports.log.info({
 			service: view.name, need: need.kind, primary: primary?.id, term, others: others.map(({id}) => id),
 		}, 'a promotion begins');
-		const pauses = new ReplicationPauses(this.ports.log, async () => this.ports.lease.fencingToken() === token && this.ports.lease.confirm(signal));
+		const pauses = new ReplicationPauses(
+			this.ports.log,
+			async () => this.ports.lease.fencingToken() === token && this.ports.lease.confirm(signal),
+			status => this.mayReceive(view, status),
+		);
+		const scope: PauseScope = {view, pauses, signal};
 		const terms: PromotionTerms = {term, primaryTerm, syncReplicas: view.syncReplicas};
 		const candidate = need.kind === 'leaving'
-			? await this.switchOver(need.primary, others, terms, pauses)
-			: await this.pauseAndChooseSuccessor(view, others, terms, pauses);
+			? await this.switchOver(need.primary, others, terms, scope)
+			: await this.pauseAndChooseSuccessor(others, terms, scope);
 		const target: PromotionTarget = {backend: candidate.backend, highestPriorTerm};
 		logPauses(this.ports.log, view, pauses, candidate);
 		await this.orders.requestOrResume(view, candidate, {
@@ -225,14 +266,34 @@
 		view.recordPromotedLog(candidate.backend, candidate.status.receivedPosition);
 		const newTerm = await this.completePromotion(view, target, term, startedMs);
 		void this.reportLongerLogs(view, candidate);
-		const formerPrimary: FormerPrimary = {backend: primary, hasSteppedDown: need.kind === 'leaving'};
+		const formerPrimary: FormerPrimary = {backend: primary, term: highestPriorTerm, hasSteppedDown: need.kind === 'leaving'};
 		void this.stepDownWhenReachable(formerPrimary, newTerm, signal);
 		const pausedBackends = pauses.backends.filter(backend => backend !== candidate.backend);
-		await Promise.all(pausedBackends.map(async backend => this.endPause(backend, pauses, formerPrimary, newTerm)));
+		await Promise.all(pausedBackends.map(async backend => this.endPause(backend, {
+			view, pauses, formerPrimary, newTerm, token, signal,
+		})));
+	}
+
+	/**
+	 * Checks whether a server may receive again: it knows the newest term, or no host passes on a commit of an earlier one any more. It could
+	 * otherwise receive from a primary that was replaced.
+	 */
+	private mayReceive(view: ServiceView, {term}: ServerStatus): boolean {
+		return term >= view.newestTerm || this.monitorsOf(view).termRecorder.isVisible(view.newestTerm);
+	}
+
+	/** Checks the same for a pause that an earlier promotion left behind, and records the newest term if it has to be. */
+	private async mayEndOrphanedPause(view: ServiceView, status: ServerStatus, signal: AbortSignal): Promise<boolean> {
+		const token = this.ports.lease.fencingToken();
+		if (token !== undefined && !this.mayReceive(view, status)) {
+			await this.monitorsOf(view).termRecorder.record(view.newestTerm, token, signal);
+		}
+
+		return this.mayReceive(view, status) && this.ports.lease.confirm(signal);
 	}
 
 	/** Makes a leaving primary step down and waits until another server has its complete log. */
-	private async switchOver(primary: Backend, others: readonly Backend[], terms: PromotionTerms, pauses: ReplicationPauses): Promise<Candidate> {
+	private async switchOver(primary: Backend, others: readonly Backend[], terms: PromotionTerms, scope: PauseScope): Promise<Candidate> {
 		const stayingBackends = others.filter(backend => !backend.server.isLeaving);
 		const statuses = await Promise.all((stayingBackends.length > 0 ? stayingBackends : others).map(async backend => ({backend, status: await probeStatus(backend)})));
 		const answeringBackends = statuses.filter(({status}) => status).map(({backend}) => backend);
@@ -258,19 +319,19 @@
 			await this.ports.clock.sleep(pollIntervalMs);
 		}
 
-		return this.pauseAndChooseCandidate([...others, primary], {...terms, term: terms.term + 1}, pauses);
+		return this.pauseAndChooseCandidate([...others, primary], {...terms, term: terms.term + 1}, scope);
 	}
 
 	/**
 	 * Pauses replication to the servers and chooses the successor of a primary that does not answer.
 	 * @throws PromotionHalt if none of them is known to have each acknowledged commit
 	 */
-	private async pauseAndChooseSuccessor(view: ServiceView, others: readonly Backend[], terms: PromotionTerms, pauses: ReplicationPauses): Promise<Candidate> {
-		const candidate = await this.pauseAndChooseCandidate(others, terms, pauses);
+	private async pauseAndChooseSuccessor(others: readonly Backend[], terms: PromotionTerms, scope: PauseScope): Promise<Candidate> {
+		const candidate = await this.pauseAndChooseCandidate(others, terms, scope);
 		try {
-			requireAllCommits(view, [candidate.status.receivedPosition]);
+			requireAllCommits(scope.view, [candidate.status.receivedPosition]);
 		} catch (error) {
-			await pauses.endAll();
+			await scope.pauses.endAll();
 			throw error;
 		}
 
@@ -278,16 +339,18 @@
 	}
 
 	/**
-	 * Pauses replication to the servers and chooses the one with the most complete log. An entry without a server, which never answered,
-	 * is left out once enough others are paused, so that it does not keep a primary from being replaced for ever.
+	 * Pauses replication to the servers and chooses the one with the most complete log. An entry without a server, which never answered this
+	 * process or any recorded holder of the promotion lease, is left out once enough others are paused, so that it does not keep a primary
+	 * from being replaced for ever. Such a server confirms no commits at any host.
 	 * @throws PromotionHalt if one cannot be paused, because it might be the only one with an acknowledged commit
 	 */
-	private async pauseAndChooseCandidate(others: readonly Backend[], {term, primaryTerm, syncReplicas}: PromotionTerms, pauses: ReplicationPauses): Promise<Candidate> {
+	private async pauseAndChooseCandidate(others: readonly Backend[], {term, primaryTerm, syncReplicas}: PromotionTerms, {view, pauses, signal}: PauseScope): Promise<Candidate> {
 		const results = await Promise.all(others.map(async backend => ({backend, status: await pauses.pause(backend, term, primaryTerm)})));
 		const candidates = results.filter((result): result is Candidate => result.status !== undefined);
 		const unpausedBackends = results.filter(({status}) => !status).map(({backend}) => backend);
-		const hasEnoughCandidates = candidates.length > syncReplicas;
-		const blockingBackends = unpausedBackends.filter(backend => !(hasEnoughCandidates && backend.isUnconfirmed));
+		const unconfirmedBackends = candidates.length > syncReplicas ? unpausedBackends.filter(({isUnconfirmed}) => isUnconfirmed) : [];
+		const leftOutBackends = await this.reachedServersOf(view).findNeverReached(unconfirmedBackends, signal);
+		const blockingBackends = unpausedBackends.filter(backend => !leftOutBackends.includes(backend));
 		if (blockingBackends.length > 0 || candidates.length === 0) {
 			await pauses.endAll();
 			const receivingIds = blockingBackends.map(({id}) => id);
@@ -341,27 +404,40 @@
 	/**
 	 * Resumes replication to a server that is still paused after a promotion. A server that has not heard of the new term could receive
 	 * from the former primary, which would then acknowledge commits that the new primary lacks. The pause therefore lasts until the server
-	 * knows the term or the former primary has stepped down. If neither happens in time, replication is resumed all the same, because the
-	 * new primary may need the server for its commits.
+	 * knows the term or the former primary has stepped down. If neither happens in time, the new term is recorded for all hosts, and
+	 * replication is resumed once none of them passes on commits of the former primary, because the new primary may need the server for its
+	 * commits.
 	 */
-	private async endPause(backend: Backend, pauses: ReplicationPauses, formerPrimary: FormerPrimary, newTerm: number): Promise<void> {
+	private async endPause(backend: Backend, {
+		view, pauses, formerPrimary, newTerm, token, signal,
+	}: EffectivePromotion): Promise<void> {
+		const {termRecorder} = this.monitorsOf(view);
 		const startedMs = this.ports.clock.nowMs();
-		for (;;) {
+		const mayReceive = (status: ServerStatus) => status.term >= newTerm || (formerPrimary.hasSteppedDown && status.term >= formerPrimary.term) || this.mayReceive(view, status);
+		while (!signal.aborted) {
 			const status = await probeStatus(backend);
 			if (status && !pauses.isPausedBy(backend, status)) {
 				return;
 			}
 
 			const waitedMs = this.ports.clock.nowMs() - startedMs;
-			const isOverdue = waitedMs >= promotionSettleMs;
-			if (isOverdue || formerPrimary.hasSteppedDown || (status !== undefined && status.term >= newTerm)) {
+			const isOverdue = waitedMs >= promotionSettleMs && (this.ports.lease.fencingToken() !== token || waitedMs >= endPauseTimeoutMs);
+			const isSafe = status !== undefined && (status.term >= newTerm || formerPrimary.hasSteppedDown || waitedMs >= promotionSettleMs) && mayReceive(status);
+			if (isSafe) {
 				this.ports.log.info({
 					server: backend.id, term: status?.term, newTerm, formerPrimaryHasSteppedDown: formerPrimary.hasSteppedDown, waitedMs: Math.round(waitedMs),
 				}, 'replication is resumed after a promotion');
-				await pauses.end(backend);
+			}
+
+			if (isOverdue || isSafe) {
+				await pauses.end(backend, mayReceive);
 				return;
 			}
 
+			if (waitedMs >= termRecordDelayMs) {
+				void termRecorder.record(newTerm, token, signal);
+			}
+
 			await this.ports.clock.sleep(pollIntervalMs);
 		}
 	}
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -17,6 +17,7 @@
 } from './ports.js';
 import {PrimarySearch} from './primarySearch.js';
 import {ServiceBackends} from './serviceBackends.js';
+import {type ServiceRecord, type ServiceRecords} from './serviceRecords.js';
 import {type ServerStatus} from './statement.js';
 
 /** A primary that this proxy had contact with within this time counts as reachable without a check. */
@@ -24,11 +25,12 @@
 
 type Listener = () => void;
 
-export type ViewPorts = BackendPorts & WitnessPorts & {
+export type ViewPorts = BackendPorts & Omit<WitnessPorts, 'isRecordedAsReached'> & {
 	/** Returns the number of hosts that share the servers' connections. */
 	readonly hostCount: () => number;
 	readonly confirmServers: ConfirmServers;
 	readonly isNamedInOrder: IsNamedInOrder;
+	readonly serviceRecords: ServiceRecords;
 	readonly continuity: ClockContinuity;
 };
 
@@ -53,7 +55,7 @@
 		this.log = ports.log;
 		this.backends = this.createBackends();
 		this.search = this.createSearch();
-		this.witnesses = new CommitWitnesses(ports);
+		this.witnesses = new CommitWitnesses({...ports, isRecordedAsReached: id => this.isRecordedAsReached(id)});
 		this.confirmer = new CommitConfirmer(() => this.confirmationMembership(), ports.clock);
 		this.prover = new LeadershipProver(
 			() => this.currentPrimary && {primary: this.currentPrimary, others: this.listMembers().filter(backend => backend !== this.currentPrimary?.backend), syncReplicas: this.spec.syncReplicas},
@@ -71,6 +73,29 @@
 		return this.search.primary;
 	}
 
+	/** Highest term that any server has reported. */
+	get newestTerm(): number {
+		return this.search.newestTerm;
+	}
+
+	/** What holders of the promotion lease have recorded for all hosts. It is as old as the list of servers. */
+	get record(): ServiceRecord {
+		return this.ports.serviceRecords.recordOf(this.name);
+	}
+
+	/** Reads the record from the platform. Returns undefined if it does not answer. */
+	async readRecord(signal: AbortSignal): Promise<ServiceRecord | undefined> {
+		return this.ports.serviceRecords.read(this.name, signal);
+	}
+
+	/**
+	 * Changes the record while this process holds the promotion lease.
+	 * @returns false if the lease is lost or the platform does not answer; the change may be made all the same
+	 */
+	async changeRecord(change: (record: ServiceRecord) => ServiceRecord, token: number, signal: AbortSignal): Promise<boolean> {
+		return this.ports.serviceRecords.change(this.name, change, token, signal);
+	}
+
 	/** Checks whether the host of the primary, or of the last known primary, had contact with this proxy recently or accepts a connection. */
 	async isPrimaryReachable(): Promise<boolean> {
 		const backend = (this.search.primary ?? this.search.lastPrimary)?.backend;
@@ -287,6 +312,7 @@
 			...this.ports,
 			primary: () => this.currentPrimary,
 			lastPrimary: () => this.search.lastPrimary,
+			isRecordedAsReached: id => this.isRecordedAsReached(id),
 			listBackends: () => this.listBackends(),
 			listMembers: () => this.listMembers(),
 			syncReplicas: () => this.spec.syncReplicas,
@@ -303,7 +329,7 @@
 			witnesses: this.witnesses.select(members),
 			ordered: members.filter(({id}) => this.ports.isNamedInOrder(this.name, id)),
 			syncReplicas: this.spec.syncReplicas,
-			newestTerm: this.search.newestTerm,
+			newestTerm: Math.max(this.search.newestTerm, this.record.term),
 		};
 	}
 
@@ -311,6 +337,10 @@
 		return {connections: connectionShareFor(this.spec.maxConnections, this.ports.hostCount()), ranks: this.ranks};
 	}
 
+	private isRecordedAsReached(serverId: string): boolean {
+		return this.record.reachedServers.includes(serverId);
+	}
+
 	private notifyListeners(): void {
 		for (const listener of this.listeners) {
 			listener();
