--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -3,7 +3,7 @@
 import {expect} from 'chai';
 import {PromotionTask} from '../promotion.js';
 import {type PromotionRequest, type PromotionResult, type PromotionService} from '../ports.js';
-import {unconfirmedServerGraceMs} from '../backend.js';
+import {unconfirmedServerGraceMs} from '../serverContact.js';
 import {
 	MemoryLease, type MemoryServer, MemoryService, promotionServiceOf,
 } from '../testing/index.js';
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -14,8 +14,6 @@
 import {ServerPositions} from './serverPositions.js';
 import {type Answer, type BackendCommand, type ServerStatus} from './statement.js';
 
-export {unconfirmedServerGraceMs} from './serverContact.js';
-
 export type BackendPorts = {
 	readonly dialer: BackendDialer;
 	readonly clock: Clock;
