--- a/packages/proxy/src/__tests__/session.test.ts
+++ b/packages/proxy/src/__tests__/session.test.ts
@@ -57,7 +57,7 @@
 		await run(otherSession, 'PREPARE s1 READ second');
 		for (const [owner, shape] of [[session, 'first'], [otherSession, 'second'], [session, 'first']] as const) {
 			await run(owner, 'EXECUTE s1 item');
-			expect(harness.service.runs.findLast(({command}) => command.kind === 'executePrepared')!.shape).to.equal(shape);
+			expect(harness.service.runs.findLast(({command}) => command.kind === 'executePrepared')!.prepared!.shape).to.equal(shape);
 		}
 	});
 
--- a/packages/proxy/src/testing/memoryService.ts
+++ b/packages/proxy/src/testing/memoryService.ts
@@ -8,7 +8,7 @@
 	type BackendConnection, type BackendDialer, type BackendServer, ConnectionError,
 } from '../ports.js';
 import {
-	type Answer, type BackendCommand, type BackendRequest, errorAnswer, type ServerStatus, type TransactionState,
+	type Answer, type BackendCommand, type BackendRequest, errorAnswer, type PreparedStatement, type ServerStatus, type TransactionState,
 } from '../statement.js';
 
 type LogEntry = {readonly position: LogPosition; readonly writeId: string};
@@ -26,8 +26,8 @@
 	readonly connection: number;
 	readonly command: BackendCommand;
 	readonly parameters: ReadonlyMap<string, string>;
-	/** Shape of the executed prepared statement; undefined for other commands. */
-	readonly shape: string | undefined;
+	/** Prepared statement that an execution ran; undefined for other commands. */
+	readonly prepared: PreparedStatement | undefined;
 	readonly inTransaction: boolean;
 	readonly position: LogPosition;
 };
@@ -358,7 +358,7 @@
 class MemoryConnection implements BackendConnection {
 	isOpen = true;
 	private readonly parameters = new Map<string, string>();
-	private readonly prepared = new Map<string, string>();
+	private readonly prepared = new Map<string, PreparedStatement>();
 	private readonly closeListeners: Array<() => void> = [];
 	private readonly pendingRejects = new Set<(error: unknown) => void>();
 	private transaction: Transaction | undefined;
@@ -497,11 +497,12 @@
 			}
 
 			case 'executePrepared': {
-				if (!this.prepared.has(command.preparedName)) {
+				const prepared = this.prepared.get(command.preparedName);
+				if (!prepared) {
 					return this.error('unknownPrepared');
 				}
 
-				return command.preparedName.startsWith('w_') ? this.write(command.id) : this.success(command.id);
+				return prepared.mode === 'write' ? this.write(command.id) : this.success(command.id);
 			}
 
 			case 'set': {
@@ -510,7 +511,7 @@
 			}
 
 			case 'prepare': {
-				this.prepared.set(command.preparedName, command.prepared.shape);
+				this.prepared.set(command.preparedName, command.prepared);
 				return this.success();
 			}
 
@@ -589,7 +590,7 @@
 			connection: this.connectionId,
 			command,
 			parameters: new Map(this.parameters),
-			shape: command.kind === 'executePrepared' ? this.prepared.get(command.preparedName) : undefined,
+			prepared: command.kind === 'executePrepared' ? this.prepared.get(command.preparedName) : undefined,
 			inTransaction: this.transaction !== undefined,
 			position: this.server.appliedPosition,
 		});
