Log the backend connection and the prepared name of each request

The lines of a request did not tell which statements shared a connection to a database, nor under which name a prepared statement was executed, so that no log could tell whether a wrong shape came from a text used as a name, from names that the two sides disagree about, or from answers out of step. Shown by a test in session.test.ts; no decision changes.

--- a/packages/proxy/src/__tests__/session.test.ts
+++ b/packages/proxy/src/__tests__/session.test.ts
@@ -61,6 +61,18 @@
 		}
 	});
 
+	it('reports a prepared statement that a server does not know, with its connection and name (guards against wrong shapes that no log explains)', async () => {
+		await start();
+		await run(session, 'PREPARE s1 READ shape');
+		await run(session, 'EXECUTE s1 item');
+		harness.service.server('a').forgetPreparedStatements();
+		await run(session, 'EXECUTE s1 item');
+		const served = harness.log.withMessage('request').find(({fields}) => fields.outcome === 'completed');
+		const [unknown] = harness.log.withMessage('a backend server does not know a prepared statement');
+		expect(unknown!.fields).to.include({server: 'a', backendConnection: served!.fields.backendConnection, preparedAs: served!.fields.preparedAs});
+		expect(unknown!.fields.preparedAs).to.be.a('string');
+	});
+
 	it('keeps a transaction on one connection (guards against statements that run outside their transaction)', async () => {
 		await start();
 		await run(session, 'BEGIN');
--- a/packages/proxy/src/backendAccess.ts
+++ b/packages/proxy/src/backendAccess.ts
@@ -39,6 +39,7 @@
 				backend.pool.release(lateConnection);
 			}, () => undefined);
 		});
+		execution.connectionNumber = connection.number;
 		execution.waitedMs += this.clock.nowMs() - startedMs;
 		return connection;
 	}
--- a/packages/proxy/src/connectionPool.ts
+++ b/packages/proxy/src/connectionPool.ts
@@ -38,6 +38,8 @@
 	private readonly waiters: Waiter[] = [];
 	private readonly connections = new Set<PooledConnection>();
 	private pendingDials = 0;
+	/** Number of connections that were ever opened. */
+	private openedCount = 0;
 	private reservedCount = 0;
 	private inUseCount = 0;
 	private readonly backoff: DialBackoff;
@@ -217,7 +219,8 @@
 		try {
 			const connection = await this.ports.dialer.dial(this.server, dialTimeoutMs);
 			this.pendingDials--;
-			this.addConnection(new PooledConnection(connection, this.server.id, this.ports.clock.nowMs()));
+			this.openedCount++;
+			this.addConnection(new PooledConnection(connection, this.server.id, this.ports.clock.nowMs(), this.openedCount));
 		} catch (error) {
 			this.pendingDials--;
 			this.handleDialFailure(error);
--- a/packages/proxy/src/decisionLog.ts
+++ b/packages/proxy/src/decisionLog.ts
@@ -15,6 +15,10 @@
 	readonly outcome: string;
 	readonly reason?: string;
 	readonly server?: string;
+	/** Number of the connection to the server, which tells the statements of one connection apart from those of another. */
+	readonly backendConnection?: number;
+	/** Name under which the executed prepared statement stands on that connection. */
+	readonly preparedAs?: string;
 	readonly leadTerm?: number;
 	readonly minimumPosition?: string;
 	readonly configurationVersion: number;
--- a/packages/proxy/src/pooledConnection.ts
+++ b/packages/proxy/src/pooledConnection.ts
@@ -20,8 +20,9 @@
 
 	/**
 	 * @param openedMs - monotonic time in milliseconds at which the connection was opened
+	 * @param number - number of the connection among those of this proxy to the server, for the log
 	 */
-	constructor(readonly backendConnection: BackendConnection, readonly serverId: string, readonly openedMs: number) {}
+	constructor(readonly backendConnection: BackendConnection, readonly serverId: string, readonly openedMs: number, readonly number: number) {}
 
 	get isOpen(): boolean {
 		return this.backendConnection.isOpen;
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -212,7 +212,9 @@
 
 		const startedMs = this.ports.clock.nowMs();
 		const result = await this.ports.runner.runSingle(this.contextFor(id, route, startedMs), work);
-		this.decisions.record(id, work.mode, result, startedMs);
+		this.decisions.record({
+			requestId: id, operation: work.mode, startedMs, command: work.command,
+		}, result);
 		if (work.mode === 'write' && !result.answer.error) {
 			this.recordCommit(result.answer);
 		}
@@ -226,7 +228,7 @@
 		if (!transaction.openTransaction) {
 			const beginResult = await this.ports.runner.begin(context, transaction.readOnly);
 			if (isRefused(beginResult)) {
-				this.decisions.record(id, 'begin', beginResult, startedMs);
+				this.decisions.record({requestId: id, operation: 'begin', startedMs}, beginResult);
 				return {...beginResult.answer, state: work.command.kind === 'commit' ? 'idle' : 'failed'};
 			}
 
@@ -234,7 +236,9 @@
 		}
 
 		const result = await this.ports.runner.runInTransaction(context, transaction.openTransaction, work, transaction.hasWritten);
-		this.decisions.record(id, work.command.kind === 'commit' ? 'commit' : work.mode, result, startedMs);
+		this.decisions.record({
+			requestId: id, operation: work.command.kind === 'commit' ? 'commit' : work.mode, startedMs, command: work.command,
+		}, result);
 		return this.validateTransactionAnswer(result.answer, transaction, work);
 	}
 
@@ -294,9 +298,9 @@
 
 	private refuseUnknownDatabase(id: string): Answer {
 		const answer = errorAnswer('unknownDatabase', `no route has the name ${this.identity.database}`, 'idle');
-		this.decisions.record(id, 'route', {
-			answer, server: undefined, leadTerm: undefined, minimumPosition: undefined, attempts: 0, waitedMs: 0,
-		}, this.ports.clock.nowMs());
+		this.decisions.record({requestId: id, operation: 'route', startedMs: this.ports.clock.nowMs()}, {
+			answer, server: undefined, connectionNumber: undefined, leadTerm: undefined, minimumPosition: undefined, attempts: 0, waitedMs: 0,
+		});
 		return answer;
 	}
 
--- a/packages/proxy/src/sessionDecisions.ts
+++ b/packages/proxy/src/sessionDecisions.ts
@@ -2,6 +2,7 @@
 import {type ConfigurationAge} from './configurationAge.js';
 import {type DecisionLog} from './decisionLog.js';
 import {type RouteTable} from './routeTable.js';
+import {type BackendCommand} from './statement.js';
 import {type WorkResult} from './work.js';
 
 export type SessionDecisionPorts = {
@@ -18,17 +19,24 @@
 	readonly user: string;
 };
 
+/** A request of a session as its decision line describes it. */
+export type SessionRequest = {
+	readonly requestId: string;
+	/** Kind of the request in the log and the metrics. */
+	readonly operation: string;
+	/** Monotonic time at which the request arrived. */
+	readonly startedMs: number;
+	/** Command that was sent to the server. */
+	readonly command?: BackendCommand;
+};
+
 /** Records the outcomes of the requests of one session. */
 export class SessionDecisions {
 	constructor(private readonly identity: SessionIdentity, private readonly ports: SessionDecisionPorts) {}
 
-	/**
-	 * Records the outcome of a request.
-	 * @param operation - kind of the request in the log and the metrics
-	 * @param startedMs - time at which the request arrived
-	 */
-	record(requestId: string, operation: string, result: WorkResult, startedMs: number): void {
-		const {answer, server, leadTerm, minimumPosition, attempts, waitedMs} = result;
+	/** Records the outcome of a request. */
+	record({requestId, operation, startedMs, command}: SessionRequest, result: WorkResult): void {
+		const {answer, server, connectionNumber, leadTerm, minimumPosition, attempts, waitedMs} = result;
 		const {clock, routes, configurationAge, decisionLog} = this.ports;
 		decisionLog.record({
 			requestId,
@@ -38,6 +46,8 @@
 			outcome: answer.error?.kind ?? 'completed',
 			reason: answer.error?.message,
 			server,
+			backendConnection: connectionNumber,
+			preparedAs: command?.kind === 'executePrepared' ? command.preparedName : undefined,
 			leadTerm,
 			minimumPosition: minimumPosition && formatPosition(minimumPosition),
 			configurationVersion: routes.version,
--- a/packages/proxy/src/statementExecution.ts
+++ b/packages/proxy/src/statementExecution.ts
@@ -13,6 +13,8 @@
 	attemptCount: number;
 	waitedMs: number;
 	target: Target | undefined;
+	/** Number of the connection that the last attempt used. */
+	connectionNumber: number | undefined;
 	/** View of the service at the time of the last search; the service may be removed while the statement runs. */
 	view: ServiceView | undefined;
 	/** True if a write may have reached a server. */
@@ -31,6 +33,7 @@
 		attemptCount: 0,
 		waitedMs: 0,
 		target: undefined,
+		connectionNumber: undefined,
 		view: undefined,
 		isWriteSent: false,
 	};
@@ -46,6 +49,7 @@
 	return {
 		answer,
 		server: execution.target?.backend.id,
+		connectionNumber: execution.connectionNumber,
 		leadTerm: execution.target?.primary?.term,
 		minimumPosition: execution.target?.minimumPosition,
 		attempts: execution.attemptCount,
--- a/packages/proxy/src/testing/memoryService.ts
+++ b/packages/proxy/src/testing/memoryService.ts
@@ -79,7 +79,7 @@
 	queueLimit = 30;
 	private busySlots = 0;
 	private readonly waiting: Array<() => void> = [];
-	private readonly connections = new Set<BackendConnection>();
+	private readonly connections = new Set<MemoryConnection>();
 
 	constructor(readonly id: string, readonly service: MemoryService) {}
 
@@ -143,7 +143,7 @@
 	}
 
 	/** Accepts a connection, which is closed when the server restarts. */
-	open(connection: BackendConnection): void {
+	open(connection: MemoryConnection): void {
 		this.openConnections++;
 		this.connections.add(connection);
 		connection.onClose(() => {
@@ -152,6 +152,13 @@
 		});
 	}
 
+	/** Forgets the prepared statements of all open connections. */
+	forgetPreparedStatements(): void {
+		for (const connection of this.connections) {
+			connection.forgetPreparedStatements();
+		}
+	}
+
 	/** Lets the open connections go silent; new ones work. */
 	silenceConnections(): void {
 		this.lastSilentConnection = this.service.connectionCount;
@@ -402,6 +409,10 @@
 		});
 	}
 
+	forgetPreparedStatements(): void {
+		this.prepared.clear();
+	}
+
 	readStatus(answer: Answer): ServerStatus | undefined {
 		return answer.error ? undefined : JSON.parse(answer.rows[0]!) as ServerStatus;
 	}
--- a/packages/proxy/src/transactionRunner.ts
+++ b/packages/proxy/src/transactionRunner.ts
@@ -37,7 +37,7 @@
 		const {backend, connection, view} = transaction;
 		const target: Target = {backend, primary: undefined, minimumPosition: undefined};
 		const execution: StatementExecution = {
-			...newExecution(context, clock.nowMs()), target, view, attemptCount: 1,
+			...newExecution(context, clock.nowMs()), target, view, connectionNumber: connection.number, attemptCount: 1,
 		};
 		try {
 			const answer = await access.withSlot(execution, backend, true, async () => this.runOnConnection(execution, transaction, work, hasWritten));
--- a/packages/proxy/src/work.ts
+++ b/packages/proxy/src/work.ts
@@ -57,6 +57,8 @@
 export type WorkResult = {
 	readonly answer: Answer;
 	readonly server: string | undefined;
+	/** Number of the connection to the server; undefined if none was used. */
+	readonly connectionNumber: number | undefined;
 	readonly leadTerm: number | undefined;
 	readonly minimumPosition: LogPosition | undefined;
 	readonly attempts: number;
