Name prepared statements on backend connections by a digest

Callers that prepared a shape of several words got successes for statements that ran in another shape, or whose text had changed: the name on the connection to a database was the mode and the shape itself, and a database takes the words after the first blank for the mode, the shape or the arguments. A name is now 128 bits of a digest of mode and shape, of a type that only backendStatementName creates, so that no text of a caller can become a part of it. A number for each statement of a connection was weighed: shorter by some 30 bytes an EXECUTE, but each connection would keep the whole shapes to find it; the digest is computed once, at PREPARE, and keeps 32 characters.

--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -10,4 +10,5 @@
 export * from './termGeneration.js';
 export * from './timeout.js';
 export * from './types.js';
+export * from './statementDigest.js';
 export * from './supervisedTask.js';
--- a/packages/proxy/src/pooledConnection.ts
+++ b/packages/proxy/src/pooledConnection.ts
@@ -1,7 +1,6 @@
+import {type BackendStatementName} from '@crocusloom/model';
 import {type BackendConnection, ConnectionError} from './ports.js';
-import {
-	parameterSyncCommands, noParameters, sharedPreparedName, type SessionParameters,
-} from './sessionParameters.js';
+import {parameterSyncCommands, noParameters, type SessionParameters} from './sessionParameters.js';
 import {type Answer, type BackendCommand, type PreparedStatement} from './statement.js';
 
 /** Maximum number of prepared statements on a connection. Beyond it the connection is reset, which bounds memory on both sides. */
@@ -16,7 +15,7 @@
 	/** True once this proxy has closed the connection. */
 	isClosedHere = false;
 	private parameters: SessionParameters = noParameters;
-	private readonly preparedNames = new Set<string>();
+	private readonly preparedNames = new Set<BackendStatementName>();
 
 	/**
 	 * @param openedMs - monotonic time in milliseconds at which the connection was opened
@@ -41,7 +40,7 @@
 	 */
 	async syncSession(parameters: SessionParameters, prepared: PreparedStatement | undefined): Promise<void> {
 		const commands = parameterSyncCommands(this.parameters, parameters);
-		if (prepared && this.preparedNames.size >= maximumPreparedStatements && !this.preparedNames.has(sharedPreparedName(prepared))) {
+		if (prepared && this.preparedNames.size >= maximumPreparedStatements && !this.preparedNames.has(prepared.backendName)) {
 			commands.splice(0, commands.length, {kind: 'discard'}, ...parameterSyncCommands(noParameters, parameters));
 		}
 
@@ -49,20 +48,20 @@
 			this.preparedNames.clear();
 		}
 
-		if (prepared && !this.preparedNames.has(sharedPreparedName(prepared))) {
-			commands.push({kind: 'prepare', preparedName: sharedPreparedName(prepared), prepared});
+		if (prepared && !this.preparedNames.has(prepared.backendName)) {
+			commands.push({kind: 'prepare', preparedName: prepared.backendName, prepared});
 		}
 
 		await Promise.all(commands.map(async command => this.runSetupCommand(command)));
 		this.parameters = parameters;
 		if (prepared) {
-			this.preparedNames.add(sharedPreparedName(prepared));
+			this.preparedNames.add(prepared.backendName);
 		}
 	}
 
 	/** Removes a prepared statement that the backend server reported as unknown. */
 	forgetPrepared(prepared: PreparedStatement): void {
-		this.preparedNames.delete(sharedPreparedName(prepared));
+		this.preparedNames.delete(prepared.backendName);
 	}
 
 	close(): void {
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -1,10 +1,9 @@
 import {laterPosition, type LogPosition} from '@crocusloom/model';
 import {type Route} from './ports.js';
 import {type SessionDecisionPorts, SessionDecisions, type SessionIdentity} from './sessionDecisions.js';
-import {sharedPreparedName} from './sessionParameters.js';
 import {SessionSettings} from './sessionSettings.js';
 import {
-	type Answer, errorAnswer, localAnswer, type Statement, type TransactionState,
+	type Answer, errorAnswer, localAnswer, prepareStatement, type Statement, type TransactionState,
 } from './statement.js';
 import {isRefused, type StatementRunner} from './statementRunner.js';
 import {
@@ -174,7 +173,7 @@
 		return this.runData(statement.id, {
 			mode: prepared.mode,
 			command: {
-				kind: 'executePrepared', id: statement.id, preparedName: sharedPreparedName(prepared), argumentsText: statement.argumentsText,
+				kind: 'executePrepared', id: statement.id, preparedName: prepared.backendName, argumentsText: statement.argumentsText,
 			},
 			prepared,
 		});
@@ -185,7 +184,7 @@
 	}
 
 	private prepare({name, mode, shape}: StatementOf<'prepare'>): Answer {
-		return this.answerFor(this.settings.prepare(name, {mode, shape}));
+		return this.answerFor(this.settings.prepare(name, prepareStatement({mode, shape})));
 	}
 
 	/** Answers a change of the settings, which the session may refuse. */
--- a/packages/proxy/src/sessionParameters.ts
+++ b/packages/proxy/src/sessionParameters.ts
@@ -1,15 +1,10 @@
-import {type BackendCommand, type PreparedStatement} from './statement.js';
+import {type BackendCommand} from './statement.js';
 
 /** Parameters that are set on a session or a connection, by name. */
 export type SessionParameters = ReadonlyMap<string, string>;
 
 export const noParameters: SessionParameters = new Map();
 
-/** Returns the name of a prepared statement on backend connections. It is derived from the shape, so that all sessions share it. */
-export function sharedPreparedName(prepared: PreparedStatement): string {
-	return `${prepared.mode === 'read' ? 'r' : 'w'}_${prepared.shape}`;
-}
-
 /**
  * Returns the commands that change the parameters of a connection to those of a session.
  * @param connectionParameters - parameters set on the connection
--- a/packages/proxy/src/statement.ts
+++ b/packages/proxy/src/statement.ts
@@ -1,7 +1,7 @@
 /**
  * Typed statements and complete answers. Codecs translate them to and from a wire protocol.
  */
-import {type LogPosition} from '@crocusloom/model';
+import {type BackendStatementName, type LogPosition, backendStatementName} from '@crocusloom/model';
 
 /** Transaction state of a session: outside a transaction, inside one, or inside one that failed. */
 export type TransactionState = 'idle' | 'open' | 'failed';
@@ -25,17 +25,28 @@
 export type DataStatement = {readonly kind: 'data'; readonly id: string; readonly mode: AccessMode; readonly text: string};
 
 /** Definition of a prepared statement; `shape` identifies the query. */
-export type PreparedStatement = {readonly mode: AccessMode; readonly shape: string};
+export type StatementDefinition = {readonly mode: AccessMode; readonly shape: string};
+
+/** A prepared statement of a session, with the name that it has on backend connections. */
+export type PreparedStatement = StatementDefinition & {readonly backendName: BackendStatementName};
+
+/**
+ * Creates a prepared statement.
+ * @param definition - mode and shape as the caller stated them
+ */
+export function prepareStatement({mode, shape}: StatementDefinition): PreparedStatement {
+	return {mode, shape, backendName: backendStatementName([mode, shape])};
+}
 
 /** A command for a backend server, issued on behalf of a caller (with an `id`) or by the proxy itself. */
 export type BackendCommand
 	= | {readonly kind: 'data'; readonly id: string; readonly text: string}
-		| {readonly kind: 'executePrepared'; readonly id: string; readonly preparedName: string; readonly argumentsText: string}
+		| {readonly kind: 'executePrepared'; readonly id: string; readonly preparedName: BackendStatementName; readonly argumentsText: string}
 		| {readonly kind: 'commit'; readonly id: string}
 		| {readonly kind: 'rollback'}
 		| {readonly kind: 'begin'; readonly readOnly: boolean}
 		| {readonly kind: 'set'; readonly name: string; readonly value: string}
-		| {readonly kind: 'prepare'; readonly preparedName: string; readonly prepared: PreparedStatement}
+		| {readonly kind: 'prepare'; readonly preparedName: BackendStatementName; readonly prepared: StatementDefinition}
 		| {readonly kind: 'discard'}
 		| {readonly kind: 'status'}
 		| {readonly kind: 'pause'; readonly term: number}
--- a/packages/proxy/src/testing/memoryService.ts
+++ b/packages/proxy/src/testing/memoryService.ts
@@ -8,7 +8,7 @@
 	type BackendConnection, type BackendDialer, type BackendServer, ConnectionError,
 } from '../ports.js';
 import {
-	type Answer, type BackendCommand, type BackendRequest, errorAnswer, type PreparedStatement, type ServerStatus, type TransactionState,
+	type Answer, type BackendCommand, type BackendRequest, errorAnswer, type ServerStatus, type StatementDefinition, type TransactionState,
 } from '../statement.js';
 
 type LogEntry = {readonly position: LogPosition; readonly writeId: string};
@@ -27,7 +27,7 @@
 	readonly command: BackendCommand;
 	readonly parameters: ReadonlyMap<string, string>;
 	/** Prepared statement that an execution ran; undefined for other commands. */
-	readonly prepared: PreparedStatement | undefined;
+	readonly prepared: StatementDefinition | undefined;
 	readonly inTransaction: boolean;
 	readonly position: LogPosition;
 };
@@ -365,7 +365,7 @@
 class MemoryConnection implements BackendConnection {
 	isOpen = true;
 	private readonly parameters = new Map<string, string>();
-	private readonly prepared = new Map<string, PreparedStatement>();
+	private readonly prepared = new Map<string, StatementDefinition>();
 	private readonly closeListeners: Array<() => void> = [];
 	private readonly pendingRejects = new Set<(error: unknown) => void>();
 	private transaction: Transaction | undefined;
