Prepare a statement again after a server did not know it in a transaction

A caller whose transaction executed a statement that the database no longer had got NOSTMT although its preparing was acknowledged, and so did each later transaction on that connection: only single statements made the host forget the name. Every NOSTMT now does, in one place, and the caller gets ABORTED, the promise that nothing is kept. The new test failed before with NOSTMT in 3 of 3 transactions; now the first is aborted and the next two are served.

--- a/packages/proxy/src/__tests__/session.test.ts
+++ b/packages/proxy/src/__tests__/session.test.ts
@@ -61,6 +61,22 @@
 		}
 	});
 
+	it('prepares a statement again that a server did not know in a transaction (guards against a connection that fails one caller after the other)', async () => {
+		await start();
+		await run(session, 'PREPARE s1 READ shape');
+		await run(session, 'EXECUTE s1 item');
+		harness.service.server('a').forgetPreparedStatements();
+		const outcomes: Array<string | undefined> = [];
+		for (let attempt = 0; attempt < 3; attempt++) {
+			await run(session, 'BEGIN');
+			outcomes.push(await errorOf(session, 'EXECUTE s1 item'));
+			await run(session, 'ROLLBACK');
+			await systemClock.sleep(20);
+		}
+
+		expect(outcomes).to.deep.equal(['aborted', undefined, undefined]);
+	});
+
 	it('reports a prepared statement that a server does not know, with its connection and name (guards against wrong shapes that no log explains)', async () => {
 		await start();
 		await run(session, 'PREPARE s1 READ shape');
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -167,7 +167,7 @@
 			const answer = await connection.backendConnection.run({command, minimumPosition});
 			connection.isInTransaction = answer.state !== 'idle';
 			this.recordAnswer(answer, command, {statementClass, startedMs, openedMs: connection.openedMs});
-			this.reportUnknownPrepared(connection, command, answer);
+			this.forgetUnknownPrepared(connection, command, answer);
 			return answer;
 		} finally {
 			this.load.recordEnd();
@@ -299,11 +299,12 @@
 		}
 	}
 
-	/** Reports a prepared statement that the server does not know although this proxy has prepared it on the connection. */
-	private reportUnknownPrepared({number}: PooledConnection, command: BackendCommand, {error}: Answer): void {
+	/** Forgets and reports a prepared statement that the server does not know although this proxy has prepared it on the connection. */
+	private forgetUnknownPrepared(connection: PooledConnection, command: BackendCommand, {error}: Answer): void {
 		if (error?.kind === 'unknownPrepared' && command.kind === 'executePrepared') {
+			connection.forgetPrepared(command.preparedName);
 			this.ports.log.warn({
-				server: this.id, backendConnection: number, preparedAs: command.preparedName, requestId: command.id,
+				server: this.id, backendConnection: connection.number, preparedAs: command.preparedName, requestId: command.id,
 			}, 'a backend server does not know a prepared statement');
 		}
 	}
--- a/packages/proxy/src/pooledConnection.ts
+++ b/packages/proxy/src/pooledConnection.ts
@@ -59,9 +59,9 @@
 		}
 	}
 
-	/** Removes a prepared statement that the backend server reported as unknown. */
-	forgetPrepared(prepared: PreparedStatement): void {
-		this.preparedNames.delete(prepared.backendName);
+	/** Removes a prepared statement that the backend server reported as unknown, so that it is prepared again. */
+	forgetPrepared(name: BackendStatementName): void {
+		this.preparedNames.delete(name);
 	}
 
 	close(): void {
--- a/packages/proxy/src/singleStatementRunner.ts
+++ b/packages/proxy/src/singleStatementRunner.ts
@@ -68,8 +68,4 @@
 		connection.close();
 		throw new ConnectionError({kind: 'protocol', message: `unexpected answer to a ${work.mode}`}, 'execute', connection.serverId);
 	}
-
-	if (answer.error?.kind === 'unknownPrepared' && work.prepared) {
-		connection.forgetPrepared(work.prepared);
-	}
 }
