Send the condition on a log position with reads and BEGIN only

On read_your_writes routes each write after a commit of the session was sent as AFTER TERM.NUMBER WRITE ..., although the protocol allows the prefix for reads and BEGIN only: a database that reads it strictly refuses the write, or counts its text as changed. The in-memory service took the condition with any command; now it refuses it with a write.

--- a/packages/proxy/src/__tests__/session.test.ts
+++ b/packages/proxy/src/__tests__/session.test.ts
@@ -159,6 +159,19 @@
 		it(`reports the possible outcome if the answer to ${lostCase.name} is lost (guards against claims that nothing ran)`, async () => checkLostAnswer(lostCase));
 	}
 
+	const statementsAfterCommit = ['WRITE a 2', 'EXECUTE w1 a 2', 'READ a', 'EXECUTE r1 a'];
+	async function expectServedAfterCommit(text: string): Promise<void> {
+		await start('own');
+		await run(session, 'PREPARE w1 WRITE shape');
+		await run(session, 'PREPARE r1 READ shape');
+		expect(await errorOf(session, 'WRITE a 1')).to.equal(undefined);
+		expect(await errorOf(session, text)).to.equal(undefined);
+	}
+
+	for (const text of statementsAfterCommit) {
+		it(`serves ${text} after a commit of the session (guards against writes with a condition that servers accept for reads only)`, async () => expectServedAfterCommit(text));
+	}
+
 	it('retries a refused read at other servers (guards against refusals while other servers are free)', async () => {
 		await start('own');
 		await run(session, 'READ warm');
--- a/packages/proxy/src/backendAccess.ts
+++ b/packages/proxy/src/backendAccess.ts
@@ -55,7 +55,9 @@
 
 	/** Runs a command and closes the connection at the deadline, because a late answer could be taken for that of the next command. */
 	async run(execution: StatementExecution, connection: PooledConnection, command: BackendCommand, mode: AccessMode): Promise<Answer> {
-		const {backend, minimumPosition} = execution.target!;
+		const {backend, minimumPosition: targetPosition} = execution.target!;
+		// Servers accept the condition for reads and for the beginning of transactions only.
+		const minimumPosition = mode === 'read' ? targetPosition : undefined;
 		const statementClass = `${rankOf(execution.context.route)} ${mode}`;
 		return this.withDeadline(execution, backend.run(connection, command, statementClass, minimumPosition), () => {
 			connection.close();
--- a/packages/proxy/src/testing/memoryService.ts
+++ b/packages/proxy/src/testing/memoryService.ts
@@ -472,6 +472,10 @@
 	 */
 	private execute({command, minimumPosition}: BackendRequest): Answer | undefined {
 		this.recordRun(command);
+		if (minimumPosition && !this.mayHavePosition(command)) {
+			return this.error('malformed');
+		}
+
 		if (minimumPosition && comparePositions(this.server.appliedPosition, minimumPosition) < 0) {
 			return this.error('stale');
 		}
@@ -480,6 +484,15 @@
 		return refusal ? this.error(refusal) : this.handle(command);
 	}
 
+	/** Checks whether a command may require a position: only a read or the beginning of a transaction may. */
+	private mayHavePosition(command: BackendCommand): boolean {
+		if (command.kind === 'executePrepared') {
+			return this.prepared.get(command.preparedName)?.mode !== 'write';
+		}
+
+		return command.kind === 'begin' || (command.kind === 'data' && command.text.startsWith('READ'));
+	}
+
 	private handle(command: BackendCommand): Answer | undefined {
 		switch (command.kind) {
 			case 'begin': {
@@ -621,7 +634,7 @@
 		};
 	}
 
-	private error(kind: 'stale' | 'notPrimary' | 'overloaded' | 'failed' | 'unknownPrepared'): Answer {
+	private error(kind: 'malformed' | 'stale' | 'notPrimary' | 'overloaded' | 'failed' | 'unknownPrepared'): Answer {
 		this.hasFailed = this.transaction !== undefined;
 		return {...errorAnswer(kind, this.server.id, this.state), position: this.server.appliedPosition};
 	}
--- a/packages/proxy/src/transactionRunner.ts
+++ b/packages/proxy/src/transactionRunner.ts
@@ -64,7 +64,7 @@
 		execution.isWriteSent = isCommit && hasWritten;
 		const answer = await access.run(execution, connection, work.command, work.mode);
 		if (answer.error?.kind === 'unknownPrepared') {
-			return abortForUnknownPrepared(connection);
+			return errorAnswer('aborted', 'the server no longer has the prepared statement; the transaction is rolled back', 'failed');
 		}
 
 		const mayAnswer = isCommit || await access.withDeadline(execution, isPrimaryProven, () => undefined);
@@ -128,12 +128,6 @@
 	return errorAnswer('aborted', 'the primary was replaced; the transaction is rolled back', 'failed');
 }
 
-/** Aborts a transaction in which the server does not know a statement that the caller has prepared; the caller can repeat it. */
-function abortForUnknownPrepared(connection: PooledConnection): Answer {
-	connection.close();
-	return errorAnswer('aborted', 'the server no longer has the prepared statement; the transaction is rolled back', 'failed');
-}
-
 function abortAfterError(execution: StatementExecution, connection: PooledConnection, error: unknown): Answer {
 	connection.close();
 	const reason = errorMessageOf(error);
