Refuse statements that no message to a database can carry

A caller's PREPARE of a shape near the maximum length was acknowledged and its EXECUTE, or a write one byte longer than a message may be, made the host send a line that the database answers by closing the connection: INDOUBT for a write that could never run, and connections closed that other callers use. In the same way nothing kept a blank or a line end out of a field, whoever made it. Sessions ask before anything is sent and answer MALFORMED with the reason; SET and PREPARE are refused before they are acknowledged, with the name and the longest condition counted. A setup that fails halfway closes its connection, whose state is unknown.

--- a/packages/model/src/__tests__/statementDigest.test.ts
+++ b/packages/model/src/__tests__/statementDigest.test.ts
@@ -1,4 +1,6 @@
-import {assert as assertProperty, array, property, string} from 'fast-check';
+import {
+	assert as assertProperty, array, property, string,
+} from 'fast-check';
 import {expect} from 'chai';
 import {backendStatementName} from '../statementDigest.js';
 
--- a/packages/proxy/src/__tests__/proxyHarness.ts
+++ b/packages/proxy/src/__tests__/proxyHarness.ts
@@ -53,6 +53,7 @@
 	const log = new RecordingLogger();
 	const lifetime = new AbortController();
 	const proxy = new SessionProxy({
+		checkRequest: () => undefined,
 		clock, random: {next: () => 0.5}, log, metrics: noopMetrics, dialer, confirmServers, isNamedInOrder, serviceRecords, failureDomain: 'a', configurationBoundMs: 3000,
 	});
 	const configure = (version: number, databases: readonly string[]) => {
--- a/packages/proxy/src/pooledConnection.ts
+++ b/packages/proxy/src/pooledConnection.ts
@@ -52,7 +52,14 @@
 			commands.push({kind: 'prepare', preparedName: prepared.backendName, prepared});
 		}
 
-		await Promise.all(commands.map(async command => this.runSetupCommand(command)));
+		try {
+			await Promise.all(commands.map(async command => this.runSetupCommand(command)));
+		} catch (error) {
+			// Some of the commands may have been carried out, so that the state of the connection is not known.
+			this.close();
+			throw error;
+		}
+
 		this.parameters = parameters;
 		if (prepared) {
 			this.preparedNames.add(prepared.backendName);
--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -76,12 +76,24 @@
 	}
 }
 
+/** Thrown for a request that no connection can carry. Nothing of it was sent. */
+export class UnsendableRequestError extends Error {
+	override readonly name = 'UnsendableRequestError';
+}
+
+/**
+ * Checks whether connections to backend servers can carry a request.
+ * @returns why they cannot, or undefined if they can
+ */
+export type CheckRequest = (request: BackendRequest) => string | undefined;
+
 /** An open connection to a backend server. Answers arrive in the order of the requests. */
 export type BackendConnection = {
 	readonly isOpen: boolean;
 	/**
 	 * Sends a request and waits for the complete answer.
 	 * @throws ConnectionError if the connection ends first
+	 * @throws UnsendableRequestError if the request cannot be sent; the connection stays as it was
 	 */
 	run(request: BackendRequest): Promise<Answer>;
 	/** Parses a status answer. Returns undefined if the answer is an error or is malformed. */
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -1,5 +1,5 @@
 import {laterPosition, type LogPosition} from '@crocusloom/model';
-import {type Route} from './ports.js';
+import {type CheckRequest, type Route} from './ports.js';
 import {type SessionDecisionPorts, SessionDecisions, type SessionIdentity} from './sessionDecisions.js';
 import {SessionSettings} from './sessionSettings.js';
 import {
@@ -13,7 +13,10 @@
 /** Added to the idle timeout of transactions, so that a late timer does not abort the transaction of a caller that keeps to the timeout. */
 const idleTimeoutSlackMs = 250;
 
-export type SessionPorts = SessionDecisionPorts & {readonly runner: StatementRunner};
+/** Position with the longest text, because the position that a read will require is not known before its server is chosen. */
+const widestPosition: LogPosition = {term: 999_999_999_999_999, offsetBytes: 999_999_999_999_999};
+
+export type SessionPorts = SessionDecisionPorts & {readonly runner: StatementRunner; readonly checkRequest: CheckRequest};
 
 type Transaction = {
 	readonly route: Route;
@@ -180,11 +183,13 @@
 	}
 
 	private set({name, value}: StatementOf<'set'>): Answer {
-		return this.answerFor(this.settings.set(name, value));
+		return this.answerFor(this.ports.checkRequest({command: {kind: 'set', name, value}}) ?? this.settings.set(name, value));
 	}
 
 	private prepare({name, mode, shape}: StatementOf<'prepare'>): Answer {
-		return this.answerFor(this.settings.prepare(name, prepareStatement({mode, shape})));
+		const prepared = prepareStatement({mode, shape});
+		const refusalReason = this.ports.checkRequest({command: {kind: 'prepare', preparedName: prepared.backendName, prepared}});
+		return this.answerFor(refusalReason ?? this.settings.prepare(name, prepared));
 	}
 
 	/** Answers a change of the settings, which the session may refuse. */
@@ -199,6 +204,11 @@
 	}
 
 	private async runData(id: string, work: DataWork): Promise<Answer> {
+		const refusalReason = this.ports.checkRequest({command: work.command, minimumPosition: work.mode === 'read' ? widestPosition : undefined});
+		if (refusalReason !== undefined) {
+			return this.refuseMalformed(refusalReason);
+		}
+
 		if (this.transaction) {
 			this.transaction.hasWritten ||= work.mode === 'write';
 			return this.runInTransaction(id, this.transaction, work);
--- a/packages/proxy/src/sessionProxy.ts
+++ b/packages/proxy/src/sessionProxy.ts
@@ -6,7 +6,7 @@
 import {DecisionLog} from './decisionLog.js';
 import {HostCount} from './connectionShare.js';
 import {
-	type BackendDialer, type BackendServer, type ConfirmServers, type IsNamedInOrder, type ProxyConfiguration,
+	type BackendDialer, type BackendServer, type CheckRequest, type ConfirmServers, type IsNamedInOrder, type ProxyConfiguration,
 } from './ports.js';
 import {ranksOf, RouteTable} from './routeTable.js';
 import {type ServiceRecords} from './serviceRecords.js';
@@ -28,6 +28,7 @@
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly dialer: BackendDialer;
+	readonly checkRequest: CheckRequest;
 	readonly confirmServers: ConfirmServers;
 	readonly isNamedInOrder: IsNamedInOrder;
 	readonly serviceRecords: ServiceRecords;
@@ -106,7 +107,7 @@
 		this.sessionCount++;
 		const identity: SessionIdentity = {name: `${user}#${this.sessionCount}`, database, user};
 		return new Session(identity, {
-			clock: this.ports.clock, routes: this.routes, configurationAge: this.configurationAge, runner: this.runner, decisionLog: this.decisionLog,
+			clock: this.ports.clock, routes: this.routes, configurationAge: this.configurationAge, runner: this.runner, decisionLog: this.decisionLog, checkRequest: this.ports.checkRequest,
 		});
 	}
 
--- a/packages/proxy/src/statementRetries.ts
+++ b/packages/proxy/src/statementRetries.ts
@@ -1,4 +1,5 @@
 import {FailureError, errorMessageOf, type NotRunReason} from '@crocusloom/model';
+import {UnsendableRequestError} from './ports.js';
 import {
 	type Answer, type AnswerError, errorAnswer, isNotRun,
 } from './statement.js';
@@ -73,6 +74,10 @@
 	 */
 	private finalAnswerFor(execution: StatementExecution, error: unknown, isWrite: boolean): Answer | undefined {
 		const message = errorMessageOf(error);
+		if (error instanceof UnsendableRequestError) {
+			return errorAnswer('malformed', message, 'idle');
+		}
+
 		if (isWrite && execution.isWriteSent) {
 			return errorAnswer('inDoubt', `the write was sent and not answered: ${message}`, 'idle');
 		}
--- a/packages/proxy/src/transactionRunner.ts
+++ b/packages/proxy/src/transactionRunner.ts
@@ -1,5 +1,6 @@
 import {errorMessageOf} from '@crocusloom/model';
 import {type PooledConnection} from './pooledConnection.js';
+import {UnsendableRequestError} from './ports.js';
 import {type Answer, errorAnswer} from './statement.js';
 import {newExecution, resultOf, type StatementExecution} from './statementExecution.js';
 import {requireNewWorkAccepted, type StatementSteps} from './statementSteps.js';
@@ -131,6 +132,10 @@
 function abortAfterError(execution: StatementExecution, connection: PooledConnection, error: unknown): Answer {
 	connection.close();
 	const reason = errorMessageOf(error);
+	if (error instanceof UnsendableRequestError) {
+		return errorAnswer('malformed', reason, 'failed');
+	}
+
 	return execution.isWriteSent
 		? errorAnswer('inDoubt', `the commit was sent and not answered: ${reason}`, 'idle')
 		: errorAnswer('aborted', `the transaction is rolled back: ${reason}`, 'failed');
