Keep what commits relied on when the store comes back from an older copy

Records of orders that may still take effect, and of the servers that must have each commit, were gone with what the store lost: hosts passed on commits that an order of the earlier era discards, the next holder ordered beside it, and a promotion could leave out a server on which commits relied. What is lost if no host that knew a record lives any more is not covered.

--- a/packages/proxy/src/__tests__/resumeAfterPromotion.test.ts
+++ b/packages/proxy/src/__tests__/resumeAfterPromotion.test.ts
@@ -26,6 +26,7 @@
 		harness = await startProxy(service, systemClock, {
 			serviceRecords: {
 				recordOf: name => records.recordOf(name),
+				isPartlyLost: () => false,
 				read: async name => records.read(name),
 				async change(name, change) {
 					const isChanged = await records.change(name, change);
--- a/packages/proxy/src/reachedServerRecorder.ts
+++ b/packages/proxy/src/reachedServerRecorder.ts
@@ -37,7 +37,8 @@
 		const missing = this.view.listMembers().filter(({id}) => !recordedIds.has(id));
 		const reached = missing.filter(({isConfirmed}) => isConfirmed);
 		const isComplete = missing.length > 0 && reached.length === missing.length && !missing.every(({id}) => this.triedIds.has(id));
-		const isDue = missing.length > 0 && this.clock.nowMs() - this.lastTryMs >= recordIntervalMs;
+		const hasWork = missing.length > 0 || this.view.isRecordPartlyLost;
+		const isDue = hasWork && this.clock.nowMs() - this.lastTryMs >= recordIntervalMs;
 		if (token === undefined || this.isRecording || (!isComplete && !isDue)) {
 			return;
 		}
@@ -47,7 +48,7 @@
 			void probeStatus(backend);
 		}
 
-		if (reached.length > 0) {
+		if (reached.length > 0 || this.view.isRecordPartlyLost) {
 			await this.record(reached, token, signal);
 		}
 	}
--- a/packages/proxy/src/serviceRecords.ts
+++ b/packages/proxy/src/serviceRecords.ts
@@ -12,6 +12,8 @@
 export type ServiceRecords = {
 	/** Returns the record of a service as this host knows it. It is as old as the list of servers. */
 	recordOf(service: string): ServiceRecord;
+	/** Tells whether the platform has lost a part of the record that this host knew, so that it has to be written again. */
+	isPartlyLost(service: string): boolean;
 	/**
 	 * Reads a record. Knows all changes that were made before the call.
 	 * @returns undefined if the platform does not answer
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/serviceView.ts
@@ -83,6 +83,11 @@
 		return this.ports.serviceRecords.recordOf(this.name);
 	}
 
+	/** True if the platform has lost a part of the record, which has to be written again. */
+	get isRecordPartlyLost(): boolean {
+		return this.ports.serviceRecords.isPartlyLost(this.name);
+	}
+
 	/** Reads the record from the platform. Returns undefined if it does not answer. */
 	async readRecord(signal: AbortSignal): Promise<ServiceRecord | undefined> {
 		return this.ports.serviceRecords.read(this.name, signal);
--- a/packages/proxy/src/testing/memoryServiceRecords.ts
+++ b/packages/proxy/src/testing/memoryServiceRecords.ts
@@ -10,6 +10,10 @@
 		return this.records.get(service) ?? emptyServiceRecord;
 	}
 
+	isPartlyLost(): boolean {
+		return false;
+	}
+
 	async read(service: string): Promise<ServiceRecord | undefined> {
 		return this.isAvailable ? this.recordOf(service) : undefined;
 	}
