--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -1,10 +1,9 @@
 import {laterPosition, type LogPosition} from '@crocusloom/model';
 import {type Route} from './ports.js';
 import {type SessionDecisionPorts, SessionDecisions, type SessionIdentity} from './sessionDecisions.js';
-import {sharedPreparedName} from './sessionParameters.js';
 import {SessionSettings} from './sessionSettings.js';
 import {
-	type Answer, errorAnswer, localAnswer, type Statement, type TransactionState,
+	type Answer, errorAnswer, localAnswer, prepareStatement, type Statement, type TransactionState,
 } from './statement.js';
 import {isRefused, type StatementRunner} from './statementRunner.js';
 import {
@@ -174,7 +173,7 @@
 		return this.runData(statement.id, {
 			mode: prepared.mode,
 			command: {
-				kind: 'executePrepared', id: statement.id, preparedName: sharedPreparedName(prepared), argumentsText: statement.argumentsText,
+				kind: 'executePrepared', id: statement.id, preparedName: prepared.backendName, argumentsText: statement.argumentsText,
 			},
 			prepared,
 		});
@@ -185,7 +184,7 @@
 	}
 
 	private prepare({name, mode, shape}: StatementOf<'prepare'>): Answer {
-		return this.answerFor(this.settings.prepare(name, {mode, shape}));
+		return this.answerFor(this.settings.prepare(name, prepareStatement({mode, shape})));
 	}
 
 	/** Answers a change of the settings, which the session may refuse. */
@@ -212,7 +211,9 @@
 
 		const startedMs = this.ports.clock.nowMs();
 		const result = await this.ports.runner.runSingle(this.contextFor(id, route, startedMs), work);
-		this.decisions.record(id, work.mode, result, startedMs);
+		this.decisions.record({
+			requestId: id, operation: work.mode, startedMs, command: work.command,
+		}, result);
 		if (work.mode === 'write' && !result.answer.error) {
 			this.recordCommit(result.answer);
 		}
@@ -226,7 +227,7 @@
 		if (!transaction.openTransaction) {
 			const beginResult = await this.ports.runner.begin(context, transaction.readOnly);
 			if (isRefused(beginResult)) {
-				this.decisions.record(id, 'begin', beginResult, startedMs);
+				this.decisions.record({requestId: id, operation: 'begin', startedMs}, beginResult);
 				return {...beginResult.answer, state: work.command.kind === 'commit' ? 'idle' : 'failed'};
 			}
 
@@ -234,7 +235,9 @@
 		}
 
 		const result = await this.ports.runner.runInTransaction(context, transaction.openTransaction, work, transaction.hasWritten);
-		this.decisions.record(id, work.command.kind === 'commit' ? 'commit' : work.mode, result, startedMs);
+		this.decisions.record({
+			requestId: id, operation: work.command.kind === 'commit' ? 'commit' : work.mode, startedMs, command: work.command,
+		}, result);
 		return this.validateTransactionAnswer(result.answer, transaction, work);
 	}
 
@@ -294,9 +297,9 @@
 
 	private refuseUnknownDatabase(id: string): Answer {
 		const answer = errorAnswer('unknownDatabase', `no route has the name ${this.identity.database}`, 'idle');
-		this.decisions.record(id, 'route', {
-			answer, server: undefined, leadTerm: undefined, minimumPosition: undefined, attempts: 0, waitedMs: 0,
-		}, this.ports.clock.nowMs());
+		this.decisions.record({requestId: id, operation: 'route', startedMs: this.ports.clock.nowMs()}, {
+			answer, server: undefined, connectionNumber: undefined, leadTerm: undefined, minimumPosition: undefined, attempts: 0, waitedMs: 0,
+		});
 		return answer;
 	}
 
--- a/packages/proxy/src/testing/memoryService.ts
+++ b/packages/proxy/src/testing/memoryService.ts
@@ -8,7 +8,7 @@
 	type BackendConnection, type BackendDialer, type BackendServer, ConnectionError,
 } from '../ports.js';
 import {
-	type Answer, type BackendCommand, type BackendRequest, errorAnswer, type PreparedStatement, type ServerStatus, type TransactionState,
+	type Answer, type BackendCommand, type BackendRequest, errorAnswer, type ServerStatus, type StatementDefinition, type TransactionState,
 } from '../statement.js';
 
 type LogEntry = {readonly position: LogPosition; readonly writeId: string};
@@ -27,7 +27,7 @@
 	readonly command: BackendCommand;
 	readonly parameters: ReadonlyMap<string, string>;
 	/** Prepared statement that an execution ran; undefined for other commands. */
-	readonly prepared: PreparedStatement | undefined;
+	readonly prepared: StatementDefinition | undefined;
 	readonly inTransaction: boolean;
 	readonly position: LogPosition;
 };
@@ -79,7 +79,7 @@
 	queueLimit = 30;
 	private busySlots = 0;
 	private readonly waiting: Array<() => void> = [];
-	private readonly connections = new Set<BackendConnection>();
+	private readonly connections = new Set<MemoryConnection>();
 
 	constructor(readonly id: string, readonly service: MemoryService) {}
 
@@ -143,7 +143,7 @@
 	}
 
 	/** Accepts a connection, which is closed when the server restarts. */
-	open(connection: BackendConnection): void {
+	open(connection: MemoryConnection): void {
 		this.openConnections++;
 		this.connections.add(connection);
 		connection.onClose(() => {
@@ -152,6 +152,13 @@
 		});
 	}
 
+	/** Forgets the prepared statements of all open connections. */
+	forgetPreparedStatements(): void {
+		for (const connection of this.connections) {
+			connection.forgetPreparedStatements();
+		}
+	}
+
 	/** Lets the open connections go silent; new ones work. */
 	silenceConnections(): void {
 		this.lastSilentConnection = this.service.connectionCount;
@@ -358,7 +365,7 @@
 class MemoryConnection implements BackendConnection {
 	isOpen = true;
 	private readonly parameters = new Map<string, string>();
-	private readonly prepared = new Map<string, PreparedStatement>();
+	private readonly prepared = new Map<string, StatementDefinition>();
 	private readonly closeListeners: Array<() => void> = [];
 	private readonly pendingRejects = new Set<(error: unknown) => void>();
 	private transaction: Transaction | undefined;
@@ -402,6 +409,10 @@
 		});
 	}
 
+	forgetPreparedStatements(): void {
+		this.prepared.clear();
+	}
+
 	readStatus(answer: Answer): ServerStatus | undefined {
 		return answer.error ? undefined : JSON.parse(answer.rows[0]!) as ServerStatus;
 	}
