--- a/packages/proxy/src/__tests__/session.test.ts
+++ b/packages/proxy/src/__tests__/session.test.ts
@@ -61,6 +61,22 @@
 		}
 	});
 
+	it('prepares a statement again that a server did not know in a transaction (guards against a connection that fails one caller after the other)', async () => {
+		await start();
+		await run(session, 'PREPARE s1 READ shape');
+		await run(session, 'EXECUTE s1 item');
+		harness.service.server('a').forgetPreparedStatements();
+		const outcomes: Array<string | undefined> = [];
+		for (let attempt = 0; attempt < 3; attempt++) {
+			await run(session, 'BEGIN');
+			outcomes.push(await errorOf(session, 'EXECUTE s1 item'));
+			await run(session, 'ROLLBACK');
+			await systemClock.sleep(20);
+		}
+
+		expect(outcomes).to.deep.equal(['aborted', undefined, undefined]);
+	});
+
 	it('reports a prepared statement that a server does not know, with its connection and name (guards against wrong shapes that no log explains)', async () => {
 		await start();
 		await run(session, 'PREPARE s1 READ shape');
@@ -143,6 +159,19 @@
 		it(`reports the possible outcome if the answer to ${lostCase.name} is lost (guards against claims that nothing ran)`, async () => checkLostAnswer(lostCase));
 	}
 
+	const statementsAfterCommit = ['WRITE a 2', 'EXECUTE w1 a 2', 'READ a', 'EXECUTE r1 a'];
+	async function expectServedAfterCommit(text: string): Promise<void> {
+		await start('own');
+		await run(session, 'PREPARE w1 WRITE shape');
+		await run(session, 'PREPARE r1 READ shape');
+		expect(await errorOf(session, 'WRITE a 1')).to.equal(undefined);
+		expect(await errorOf(session, text)).to.equal(undefined);
+	}
+
+	for (const text of statementsAfterCommit) {
+		it(`serves ${text} after a commit of the session (guards against writes with a condition that servers accept for reads only)`, async () => expectServedAfterCommit(text));
+	}
+
 	it('retries a refused read at other servers (guards against refusals while other servers are free)', async () => {
 		await start('own');
 		await run(session, 'READ warm');
--- a/packages/proxy/src/pooledConnection.ts
+++ b/packages/proxy/src/pooledConnection.ts
@@ -52,16 +52,23 @@
 			commands.push({kind: 'prepare', preparedName: prepared.backendName, prepared});
 		}
 
-		await Promise.all(commands.map(async command => this.runSetupCommand(command)));
+		try {
+			await Promise.all(commands.map(async command => this.runSetupCommand(command)));
+		} catch (error) {
+			// Some of the commands may have been carried out, so that the state of the connection is not known.
+			this.close();
+			throw error;
+		}
+
 		this.parameters = parameters;
 		if (prepared) {
 			this.preparedNames.add(prepared.backendName);
 		}
 	}
 
-	/** Removes a prepared statement that the backend server reported as unknown. */
-	forgetPrepared(prepared: PreparedStatement): void {
-		this.preparedNames.delete(prepared.backendName);
+	/** Removes a prepared statement that the backend server reported as unknown, so that it is prepared again. */
+	forgetPrepared(name: BackendStatementName): void {
+		this.preparedNames.delete(name);
 	}
 
 	close(): void {
