--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -5,6 +5,7 @@
 export * from './failure.js';
 export * from './ports.js';
 export * from './position.js';
+export * from './quoteText.js';
 export * from './resources.js';
 export * from './system.js';
 export * from './termGeneration.js';
