Quote at most 80 characters of a text in the messages of a session

The name of a database in NODB, a prepared name in NOSTMT and the name of an unknown service stood in the message in full.

--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -1,4 +1,4 @@
-import {laterPosition, type LogPosition} from '@crocusloom/model';
+import {laterPosition, type LogPosition, quoteText} from '@crocusloom/model';
 import {type CheckRequest, type Route} from './ports.js';
 import {type SessionDecisionPorts, SessionDecisions, type SessionIdentity} from './sessionDecisions.js';
 import {SessionSettings} from './sessionSettings.js';
@@ -170,7 +170,7 @@
 	private async execute(statement: StatementOf<'execute'>): Promise<Answer> {
 		const prepared = this.settings.preparedStatement(statement.name);
 		if (!prepared) {
-			return this.refuse('unknownPrepared', `no statement is prepared as ${statement.name}`);
+			return this.refuse('unknownPrepared', `no statement is prepared as ${quoteText(statement.name)}`);
 		}
 
 		return this.runData(statement.id, {
@@ -200,7 +200,7 @@
 	private deallocate({name}: StatementOf<'deallocate'>): Answer {
 		return this.settings.deallocate(name)
 			? localAnswer(this.state)
-			: this.refuse('unknownPrepared', `no statement is prepared as ${name}`);
+			: this.refuse('unknownPrepared', `no statement is prepared as ${quoteText(name)}`);
 	}
 
 	private async runData(id: string, work: DataWork): Promise<Answer> {
@@ -306,7 +306,7 @@
 	}
 
 	private refuseUnknownDatabase(id: string): Answer {
-		const answer = errorAnswer('unknownDatabase', `no route has the name ${this.identity.database}`, 'idle');
+		const answer = errorAnswer('unknownDatabase', `no route has the name ${quoteText(this.identity.database)}`, 'idle');
 		this.decisions.record({requestId: id, operation: 'route', startedMs: this.ports.clock.nowMs()}, {
 			answer, server: undefined, connectionNumber: undefined, leadTerm: undefined, minimumPosition: undefined, attempts: 0, waitedMs: 0,
 		});
--- a/packages/proxy/src/targetSearch.ts
+++ b/packages/proxy/src/targetSearch.ts
@@ -1,4 +1,4 @@
-import {type Clock, laterPosition} from '@crocusloom/model';
+import {type Clock, laterPosition, quoteText} from '@crocusloom/model';
 import {chooseReadBackend} from './placement.js';
 import {type ServiceView} from './serviceView.js';
 import {type AnswerError} from './statement.js';
@@ -42,7 +42,7 @@
 		const {route, arrivedMs} = execution.context;
 		const view = this.ports.viewOf(route.service);
 		if (!view) {
-			throw new Refusal({kind: 'overloaded', message: `service ${route.service} is not known`}, true);
+			throw new Refusal({kind: 'overloaded', message: `service ${quoteText(route.service)} is not known`}, true);
 		}
 
 		execution.view = view;
