Keep the case of quoted names in DEALLOCATE, SET, RESET and SHOW

Callers saw: DEALLOCATE "MyStmt" dropped the statement mystmt of the session, whose preparing had been acknowledged, and left MyStmt. SET, RESET and SHOW refused a quoted name, and DEALLOCATE an unquoted one with letters outside ASCII or dollar signs.

Cause: names were folded as a whole before their quotes were read.

Change: an identifier is read as PostgreSQL reads it. A quoted one keeps its case, with doubled quotes resolved; in any other, the letters of ASCII are folded. Names of parameters are folded even if quoted, because PostgreSQL ignores their case.

--- a/packages/callers/src/localCommands.ts
+++ b/packages/callers/src/localCommands.ts
@@ -62,30 +62,56 @@
 	return separated.split('\0').map(part => part.trim()).filter(part => part !== '');
 }
 
+/** An identifier: a quoted one, or a word of letters, digits, underscores and dollar signs. Every character outside ASCII counts as a letter, as in PostgreSQL. */
+const identifierPattern = /"(?:[^"]|"")+"|[A-Z_a-z\u{80}-\u{10FFFF}][\w$\u{80}-\u{10FFFF}]*/v;
+/** Name of a parameter: identifiers separated by dots. */
+const parameterNamePattern = new RegExp(String.raw`(?:${identifierPattern.source})(?:\s*\.\s*(?:${identifierPattern.source}))*`, 'v');
+const parameterName = `(?<name>${parameterNamePattern.source})`;
+
 const commandParsers: ReadonlyArray<readonly [RegExp, (name: string, value: string) => LocalCommand | undefined]> = [
 	[/^set\s+(?:session\s+)?time\s+zone\s+(?<value>.+)$/isv, (_name, value) => setOrReset('timezone', value)],
 	[/^set\s+names\s+(?<value>.+)$/isv, (_name, value) => setOrReset('client_encoding', value)],
-	[/^set\s+(?:session\s+)?(?<name>[a-z_][\w.]*)\s*(?:=|\bto\b)\s*(?<value>.+)$/isv, setOrReset],
+	[new RegExp(String.raw`^set\s+(?:session\s+)?${parameterName}\s*(?:=|\bto\b)\s*(?<value>.+)$`, 'isv'), (name, value) => setOrReset(readParameterName(name), value)],
 	[/^reset\s+all$/iv, () => ({kind: 'resetAll'})],
 	[/^reset\s+time\s+zone$/iv, () => ({kind: 'reset', name: 'timezone'})],
-	[/^reset\s+(?<name>[a-z_][\w.]*)$/iv, name => ({kind: 'reset', name})],
-	[/^show\s+(?<name>crocusloom\.\w+)$/iv, name => ({kind: 'show', name})],
+	[new RegExp(String.raw`^reset\s+${parameterName}$`, 'iv'), name => ({kind: 'reset', name: readParameterName(name)})],
+	[new RegExp(String.raw`^show\s+${parameterName}$`, 'iv'), name => showProxyOption(readParameterName(name))],
 	[/^discard\s+all$/iv, () => ({kind: 'discardAll'})],
 	[/^deallocate\s+(?:prepare\s+)?all$/iv, () => ({kind: 'deallocateAll'})],
-	[/^deallocate\s+(?:prepare\s+)?(?<name>\w+|"(?:[^"]|"")+")$/iv, name => ({kind: 'deallocate', name: name.startsWith('"') ? unquote(name) : name})],
+	[new RegExp(String.raw`^deallocate\s+(?:prepare\s+)?(?<name>${identifierPattern.source})$`, 'iv'), name => ({kind: 'deallocate', name: readIdentifier(name)})],
 ];
 
 function parseCommand(statement: string): LocalCommand | undefined {
 	for (const [pattern, createCommand] of commandParsers) {
 		const match = pattern.exec(statement);
 		if (match) {
-			return createCommand((match.groups?.name ?? '').toLowerCase(), match.groups?.value ?? '');
+			return createCommand(match.groups?.name ?? '', match.groups?.value ?? '');
 		}
 	}
 
 	return undefined;
 }
 
+/** Returns the name to which an identifier refers. A quoted one keeps its case; in any other, PostgreSQL folds the letters of ASCII to lower case. */
+function readIdentifier(identifier: string): string {
+	return identifier.startsWith('"') ? unquote(identifier) : foldCase(identifier);
+}
+
+function foldCase(text: string): string {
+	return text.replaceAll(/[A-Z]+/gv, letters => letters.toLowerCase());
+}
+
+/** Returns the name of a parameter in lower case, because PostgreSQL ignores the case of a parameter's name even if it is quoted. */
+function readParameterName(text: string): string {
+	const identifiers = text.match(new RegExp(identifierPattern.source, 'gv'))!;
+	return foldCase(identifiers.map(identifier => readIdentifier(identifier)).join('.'));
+}
+
+/** SHOW of a server parameter is sent to the backend server. */
+function showProxyOption(name: string): LocalCommand | undefined {
+	return name.startsWith('crocusloom.') ? {kind: 'show', name} : undefined;
+}
+
 function setOrReset(name: string, rawValue: string): LocalCommand {
 	const value = rawValue.trim();
 	return /^default$/iv.test(value) ? {kind: 'reset', name} : {kind: 'set', name, value: parseValue(value)};
