Keep the part of DateStyle that a value does not name

SET datestyle TO 'DMY' after 'SQL' lost SQL, and an invalid value was acknowledged and then failed every later statement of the session.

Cause: ISO counted as the default, whatever was set before, and other values were applied to the default of the backend connection.

An invalid value is refused with 22023.

--- a/packages/callers/src/settings.ts
+++ b/packages/callers/src/settings.ts
@@ -1,6 +1,7 @@
 import {
 	advanceVector, formatSessionToken, parseSessionToken, type Configuration, type FreshnessVector, type LogPosition,
 } from '@crocusloom/model';
+import {defaultDateStyle, resolveDateStyle} from './dateStyle.js';
 import {callerSqlStates, protocolError} from './errors.js';
 
 /** Maximum length of an idempotency key. */
@@ -22,7 +23,7 @@
 	['default_transaction_read_only', 'off'],
 	['in_hot_standby', 'off'],
 	['is_superuser', 'off'],
-	['DateStyle', 'ISO, MDY'],
+	['DateStyle', defaultDateStyle],
 	['IntervalStyle', 'postgres'],
 	['TimeZone', 'UTC'],
 	['integer_datetimes', 'on'],
@@ -34,12 +35,12 @@
 	return reportedParameters.map(([name, value]) => [name, name === 'application_name' ? settings.application : settings.serverParameters.get(name.toLowerCase()) ?? value]);
 }
 
-/** Values that need not be applied, because they are in force on backend connections or make no difference. */
+/** Values that need not be applied, because they are in force on backend connections or make no difference, whatever value was set before. */
 const noOpValuePatterns: Readonly<Record<string, RegExp>> = {
 	application_name: /^/v,
 	client_encoding: /^(?:utf-?8|unicode)$/iv,
 	extra_float_digits: /^[0-3]$/v,
-	datestyle: /^"?iso(?:\s*,\s*mdy)?"?$/iv,
+	datestyle: new RegExp(`^${defaultDateStyle}$`, 'v'),
 	timezone: /^(?:utc|etc\/utc)$/iv,
 	intervalstyle: /^postgres$/iv,
 	standard_conforming_strings: /^(?:on|true|1)$/iv,
@@ -51,6 +52,11 @@
 	idle_in_transaction_session_timeout: /^0$/v,
 };
 
+/** Functions that complete values whose meaning depends on the value before, by parameter. They return undefined for an invalid value. */
+const valueResolvers: Readonly<Record<string, (currentValue: string | undefined, value: string) => string | undefined>> = {
+	datestyle: (currentValue, value) => resolveDateStyle(currentValue ?? defaultDateStyle, value),
+};
+
 /** Parameters that are refused, because they would affect other callers or change the identity of the session. */
 const refusedParameters: ReadonlySet<string> = new Set(['role', 'session_authorization', 'transaction_read_only', 'default_transaction_read_only']);
 
@@ -176,7 +182,13 @@
 		return true;
 	}
 
-	private setServerParameter(name: string, value: string): void {
+	private setServerParameter(name: string, givenValue: string): void {
+		const resolve = valueResolvers[name];
+		const value = resolve ? resolve(this.serverParameters.get(name), givenValue) : givenValue;
+		if (value === undefined) {
+			throw this.invalidValueError(name, givenValue);
+		}
+
 		if (refusedParameters.has(name)) {
 			throw protocolError('classify', this.peer, callerSqlStates.featureNotSupported, `option "${name}" cannot be set for a session behind a pool; use SET LOCAL or BEGIN READ ONLY`);
 		}
