Apply extra_float_digits = 0

Callers saw: after SET extra_float_digits = 0, floating-point numbers still came with all digits, where PostgreSQL rounds them to 15.

Cause: 0 counted as a value that makes no difference. Since PostgreSQL 12 that holds for 1 to 3 only; the default is 1.

--- a/packages/callers/src/settings.ts
+++ b/packages/callers/src/settings.ts
@@ -39,7 +39,8 @@
 const noOpValuePatterns: Readonly<Record<string, RegExp>> = {
 	application_name: /^/v,
 	client_encoding: /^(?:utf-?8|unicode)$/iv,
-	extra_float_digits: /^[0-3]$/v,
+	// Since PostgreSQL 12, all values from 1 give the shortest exact output, and 0 rounds.
+	extra_float_digits: /^[1-3]$/v,
 	datestyle: new RegExp(`^${defaultDateStyle}$`, 'v'),
 	timezone: /^(?:utc|etc\/utc)$/iv,
 	intervalstyle: /^postgres$/iv,
