Apply search_path = public

Callers saw: after SET search_path = public, a table of the schema that is named like the user hid the table of public.

Cause: public counted as the default, which is "$user", public.

--- a/packages/callers/src/__tests__/settings.test.ts
+++ b/packages/callers/src/__tests__/settings.test.ts
@@ -29,6 +29,13 @@
 		['datestyle', ['MDY, German'], 'German, MDY'],
 		['datestyle', ['German, YMD'], 'German, YMD'],
 		['datestyle', ['SQL, DMY', ''], 'SQL, DMY'],
+		['extra_float_digits', ['3'], undefined],
+		['extra_float_digits', ['1'], undefined],
+		['extra_float_digits', ['0'], '0'],
+		['extra_float_digits', ['0', '2'], undefined],
+		['search_path', ['"$user", public'], undefined],
+		['search_path', ['public'], 'public'],
+		['search_path', ['a', '"$user",public'], undefined],
 		['bytea_output', ['escape', 'hex'], undefined],
 		['timezone', ['Europe/Berlin', 'UTC'], undefined],
 	];
--- a/packages/callers/src/settings.ts
+++ b/packages/callers/src/settings.ts
@@ -47,7 +47,7 @@
 	standard_conforming_strings: /^(?:on|true|1)$/iv,
 	bytea_output: /^hex$/iv,
 	client_min_messages: /^notice$/iv,
-	search_path: /^(?:(?:"\$user"\s*,\s*)?public)$/iv,
+	search_path: /^"\$user"\s*,\s*public$/iv,
 	statement_timeout: /^0$/v,
 	lock_timeout: /^0$/v,
 	idle_in_transaction_session_timeout: /^0$/v,
