Look up parameters by name in maps, not in objects

Callers saw: SET constructor = 'x' and SET "__proto__" = 'x' got an internal error (XX000), because the name of the parameter was looked up in an object and found a property that every object has.

Change: the tables of parameters are maps.

--- a/packages/callers/src/__tests__/settings.test.ts
+++ b/packages/callers/src/__tests__/settings.test.ts
@@ -56,6 +56,12 @@
 		});
 	}
 
+	for (const name of ['constructor', '__proto__', 'valueof']) {
+		it(`keeps the parameter ${name} as any other (guards against an internal error for the name of a property that every object has)`, () => {
+			expect(appliedValue(name, ['x'])).to.equal('x');
+		});
+	}
+
 	it('reports the DateStyle with its order (guards against a driver that reads dates in another order)', () => {
 		const settings = new SessionSettings('caller');
 		settings.set('datestyle', 'DMY', fakeConfiguration);
--- a/packages/callers/src/settings.ts
+++ b/packages/callers/src/settings.ts
@@ -36,7 +36,7 @@
 }
 
 /** Values that need not be applied, because they are in force on backend connections or make no difference, whatever value was set before. */
-const noOpValuePatterns: Readonly<Record<string, RegExp>> = {
+const noOpValuePatterns: ReadonlyMap<string, RegExp> = new Map(Object.entries({
 	application_name: /^/v,
 	client_encoding: /^(?:utf-?8|unicode)$/iv,
 	// Since PostgreSQL 12, all values from 1 give the shortest exact output, and 0 rounds.
@@ -51,12 +51,12 @@
 	statement_timeout: /^0$/v,
 	lock_timeout: /^0$/v,
 	idle_in_transaction_session_timeout: /^0$/v,
-};
+}));
 
 /** Functions that complete values whose meaning depends on the value before, by parameter. They return undefined for an invalid value. */
-const valueResolvers: Readonly<Record<string, (currentValue: string | undefined, value: string) => string | undefined>> = {
-	datestyle: (currentValue, value) => resolveDateStyle(currentValue ?? defaultDateStyle, value),
-};
+const valueResolvers: ReadonlyMap<string, (currentValue: string | undefined, value: string) => string | undefined> = new Map([
+	['datestyle', (currentValue, value) => resolveDateStyle(currentValue ?? defaultDateStyle, value)],
+]);
 
 /** Parameters that are refused, because they would affect other callers or change the identity of the session. */
 const refusedParameters: ReadonlySet<string> = new Set(['role', 'session_authorization', 'transaction_read_only', 'default_transaction_read_only']);
@@ -184,7 +184,7 @@
 	}
 
 	private setServerParameter(name: string, givenValue: string): void {
-		const resolve = valueResolvers[name];
+		const resolve = valueResolvers.get(name);
 		const value = resolve ? resolve(this.serverParameters.get(name), givenValue) : givenValue;
 		if (value === undefined) {
 			throw this.invalidValueError(name, givenValue);
@@ -194,7 +194,7 @@
 			throw protocolError('classify', this.peer, callerSqlStates.featureNotSupported, `option "${name}" cannot be set for a session behind a pool; use SET LOCAL or BEGIN READ ONLY`);
 		}
 
-		if (name === 'client_encoding' && !noOpValuePatterns.client_encoding!.test(value)) {
+		if (name === 'client_encoding' && !noOpValuePatterns.get('client_encoding')!.test(value)) {
 			throw this.invalidValueError(name, value);
 		}
 
@@ -202,7 +202,7 @@
 			this.application = value;
 		}
 
-		if (noOpValuePatterns[name]?.test(value)) {
+		if (noOpValuePatterns.get(name)?.test(value)) {
 			this.reset(name);
 			return;
 		}
