Take back session parameters as PostgreSQL does

Callers saw: a value set after a savepoint stayed in the session after ROLLBACK TO and COMMIT; so did one set in a transaction whose COMMIT failed or came after an error, and application_name after ROLLBACK, by which work is routed. RESET in a transaction left the value in force until its end. ROLLBACK AND CHAIN and COMMIT AND CHAIN left the connection without the parameters of the session, and a SET overwrote SET LOCAL of another one.

Cause: only a single ROLLBACK returned to the parameters from before the transaction. Everything was applied again on any change, and what a reset had removed could not be applied.

Change: the classification names all transaction control commands. The session keeps its parameters and those applied on the connection for each savepoint and follows the commands. Only differences are applied, with NULL for a default. Work routed by application_name follows it as well, whose length now has the limit of the other values.

The fake backend of the tests now knows savepoints, AND CHAIN, SET LOCAL and commits that fail.

--- a/packages/callers/src/__tests__/fakeBackend.ts
+++ b/packages/callers/src/__tests__/fakeBackend.ts
@@ -35,6 +35,8 @@
 	status: 'I' | 'T' | 'E' = 'I';
 	private readonly portals = new Map<string, Portal>();
 	private undoActions: Array<() => void> = [];
+	/** Savepoints of the open transaction, with the settings to which ROLLBACK TO returns. */
+	private savepoints: Array<{readonly name: string; readonly settings: ReadonlyMap<string, string>}> = [];
 	private isInTransactionBlock = false;
 
 	private readonly commands: Readonly<Record<string, (text: string, values: readonly string[]) => StatementResult>> = {
@@ -43,19 +45,46 @@
 			this.status = 'T';
 			return {tag: 'BEGIN', isQuery: false};
 		},
-		commit: () => {
+		commit: text => {
+			if (text.includes('deferred')) {
+				this.rollback();
+				throw sqlError('23503', 'a deferred constraint is violated');
+			}
+
 			const tag = this.status === 'E' ? 'ROLLBACK' : 'COMMIT';
 			if (this.status !== 'E') {
 				this.undoActions = [];
 			}
 
-			this.rollback();
+			this.endTransaction(text);
 			return {tag, isQuery: false};
 		},
-		rollback: () => {
-			this.rollback();
+		rollback: text => {
+			const savepoint = /^\s*rollback\s+to\s+(?<name>\w+)/iv.exec(text)?.groups?.name;
+			if (savepoint === undefined) {
+				this.endTransaction(text);
+			} else {
+				this.rollbackTo(savepoint);
+			}
+
 			return {tag: 'ROLLBACK', isQuery: false};
 		},
+		savepoint: text => {
+			this.savepoints.push({name: text.trim().split(/\s+/v)[1]!, settings: new Map(this.settings)});
+			return {tag: 'SAVEPOINT', isQuery: false};
+		},
+		release: text => {
+			this.savepoints.length = this.findSavepoint(text.trim().split(/\s+/v)[1]!);
+			return {tag: 'RELEASE', isQuery: false};
+		},
+		set: text => {
+			const groups = /^\s*set\s+local\s+(?<name>\w+)\s*=\s*'(?<value>[^']*)'/iv.exec(text)?.groups;
+			if (groups) {
+				this.settings.set(groups.name!, groups.value!);
+			}
+
+			return {tag: 'SET', isQuery: false};
+		},
 		insert: (text, values) => this.insert(text, values),
 		update: text => {
 			const groups = /answer = '(?<answer>[^']*)' where key = '(?<key>[^']*)'/iv.exec(text)!.groups!;
@@ -97,12 +126,41 @@
 		}
 
 		this.undoActions = [];
+		this.savepoints = [];
 		this.isInTransactionBlock = false;
 		this.status = 'I';
 		this.settings.clear();
 		this.portals.clear();
 	}
 
+	private endTransaction(text: string): void {
+		this.rollback();
+		if (/\band\s+chain\b/iv.test(text)) {
+			this.isInTransactionBlock = true;
+			this.status = 'T';
+		}
+	}
+
+	private rollbackTo(name: string): void {
+		const index = this.findSavepoint(name);
+		this.savepoints.length = index + 1;
+		this.settings.clear();
+		for (const [settingName, value] of this.savepoints[index]!.settings) {
+			this.settings.set(settingName, value);
+		}
+
+		this.status = 'T';
+	}
+
+	private findSavepoint(name: string): number {
+		const index = this.savepoints.findLastIndex(savepoint => savepoint.name === name);
+		if (index === -1) {
+			throw sqlError('3B001', `no savepoint ${name}`);
+		}
+
+		return index;
+	}
+
 	private endExchange(isFailed: boolean): void {
 		if (this.isInTransactionBlock) {
 			return;
@@ -242,8 +300,12 @@
 	}
 
 	private select(text: string, values: readonly string[]): StatementResult {
-		for (const [, name, value] of text.matchAll(/set_config\('(?<name>[^']*)', '(?<value>[^']*)', true\)/gv)) {
-			this.settings.set(name!, value!);
+		for (const [, name, value] of text.matchAll(/set_config\('(?<name>[^']*)', (?:'(?<value>[^']*)'|NULL), true\)/gv)) {
+			if (value === undefined) {
+				this.settings.delete(name!);
+			} else {
+				this.settings.set(name!, value);
+			}
 		}
 
 		const key = /from crocusloom_idempotency where key = '(?<key>[^']*)'/iv.exec(text)?.groups?.key;
--- a/packages/callers/src/exchange.ts
+++ b/packages/callers/src/exchange.ts
@@ -4,6 +4,7 @@
 } from '@crocusloom/wire';
 import {type StatementPlan} from './plans.js';
 import {type ExpectedResponse} from './response.js';
+import {type TransactionStep} from './transactionParameters.js';
 
 /** An exchange in the form in which it is sent to a backend server. */
 export type PlannedExchange = {
@@ -12,6 +13,8 @@
 	readonly protocol: 'simple' | 'extended';
 	readonly mode: StatementMode;
 	readonly plans: readonly StatementPlan[];
+	/** Transaction control commands that are executed, in order. */
+	readonly transactionSteps: readonly TransactionStep[];
 	/** True if a statement is executed, not only parsed or described. */
 	readonly hasExecution: boolean;
 	readonly preparedStatements: readonly PreparedStatement[];
--- a/packages/callers/src/exchangeRunner.ts
+++ b/packages/callers/src/exchangeRunner.ts
@@ -4,7 +4,7 @@
 import {parameterStatus} from '@crocusloom/wire';
 import {callerSqlStates, protocolError} from './errors.js';
 import {
-	concatFrames, hasBegin, isTransactionEnd, mayCommit, mayEndTransaction, syncFrame, withServerParameters, type PlannedExchange,
+	concatFrames, hasBegin, isTransactionEnd, mayCommit, syncFrame, withServerParameters, type PlannedExchange,
 } from './exchange.js';
 import {
 	keyUseOf, recordTransactionKey, runIdempotent, type IdempotencyContext,
@@ -14,22 +14,24 @@
 import {chooseRoute, type Route} from './routes.js';
 import {type SessionContext} from './session.js';
 import {type SessionUnitOfWork} from './sessionUnitOfWork.js';
-import {setConfigStatement} from './settings.js';
+import {backendChanges, setConfigStatement} from './settings.js';
+import {TransactionParameters} from './transactionParameters.js';
+import {type TransactionStatus} from './types.js';
 
 /** Maximum size of the response to BEGIN, with room for notices. */
 const maximumBeginResponseBytes = 64 * 1024;
 
 /** Runs the planned exchanges of one session and writes their responses up to ReadyForQuery. */
 export class ExchangeRunner {
-	/** Server parameters before the open transaction, which ROLLBACK restores. */
-	private parametersBeforeTransaction: ReadonlyMap<string, string> | undefined;
-	/** Server parameters applied on the connection of the open transaction. */
-	private appliedParameters: ReadonlyMap<string, string> | undefined;
+	/** Server parameters in the open transaction. */
+	readonly transactionParameters: TransactionParameters;
 	/** Group of the latest unit of work. The route may name another group by the time at which the work ends, or be gone. */
 	private workGroup: string | undefined;
 	private cachedRoute: {readonly configuration: Configuration; readonly key: string; readonly route: Route} | undefined;
 
-	constructor(private readonly sessionContext: SessionContext, private readonly unitOfWork: SessionUnitOfWork, private readonly statements: SessionStatements) {}
+	constructor(private readonly sessionContext: SessionContext, private readonly unitOfWork: SessionUnitOfWork, private readonly statements: SessionStatements) {
+		this.transactionParameters = new TransactionParameters(sessionContext.settings);
+	}
 
 	/**
 	 * Runs an exchange and writes the response.
@@ -38,32 +40,26 @@
 	 * @throws FailureError if the exchange could not be completed, in which case the caller has received no ReadyForQuery
 	 */
 	async run(plannedExchange: PlannedExchange, createEndFrames: () => readonly Buffer[]): Promise<boolean> {
-		const isInTransaction = this.unitOfWork.status !== 'I';
+		const statusBefore = this.unitOfWork.status;
+		const isInTransaction = statusBefore !== 'I';
 		const exchange = this.addServerParameters(plannedExchange);
 		try {
 			const idempotencyKey = isInTransaction ? undefined : this.takeIdempotencyKey(exchange);
-			return idempotencyKey === undefined ? await this.runWithoutKey(exchange, isInTransaction, createEndFrames) : await this.runWithKey(idempotencyKey, exchange, createEndFrames);
+			return idempotencyKey === undefined ? await this.runWithoutKey(exchange, statusBefore, createEndFrames) : await this.runWithKey(idempotencyKey, exchange, createEndFrames);
 		} catch (error) {
 			this.removeUnconfirmedStatements(exchange);
 			// Later statements of this transaction must not run outside it, so the transaction stays failed until ROLLBACK.
 			const isBlockOpen = (isInTransaction || hasBegin(exchange.plans)) && !exchange.plans.some(plan => isTransactionEnd(plan));
 			this.unitOfWork.endWithStatus(isBlockOpen ? 'E' : 'I');
+			if (!isBlockOpen) {
+				this.transactionParameters.rollBack();
+			}
+
 			throw error;
 		}
 	}
 
-	/** Clears the state of a transaction that has ended. */
-	clearTransactionParameters(): void {
-		this.parametersBeforeTransaction = undefined;
-		this.appliedParameters = undefined;
-	}
-
-	/** Restores the server parameters from before the transaction. */
-	restoreParameters(): void {
-		this.sessionContext.settings.serverParameters = this.parametersBeforeTransaction ?? this.sessionContext.settings.serverParameters;
-	}
-
-	private async runWithoutKey(exchange: PlannedExchange, wasInTransaction: boolean, createEndFrames: () => readonly Buffer[]): Promise<boolean> {
+	private async runWithoutKey(exchange: PlannedExchange, statusBefore: TransactionStatus, createEndFrames: () => readonly Buffer[]): Promise<boolean> {
 		const editor = this.createEditor(exchange);
 		const responseWriter = new ResponseWriter(this.sessionContext.channel, editor);
 		const result = await this.forward(exchange, responseWriter.sink);
@@ -72,7 +68,7 @@
 			this.removeUnconfirmedStatements(exchange, editor);
 		}
 
-		this.trackTransactionParameters(exchange, wasInTransaction);
+		this.followTransaction(exchange, statusBefore, isFailed);
 		await responseWriter.finish([...this.recordPosition(result), ...createEndFrames()]);
 		return isFailed;
 	}
@@ -80,7 +76,7 @@
 	private async runWithKey(key: string, exchange: PlannedExchange, createEndFrames: () => readonly Buffer[]): Promise<boolean> {
 		const keyUse = keyUseOf(exchange);
 		if (keyUse === 'none') {
-			return this.runWithoutKey(exchange, false, createEndFrames);
+			return this.runWithoutKey(exchange, 'I', createEndFrames);
 		}
 
 		if (keyUse === 'mixed') {
@@ -116,7 +112,7 @@
 			await recordTransactionKey(context);
 		}
 
-		this.trackTransactionParameters(exchange, false);
+		this.followTransaction(exchange, 'I', result.sqlState !== undefined);
 		await this.sessionContext.channel.write([Buffer.concat([...capturedResponse.frames().map(({bytes}) => bytes), ...this.recordPosition(result), ...createEndFrames()])]);
 		return result.sqlState !== undefined;
 	}
@@ -196,25 +192,18 @@
 	}
 
 	private addServerParameters(exchange: PlannedExchange): PlannedExchange {
-		const {serverParameters} = this.sessionContext.settings;
-		const isApplied = serverParameters.size === 0 || (this.unitOfWork.status !== 'I' && serverParameters === this.appliedParameters);
-		const isNeeded = !isApplied && exchange.hasExecution && !exchange.plans.some(plan => isTransactionEnd(plan));
-		return isNeeded ? withServerParameters(exchange, setConfigStatement(serverParameters)) : exchange;
-	}
-
-	/** Saves the server parameters at the start of a transaction, and restores them after ROLLBACK. */
-	private trackTransactionParameters(exchange: PlannedExchange, wasInTransaction: boolean): void {
-		const {settings} = this.sessionContext;
-		if (this.unitOfWork.status !== 'I') {
-			this.parametersBeforeTransaction ??= settings.serverParameters;
-			this.appliedParameters = exchange.hasExecution ? settings.serverParameters : this.appliedParameters;
-			return;
+		// In a failed transaction, only the statements that end it or return to a savepoint run.
+		if (!exchange.hasExecution || this.unitOfWork.status === 'E' || exchange.plans.some(plan => isTransactionEnd(plan))) {
+			return exchange;
 		}
 
-		const isRolledBack = exchange.plans.some(({classification}) => classification.transaction === 'rollback');
-		if (wasInTransaction && isRolledBack && mayEndTransaction(exchange.plans)) {
-			this.restoreParameters();
-		}
+		const changes = backendChanges(this.transactionParameters.applied, this.sessionContext.settings.serverParameters);
+		this.transactionParameters.markApplied();
+		return changes.size > 0 ? withServerParameters(exchange, setConfigStatement(changes)) : exchange;
+	}
+
+	private followTransaction(exchange: PlannedExchange, statusBefore: TransactionStatus, isFailed: boolean): void {
+		this.transactionParameters.follow(exchange.transactionSteps, {isFailed, hadFailedBefore: statusBefore === 'E', isEnded: this.unitOfWork.status === 'I'});
 	}
 
 	/** Advances the session token to the position of the result, in the group in which the work ran. Returns the ParameterStatus that reports the token if it changed. */
--- a/packages/callers/src/extended.ts
+++ b/packages/callers/src/extended.ts
@@ -5,9 +5,11 @@
 import {callerSqlStates, protocolError} from './errors.js';
 import {responseEndTypes, type PlannedExchange} from './exchange.js';
 import {type LocalCommand} from './localCommands.js';
+import {type ParameterValues} from './parameterChanges.js';
 import {type StatementPlan} from './plans.js';
 import {readParseMessage, type SessionStatement, type SessionStatements} from './preparedStatements.js';
 import {type ExpectedResponse} from './response.js';
+import {type TransactionStep} from './transactionParameters.js';
 
 /** State of the session that the planner uses. */
 export type ExtendedPlannerContext = {
@@ -17,6 +19,8 @@
 	readonly portals: Map<string, SessionStatement>;
 	/** True if statements have to be parsed in each exchange, because server parameters of the session may change their meaning. */
 	readonly needsInlineParse: boolean;
+	/** Returns the server parameters of the session at this point of the exchange. */
+	readonly currentParameters: () => ParameterValues;
 	/** Returns the commands that the proxy runs itself for a plan, in the current state of the session. */
 	readonly localCommandsOf: (plan: StatementPlan) => readonly LocalCommand[] | undefined;
 	/** Returns the response to Describe of such commands. */
@@ -38,6 +42,7 @@
 	private readonly frames: Buffer[] = [];
 	private readonly expectedResponses: ExpectedResponse[] = [];
 	private readonly plans: StatementPlan[] = [];
+	private readonly transactionSteps: TransactionStep[] = [];
 	private readonly newStatements: Array<{readonly name: string; readonly response: ExpectedResponse}> = [];
 	private readonly preparedStatements = new Map<string, PreparedStatement>();
 	/** Unnamed statement on the backend connection at this point of the exchange. */
@@ -85,6 +90,7 @@
 			protocol: 'extended',
 			mode: this.plans.every(({classification}) => classification.mode === 'read') ? 'read' : 'write',
 			plans: this.plans,
+			transactionSteps: this.transactionSteps,
 			hasExecution: this.hasExecution,
 			preparedStatements: [...this.preparedStatements.values()],
 			expectedResponses: this.expectedResponses,
@@ -194,6 +200,8 @@
 
 		if (statement) {
 			this.plans.push(statement.plan);
+			const parameters = this.context.currentParameters();
+			this.transactionSteps.push(...statement.plan.classification.transactionCommands.map(command => ({command, parameters})));
 		}
 
 		this.hasExecution = true;
--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -122,7 +122,7 @@
 
 		if (this.unitOfWork.status === 'I') {
 			this.portals.clear();
-			this.exchangeRunner.clearTransactionParameters();
+			this.exchangeRunner.transactionParameters.clear();
 		}
 	}
 
@@ -182,6 +182,7 @@
 			protocol: 'simple',
 			mode: plan.classification.mode,
 			plans: [plan],
+			transactionSteps: plan.classification.transactionCommands.map(command => ({command, parameters: this.sessionContext.settings.serverParameters})),
 			hasExecution: true,
 			preparedStatements: [],
 			expectedResponses: localFrames ? [{kind: 'local', frames: localFrames}] : [{kind: 'forward', endTypes: responseEndTypes.simpleQuery}],
@@ -238,8 +239,7 @@
 		const {hasLostTransaction} = this.unitOfWork;
 		if (hasLostTransaction) {
 			this.unitOfWork.endWithStatus('I');
-			this.exchangeRunner.restoreParameters();
-			this.exchangeRunner.clearTransactionParameters();
+			this.exchangeRunner.transactionParameters.rollBack();
 		}
 
 		return hasLostTransaction;
@@ -252,8 +252,9 @@
 			statements: this.sessionStatements,
 			portals: this.portals,
 			get needsInlineParse() {
-				return settings.serverParameters.size > 0;
+				return settings.hasAppliedParameters;
 			},
+			currentParameters: () => settings.serverParameters,
 			localCommandsOf: plan => this.localCommandsOf(plan),
 			describeCommands: commands => this.commandRunner.describe(commands),
 			runCommands: commands => this.commandRunner.run(commands, false),
--- a/packages/callers/src/settings.ts
+++ b/packages/callers/src/settings.ts
@@ -3,12 +3,15 @@
 } from '@crocusloom/model';
 import {defaultDateStyle, resolveDateStyle} from './dateStyle.js';
 import {callerSqlStates, protocolError} from './errors.js';
+import {changesBetween, type ParameterChanges, type ParameterValues} from './parameterChanges.js';
 
 /** Maximum length of an idempotency key. */
 const maximumIdempotencyKeyLength = 256;
 /** Maximum number of server parameters per session. */
 const maximumServerParameters = 64;
 const maximumParameterValueLength = 1024;
+/** Parameter that routes the work of a session and is not applied on backend connections. */
+const applicationParameter = 'application_name';
 const proxyOptionPrefix = 'crocusloom.';
 
 // eslint-disable-next-line unicorn/text-encoding-identifier-case -- PostgreSQL reports the encoding in this spelling.
@@ -32,12 +35,11 @@
 
 /** Returns the reported parameters with the values that the startup message of the session set. */
 export function reportedParameterValues(settings: SessionSettings): ReadonlyArray<readonly [string, string]> {
-	return reportedParameters.map(([name, value]) => [name, name === 'application_name' ? settings.application : settings.serverParameters.get(name.toLowerCase()) ?? value]);
+	return reportedParameters.map(([name, value]) => [name, settings.serverParameters.get(name.toLowerCase()) ?? value]);
 }
 
 /** Values that need not be applied, because they are in force on backend connections or make no difference, whatever value was set before. */
 const noOpValuePatterns: ReadonlyMap<string, RegExp> = new Map(Object.entries({
-	application_name: /^/v,
 	client_encoding: /^(?:utf-?8|unicode)$/iv,
 	// Since PostgreSQL 12, all values from 1 give the shortest exact output, and 0 rounds.
 	extra_float_digits: /^[1-3]$/v,
@@ -63,14 +65,13 @@
 
 /** Settings of a session: the `crocusloom.*` options, which the proxy handles, and server parameters, which it applies on backend connections. */
 export class SessionSettings {
-	application = '';
 	rank: string | undefined;
 	freshness: string | undefined;
 	idempotencyKey: string | undefined;
 	freshnessVector: FreshnessVector = new Map();
 	hasSessionToken = false;
-	/** Server parameters that are applied to each unit of work. The map is replaced on a change and never modified, so that a reference is a snapshot. */
-	serverParameters: ReadonlyMap<string, string> = new Map();
+	/** Server parameters, with `application_name`, which routes the work and is not applied. The others are applied to each unit of work. The map is replaced on a change and never modified, so that a reference is a snapshot. */
+	serverParameters: ParameterValues = new Map();
 
 	private readonly proxyOptionGetters: Readonly<Record<string, () => string>> = {
 		'crocusloom.session': () => formatSessionToken(this.freshnessVector),
@@ -113,6 +114,15 @@
 
 	constructor(private readonly peer: string) {}
 
+	get application(): string {
+		return this.serverParameters.get(applicationParameter) ?? '';
+	}
+
+	/** True if the session has parameters that are applied on backend connections. */
+	get hasAppliedParameters(): boolean {
+		return this.serverParameters.size > (this.serverParameters.has(applicationParameter) ? 1 : 0);
+	}
+
 	/**
 	 * Sets a parameter.
 	 * @param name - name in lower case, of a `crocusloom.*` option or a server parameter
@@ -198,10 +208,6 @@
 			throw this.invalidValueError(name, value);
 		}
 
-		if (name === 'application_name') {
-			this.application = value;
-		}
-
 		if (noOpValuePatterns.get(name)?.test(value)) {
 			this.reset(name);
 			return;
@@ -224,9 +230,14 @@
 	}
 }
 
-/** Builds the statement that sets the parameters until the end of the transaction. */
-export function setConfigStatement(parameters: ReadonlyMap<string, string>): string {
-	return `SELECT ${[...parameters].map(([name, value]) => `set_config(${quoteLiteral(name)}, ${quoteLiteral(value)}, true)`).join(', ')}`;
+/** Returns what has to be set on a backend connection to get from some parameters to others. */
+export function backendChanges(from: ParameterValues, to: ParameterValues): ParameterChanges {
+	return new Map([...changesBetween(from, to)].filter(([name]) => name !== applicationParameter));
+}
+
+/** Builds the statement that sets the parameters until the end of the transaction. NULL sets the default. */
+export function setConfigStatement(changes: ParameterChanges): string {
+	return `SELECT ${[...changes].map(([name, value]) => `set_config(${quoteLiteral(name)}, ${value === undefined ? 'NULL' : quoteLiteral(value)}, true)`).join(', ')}`;
 }
 
 /** Quotes a text as an SQL literal that is valid with either value of standard_conforming_strings. */
--- a/packages/wire/src/__tests__/classify.test.ts
+++ b/packages/wire/src/__tests__/classify.test.ts
@@ -17,6 +17,14 @@
 	{text: 'begin read only', expected: {mode: 'read', transaction: 'beginReadOnly'}, guards: 'a read-only transaction sent to the primary'},
 	{text: 'begin read write', expected: {mode: 'write', transaction: 'begin'}, guards: 'a read-write transaction sent to a replica'},
 	{text: 'rollback to a', expected: {transaction: 'savepoint'}, guards: 'ROLLBACK TO releasing the connection of the transaction'},
+	{text: 'savepoint "A b"', expected: {transactionCommands: [{kind: 'savepoint', savepoint: 'A b'}]}, guards: 'a savepoint under another name'},
+	{
+		text: 'release a; rollback to B; commit and chain; abort', expected: {
+			transactionCommands: [
+				{kind: 'release', savepoint: 'a'}, {kind: 'rollbackTo', savepoint: 'b'}, {kind: 'commit', isChained: true}, {kind: 'rollback', isChained: false},
+			],
+		}, guards: 'transaction control after the first command being ignored',
+	},
 	{text: 'not sql', expected: {mode: 'write', transaction: 'none'}, guards: 'a syntax error whose message depends on the server'},
 	{text: '', expected: {statementCount: 0}, guards: 'the empty query being counted as a write'},
 	{text: 'set crocusloom.rank to boards', expected: {proxySettings: [{name: 'rank', value: 'boards'}]}, guards: 'a proxy setting sent to the backend server'},
--- a/packages/wire/src/classify.ts
+++ b/packages/wire/src/classify.ts
@@ -8,11 +8,22 @@
 /** A `SET crocusloom.name = value` statement, which the proxy executes itself. */
 export type ProxySetting = {readonly name: string; readonly value: string};
 
+/** A transaction control command. The names of savepoints are as PostgreSQL reads them. */
+export type TransactionCommand
+	= | {readonly kind: 'begin'}
+		| {readonly kind: 'commit'; readonly isChained: boolean}
+		| {readonly kind: 'rollback'; readonly isChained: boolean}
+		| {readonly kind: 'savepoint'; readonly savepoint: string}
+		| {readonly kind: 'release'; readonly savepoint: string}
+		| {readonly kind: 'rollbackTo'; readonly savepoint: string};
+
 /** Properties of a statement text that decide how it is routed. */
 export type Classification = {
 	readonly mode: StatementMode;
 	/** First transaction control command in the text; `none` if there is none. */
 	readonly transaction: 'none' | 'begin' | 'beginReadOnly' | 'commit' | 'rollback' | 'savepoint';
+	/** All transaction control commands of the text, in order. */
+	readonly transactionCommands: readonly TransactionCommand[];
 	readonly statementCount: number;
 	readonly proxySettings: readonly ProxySetting[];
 	/** True if the text sets or shows session state of the backend connection. */
@@ -55,7 +66,7 @@
 }
 
 const defaultClassification: Classification = {
-	mode: 'write', transaction: 'none', statementCount: 1, proxySettings: [], usesSessionState: false,
+	mode: 'write', transaction: 'none', transactionCommands: [], statementCount: 1, proxySettings: [], usesSessionState: false,
 };
 
 function classifyUncached(text: string): Classification {
@@ -83,6 +94,7 @@
 	return {
 		mode: classifications.every(classification => classification.mode === 'read') ? 'read' : 'write',
 		transaction: classifications.find(classification => classification.transaction !== 'none')?.transaction ?? 'none',
+		transactionCommands: classifications.flatMap(classification => classification.transactionCommands),
 		statementCount: classifications.length,
 		proxySettings: classifications.flatMap(classification => classification.proxySettings),
 		usesSessionState: classifications.some(classification => classification.usesSessionState),
@@ -157,18 +169,37 @@
 	TRANS_STMT_ROLLBACK_TO: 'savepoint',
 };
 
+function endCommandOf(kind: 'commit' | 'rollback'): (body: ParseNode) => TransactionCommand {
+	return body => ({kind, isChained: body.chain === true});
+}
+
+function savepointCommandOf(kind: 'savepoint' | 'release' | 'rollbackTo'): (body: ParseNode) => TransactionCommand {
+	return body => ({kind, savepoint: body.savepoint_name as string});
+}
+
+const commandByStatementKind: Readonly<Record<string, (body: ParseNode) => TransactionCommand>> = {
+	TRANS_STMT_BEGIN: () => ({kind: 'begin'}),
+	TRANS_STMT_START: () => ({kind: 'begin'}),
+	TRANS_STMT_COMMIT: endCommandOf('commit'),
+	TRANS_STMT_ROLLBACK: endCommandOf('rollback'),
+	TRANS_STMT_SAVEPOINT: savepointCommandOf('savepoint'),
+	TRANS_STMT_RELEASE: savepointCommandOf('release'),
+	TRANS_STMT_ROLLBACK_TO: savepointCommandOf('rollbackTo'),
+};
+
 function classifyTransaction(body: ParseNode): Partial<Classification> {
 	const transaction = transactionByStatementKind[String(body.kind)];
 	if (!transaction) {
 		return {unsupportedFeature: 'two-phase commit'};
 	}
 
+	const transactionCommands = [commandByStatementKind[String(body.kind)]!(body)];
 	const isReadOnly = hasNode(body.options, (nodeType, node) => nodeType === 'DefElem' && isReadOnlyOption(node));
 	if (transaction === 'begin' && isReadOnly) {
-		return {transaction: 'beginReadOnly', mode: 'read'};
+		return {transaction: 'beginReadOnly', transactionCommands, mode: 'read'};
 	}
 
-	return {transaction};
+	return {transaction, transactionCommands};
 }
 
 function isReadOnlyOption(option: ParseNode): boolean {
