--- a/packages/callers/src/preparedStatements.ts
+++ b/packages/callers/src/preparedStatements.ts
@@ -1,5 +1,4 @@
-import {createHash} from 'node:crypto';
-import {sqlStates, type PreparedStatement} from '@crocusloom/model';
+import {backendStatementName, sqlStates, type PreparedStatement} from '@crocusloom/model';
 import {
 	buildFrame, cString, frameHeaderBytes, frontendTypes, readCString,
 } from '@crocusloom/wire';
@@ -17,7 +16,7 @@
 };
 
 /**
- * Reads a Parse frame. On backend connections, a named statement is named after the hash of its text and parameter types, so that
+ * Reads a Parse frame. On backend connections, a named statement is named after a digest of its text and parameter types, so that
  * callers can use the same name for different texts.
  * @returns the caller's name of the statement, and the statement, which shares no memory with the frame
  */
@@ -35,7 +34,7 @@
 
 	const body = frame.subarray(name.nextOffset);
 	const unnamedFrame = buildFrame(frontendTypes.parse, Buffer.concat([cString(''), body]));
-	const backendName = `crocusloom_${createHash('sha256').update(body).digest('hex').slice(0, 32)}`;
+	const backendName = `crocusloom_${backendStatementName([body])}`;
 	const parseFrame = buildFrame(frontendTypes.parse, Buffer.concat([cString(backendName), body]));
 	return {name: name.text, statement: {plan, parseFrame: unnamedFrame, preparedStatement: {name: backendName, parseFrame}}};
 }
