Quote SQL literals by one rule in both places

Seen: where standard_conforming_strings is off, a backslash in the host name of an owner or in the address of a primary ends its literal early in the statements fence, promote and follow. Nobody reported it; names of hosts rarely have one.

Cause: quoteLiteral stood twice, and the one of the monitors did not know backslashes.

--- a/packages/callers/src/idempotency.ts
+++ b/packages/callers/src/idempotency.ts
@@ -5,13 +5,12 @@
 	FailureError, sqlStates, type Clock, type ExchangeResult, type FrameSink, type WorkIntent,
 } from '@crocusloom/model';
 import {
-	backendTypes, buildFrame, cString, readErrorField, FrameReader, frontendTypes, readDataRow, type Frame,
+	backendTypes, buildFrame, cString, readErrorField, FrameReader, frontendTypes, quoteLiteral, readDataRow, type Frame,
 } from '@crocusloom/wire';
 import {callerSqlStates, protocolError, toCallerFailure} from './errors.js';
 import {hasBegin, responseEndTypes, type PlannedExchange} from './exchange.js';
 import {CapturedResponse, type ResponseEditor} from './response.js';
 import {type SessionUnitOfWork} from './sessionUnitOfWork.js';
-import {quoteLiteral} from './settings.js';
 
 /** Maximum size of a recorded response, which keeps the table small. */
 const maximumRecordedBytes = 64 * 1024;
--- a/packages/callers/src/settings.ts
+++ b/packages/callers/src/settings.ts
@@ -1,6 +1,7 @@
 import {
 	advanceVector, formatSessionToken, parseSessionToken, type Configuration, type FreshnessVector, type LogPosition,
 } from '@crocusloom/model';
+import {quoteLiteral} from '@crocusloom/wire';
 import {defaultDateStyle, resolveDateStyle} from './dateStyle.js';
 import {callerSqlStates, protocolError} from './errors.js';
 import {changesBetween, type ParameterChanges, type ParameterValues} from './parameterChanges.js';
@@ -239,9 +240,3 @@
 export function setConfigStatement(changes: ParameterChanges): string {
 	return `SELECT ${[...changes].map(([name, value]) => `set_config(${quoteLiteral(name)}, ${value === undefined ? 'NULL' : quoteLiteral(value)}, true)`).join(', ')}`;
 }
-
-/** Quotes a text as an SQL literal that is valid with either value of standard_conforming_strings. */
-export function quoteLiteral(text: string): string {
-	const escaped = text.replaceAll('\'', '\'\'');
-	return escaped.includes('\\') ? `E'${escaped.replaceAll('\\', '\\\\')}'` : `'${escaped}'`;
-}
--- a/packages/group/src/__tests__/sqlDatabaseControl.test.ts
+++ b/packages/group/src/__tests__/sqlDatabaseControl.test.ts
@@ -147,6 +147,15 @@
 		});
 	}
 
+	it('quotes an owner with a backslash for either value of standard_conforming_strings (guards against an owner that ends its literal)', async () => {
+		const sentStatements: string[] = [];
+		const control = createControl(sql => replyTo(sql, {crocusloom_fence: 't'}), sentStatements);
+		const {connectionId} = await control.status(signal);
+		await control.fence({term: 8, owner: String.raw`o\'hara`, connectionId}, signal);
+		expect(sentStatements[1]).to.equal(String.raw`SELECT crocusloom_fence(8, E'o\\''hara')`);
+		control.close();
+	});
+
 	it('matches pipelined responses in order (guards against a response that is delivered to another call)', async () => {
 		const control = createControl(sql => replyTo(sql, {crocusloom_wait_position: 'reached', crocusloom_promote: 't'}));
 		const position = {term: 6, offsetBytes: 1};
--- a/packages/group/src/sqlDatabaseControl.ts
+++ b/packages/group/src/sqlDatabaseControl.ts
@@ -3,6 +3,7 @@
 	type OwnedDatabaseOrder,
 	type RandomSource, type FailureStep, type WaitResult,
 } from '@crocusloom/model';
+import {quoteLiteral} from '@crocusloom/wire';
 import {ControlConnection, type Row} from './controlConnection.js';
 import {peerFailure, withTimeout} from './timeout.js';
 import {callTimeoutMs, reconnectInitialBackoffMs, reconnectMaximumBackoffMs} from './timing.js';
@@ -181,10 +182,6 @@
 	}
 }
 
-function quoteLiteral(text: string): string {
-	return `'${text.replaceAll('\'', '\'\'')}'`;
-}
-
 function firstValue(rows: readonly Row[]): string | undefined {
 	return Object.values(rows[0] ?? {})[0];
 }
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,2 +1,3 @@
 export * from './classify.js';
 export * from './frames.js';
+export * from './sqlText.js';
