Refuse texts of callers that are not UTF-8

Callers saw: bytes that are not UTF-8 were read as replacement characters. So two names of statements, two idempotency keys or two names of databases became the same one: the second write got the recorded answer of the first and did not run. A text that the proxy adds parameters to was written with other data, where PostgreSQL refuses it.

Change: strings in messages of callers are checked. The statement is refused with 22021, as PostgreSQL does, and a startup message ends the connection.

--- a/packages/callers/src/authentication.ts
+++ b/packages/callers/src/authentication.ts
@@ -1,7 +1,7 @@
 import {createHash, randomBytes, timingSafeEqual} from 'node:crypto';
 import {sqlStates} from '@crocusloom/model';
 import {
-	backendTypes, buildFrame, frameHeaderBytes, frontendTypes, readCString,
+	backendTypes, buildFrame, frameHeaderBytes, frontendTypes, readUtf8CString,
 } from '@crocusloom/wire';
 import {type CallerChannel} from './channel.js';
 import {protocolError} from './errors.js';
@@ -95,7 +95,7 @@
 }
 
 async function readPasswordText(channel: CallerChannel): Promise<string> {
-	const text = readCString(await readPasswordBody(channel), 0);
+	const text = readUtf8CString(await readPasswordBody(channel), 0);
 	if (!text) {
 		throw protocolError('authentication', channel.peer, sqlStates.protocolViolation, 'the password message has no terminating zero byte');
 	}
@@ -104,7 +104,7 @@
 }
 
 function readSaslInitialResponse(body: Buffer, peer: string): string {
-	const mechanism = readCString(body, 0);
+	const mechanism = readUtf8CString(body, 0);
 	const isValid = mechanism?.text === scramMechanism
 		&& body.length >= mechanism.nextOffset + 4
 		&& body.readInt32BE(mechanism.nextOffset) === body.length - mechanism.nextOffset - 4;
--- a/packages/callers/src/extended.ts
+++ b/packages/callers/src/extended.ts
@@ -1,6 +1,6 @@
 import {sqlStates, type PreparedStatement} from '@crocusloom/model';
 import {
-	backendTypes, buildFrame, cString, frameHeaderBytes, frontendTypes, readCString, type Frame,
+	backendTypes, buildFrame, cString, frameHeaderBytes, frontendTypes, readUtf8CString, type Frame,
 } from '@crocusloom/wire';
 import {callerSqlStates, protocolError} from './errors.js';
 import {responseEndTypes, type PlannedExchange} from './exchange.js';
@@ -241,7 +241,7 @@
 	}
 
 	private readName(frame: Buffer, offset: number): {readonly text: string; readonly nextOffset: number} {
-		const name = readCString(frame, offset);
+		const name = readUtf8CString(frame, offset);
 		if (!name) {
 			throw protocolError('classify', this.context.peer, sqlStates.protocolViolation, 'malformed message of the extended query protocol');
 		}
--- a/packages/callers/src/preparedStatements.ts
+++ b/packages/callers/src/preparedStatements.ts
@@ -1,6 +1,6 @@
 import {backendStatementName, sqlStates, type PreparedStatement} from '@crocusloom/model';
 import {
-	buildFrame, cString, frameHeaderBytes, frontendTypes, readCString,
+	buildFrame, cString, frameHeaderBytes, frontendTypes, readUtf8CString,
 } from '@crocusloom/wire';
 import {callerSqlStates, protocolError} from './errors.js';
 import {planStatement, type StatementPlan} from './plans.js';
@@ -21,8 +21,8 @@
  * @returns the caller's name of the statement, and the statement, which shares no memory with the frame
  */
 export function readParseMessage(frame: Buffer, peer: string): {readonly name: string; readonly statement: SessionStatement} {
-	const name = readCString(frame, frameHeaderBytes);
-	const text = name && readCString(frame, name.nextOffset);
+	const name = readUtf8CString(frame, frameHeaderBytes);
+	const text = name && readUtf8CString(frame, name.nextOffset);
 	if (!text) {
 		throw protocolError('classify', peer, sqlStates.protocolViolation, 'malformed Parse message');
 	}
--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -1,6 +1,6 @@
 import {FailureError, sqlStates} from '@crocusloom/model';
 import {
-	backendTypes, buildFrame, frameHeaderBytes, readCString, readyForQuery,
+	backendTypes, buildFrame, frameHeaderBytes, readUtf8CString, readyForQuery,
 } from '@crocusloom/wire';
 import {type CallerChannel} from './channel.js';
 import {ExchangeCollector, type CollectedExchange} from './collector.js';
@@ -163,7 +163,7 @@
 	}
 
 	private planSimpleQuery(frame: Buffer): PlannedExchange {
-		const queryString = readCString(frame, frameHeaderBytes);
+		const queryString = readUtf8CString(frame, frameHeaderBytes);
 		if (queryString?.nextOffset !== frame.length) {
 			throw protocolError('classify', this.sessionContext.channel.peer, sqlStates.protocolViolation, 'malformed Query message');
 		}
--- a/packages/callers/src/startup.ts
+++ b/packages/callers/src/startup.ts
@@ -1,6 +1,6 @@
 import {type SecureContext, TLSSocket} from 'node:tls';
 import {sqlStates} from '@crocusloom/model';
-import {buildFrame, readCString} from '@crocusloom/wire';
+import {buildFrame, cString, readUtf8CString} from '@crocusloom/wire';
 import {type CancelKey} from './cancel.js';
 import {type CallerChannel} from './channel.js';
 import {protocolError} from './errors.js';
@@ -89,8 +89,8 @@
 	const parameters = new Map<string, string>();
 	let offset = 4;
 	while (offset < packet.length && packet[offset] !== 0) {
-		const name = readCString(packet, offset);
-		const value = name && readCString(packet, name.nextOffset);
+		const name = readUtf8CString(packet, offset);
+		const value = name && readUtf8CString(packet, name.nextOffset);
 		if (!value) {
 			throw protocolError('startup', peer, sqlStates.protocolViolation, 'startup parameter without a terminating zero byte');
 		}
@@ -110,7 +110,7 @@
 function buildNegotiateProtocolVersion(unknownOptions: readonly string[]): Buffer {
 	const counts = Buffer.alloc(8);
 	counts.writeInt32BE(unknownOptions.length, 4);
-	return buildFrame('v'.codePointAt(0)!, Buffer.concat([counts, ...unknownOptions.map(name => Buffer.from(`${name}\0`))]));
+	return buildFrame('v'.codePointAt(0)!, Buffer.concat([counts, ...unknownOptions.map(name => cString(name))]));
 }
 
 /**
--- a/packages/wire/src/frames.ts
+++ b/packages/wire/src/frames.ts
@@ -2,7 +2,9 @@
  * Frames (messages) of the PostgreSQL protocol, version 3: splits a byte stream into frames and builds the frames that a server
  * sends. Frontend frames are built with `serialize` of pg-protocol.
  */
+import {isUtf8} from 'node:buffer';
 import {sqlStates, FailureError} from '@crocusloom/model';
+import {invalidTextError} from './sqlText.js';
 
 /** A complete frame. */
 export type Frame = {
@@ -180,6 +182,20 @@
 	return end === -1 ? undefined : {text: bytes.toString('utf8', offset, end), nextOffset: end + 1};
 }
 
+/**
+ * Reads a zero-terminated string from a caller. Decoding replaces invalid bytes, so without the check two different texts could become the same one.
+ * @returns the text and the offset after its zero byte; undefined if there is no zero byte
+ * @throws FailureError `protocol` with 22021 if the string is not valid UTF-8
+ */
+export function readUtf8CString(bytes: Buffer, offset: number): ReturnType<typeof readCString> {
+	const result = readCString(bytes, offset);
+	if (result && !isUtf8(bytes.subarray(offset, result.nextOffset - 1))) {
+		throw invalidTextError('invalid byte sequence for encoding "UTF8"');
+	}
+
+	return result;
+}
+
 /** Fields of an ErrorResponse. */
 export type ErrorFields = {
 	readonly severity?: 'ERROR' | 'FATAL' | 'WARNING' | 'NOTICE';
