Refuse to build frames from texts with NUL

Seen in a test: a NUL in a name or value (cString) ended the string early, and the rest was read as the next field of the frame. Texts of callers cannot contain one, but settings, the names of resources and hosts come from JSON and can, among them the login at the backend servers.

Change: cString refuses NUL and halves of surrogate pairs with 22021. The texts of an ErrorResponse, which has to arrive, get a replacement character instead.

--- a/packages/wire/src/frames.ts
+++ b/packages/wire/src/frames.ts
@@ -4,7 +4,7 @@
  */
 import {isUtf8} from 'node:buffer';
 import {sqlStates, FailureError} from '@crocusloom/model';
-import {invalidTextError} from './sqlText.js';
+import {invalidTextError, requireSendableText} from './sqlText.js';
 
 /** A complete frame. */
 export type Frame = {
@@ -168,9 +168,17 @@
 	return frame;
 }
 
-/** Encodes a text as a zero-terminated UTF-8 string. */
+/**
+ * Encodes a text as a zero-terminated UTF-8 string.
+ * @throws FailureError `protocol` with 22021 for a text that would arrive as another, as `requireSendableText` does
+ */
 export function cString(text: string): Buffer {
-	return Buffer.from(`${text}\0`, 'utf8');
+	return Buffer.from(`${requireSendableText(text)}\0`, 'utf8');
+}
+
+/** Encodes a text for a human reader. A character that a string cannot carry is replaced, because an error has to arrive. */
+function readableCString(text: string): Buffer {
+	return cString(text.replaceAll(/[\0\p{Surrogate}]/gv, '\u{FFFD}'));
 }
 
 /**
@@ -222,7 +230,7 @@
 		parts.push(`n${fields.constraint}`);
 	}
 
-	return buildFrame(backendTypes.errorResponse, Buffer.concat([...parts.map(part => cString(part)), Buffer.of(0)]));
+	return buildFrame(backendTypes.errorResponse, Buffer.concat([...parts.map(part => readableCString(part)), Buffer.of(0)]));
 }
 
 /**
