--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -1,5 +1,6 @@
 export * from './childSignal.js';
 export * from './clockContinuity.js';
+export * from './compositeKey.js';
 export * from './databaseListChange.js';
 export * from './deferred.js';
 export * from './failure.js';
