Keep idle channels apart by host and address

Seen in a test: a peer whose host name and address join to the same text as those of another one got its idle channel, so work for one host ran at the other. Heartbeats allow blanks in both.

Change: the key of a channel keeps its parts apart.

Measured with workChannel.test.ts: the new test failed before, all pass now.

--- a/packages/work/src/__tests__/workChannel.test.ts
+++ b/packages/work/src/__tests__/workChannel.test.ts
@@ -190,6 +190,15 @@
 		});
 	}
 
+	it('keeps the channels of peers apart whose host and address join to the same text (guards against work that runs at another host)', async () => {
+		const peer = await startPeer();
+		const work = await peer.channels.open({...member(peer.port), host: 'a b'}, workRequest(), neverAbortingSignal());
+		work.release();
+		const other = {...member(peer.port), host: 'a', address: `b ${member(peer.port).address}`};
+		expect(await failureOf(peer.channels.open(other, workRequest(), neverAbortingSignal()))).to.include({kind: 'notRun', reason: 'unreachable'});
+		peer.stop();
+	});
+
 	it('reports notRun for a refused connection (guards against work that is not retried although it did not run)', async () => {
 		const peer = await startPeer();
 		peer.stop();
--- a/packages/work/src/workChannelPool.ts
+++ b/packages/work/src/workChannelPool.ts
@@ -1,5 +1,5 @@
 import {
-	FailureError, type Clock, type Member, type Membership, type Tracer, type UnitOfWork, type WorkOpener, type WorkRequest,
+	compositeKey, FailureError, type Clock, type Member, type Membership, type Tracer, type UnitOfWork, type WorkOpener, type WorkRequest,
 } from '@crocusloom/model';
 import {connectSocket} from './connectSocket.js';
 import {FrameSocket} from './frameSocket.js';
@@ -160,7 +160,7 @@
 }
 
 function channelKey({host, address, workPort, incarnation}: Member): string {
-	return `${host} ${address}:${workPort} ${incarnation}`;
+	return compositeKey([host, address, String(workPort), String(incarnation)]);
 }
 
 /** Returns whether a peer is unknown or dead, or was restarted since, in which case its incarnation differs. */
