Count and compare live peers by name, not by a joined list

Seen in a test: a host whose name has a comma counted as two live peers. By reading, a change from the hosts b and c to one host "b,c" went unnoticed.

Cause: the names were joined with commas.

Measured with membership.test.ts: the new test failed before, all pass now.

--- a/packages/membership/src/__tests__/membership.test.ts
+++ b/packages/membership/src/__tests__/membership.test.ts
@@ -23,6 +23,8 @@
 	readonly clock = new FakeClock();
 	readonly hosts: FakeHost[] = [];
 	readonly random = seededRandom(20_261_204);
+	/** Gauge of live peers by host. */
+	readonly livePeerCounts = new Map<string, number>();
 	/** Total size of the heartbeats as framed by the transport. */
 	heartbeatBytes = 0;
 	failedDeliveries = 0;
@@ -59,7 +61,13 @@
 			clock: this.clock,
 			random: this.random,
 			log: noopLogger,
-			metrics: noopMetrics,
+			metrics: {
+				...noopMetrics, gauge: (metric, value) => {
+					if (metric === 'membership_live_peers') {
+						this.livePeerCounts.set(name, value);
+					}
+				},
+			},
 			configurationRevision: () => 0,
 		});
 		this.hosts.push({name, service});
@@ -134,6 +142,12 @@
 		}
 	}
 
+	it('counts a host whose name has a comma once (guards against names that are joined to a list)', async () => {
+		deployment = new FakeDeployment(['a', 'b,c'], ['a']);
+		await deployment.clock.advance(20_000);
+		assert.deepEqual([...deployment.livePeerCounts], [['a', 1], ['b,c', 1]]);
+	});
+
 	for (const size of [2, 5, 20]) {
 		it(`guards against hosts that do not discover each other through one seed (${size} hosts)`, async () => assertHostsDiscoverEachOther(size));
 	}
--- a/packages/membership/src/membershipService.ts
+++ b/packages/membership/src/membershipService.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, type Logger, type Member, type Membership, type Metrics, type PeerRpc, type RandomSource,
+	compositeKey, type Clock, type Logger, type Member, type Membership, type Metrics, type PeerRpc, type RandomSource,
 } from '@crocusloom/model';
 import {decodeRecord, encodeRecord} from './memberRecords.js';
 import {MemberTable, type MemberRecord} from './memberTable.js';
@@ -244,10 +244,11 @@
 
 	/** Notifies listeners of changes that no heartbeat reports, such as members that have become silent. */
 	private notifyIfLivePeersChanged(previousHosts: string): string {
-		const currentHosts = this.table.usableRecords().map(record => record.host).toSorted().join(',');
+		const hosts = this.table.usableRecords().map(record => record.host).toSorted();
+		const currentHosts = compositeKey(hosts);
 		if (currentHosts !== previousHosts) {
-			this.options.log.info({hosts: currentHosts}, 'the set of live peers changed');
-			this.options.metrics.gauge('membership_live_peers', currentHosts === '' ? 0 : currentHosts.split(',').length);
+			this.options.log.info({hosts: hosts.join(',')}, 'the set of live peers changed');
+			this.options.metrics.gauge('membership_live_peers', hosts.length);
 			this.notifyListeners();
 		}
 
