Join the keys of maps in memory by one function

No two parts could meet under one key so far, because names of resources have neither slashes nor blanks, and types of conditions are fixed; the last part of each key can be any text. The keys now stay apart whatever a schema allows later. Keys that are stored or compared between hosts are unchanged.

--- a/packages/callers/src/exchangeRunner.ts
+++ b/packages/callers/src/exchangeRunner.ts
@@ -1,5 +1,5 @@
 import {
-	zeroPosition, type Configuration, type ExchangeResult, type FrameSink, type WorkIntent,
+	compositeKey, zeroPosition, type Configuration, type ExchangeResult, type FrameSink, type WorkIntent,
 } from '@crocusloom/model';
 import {parameterStatus} from '@crocusloom/wire';
 import {callerSqlStates, protocolError} from './errors.js';
@@ -182,7 +182,7 @@
 	private resolveRoute(): Route {
 		const {settings, options, identity, channel} = this.sessionContext;
 		const configuration = options.configuration.current();
-		const key = `${settings.rank ?? ''}/${settings.freshness ?? ''}/${settings.application}`;
+		const key = compositeKey([settings.rank ?? '', settings.freshness ?? '', settings.application]);
 		if (this.cachedRoute?.configuration !== configuration || this.cachedRoute.key !== key) {
 			const route = chooseRoute(configuration, {...identity, application: settings.application}, settings, channel.peer);
 			this.cachedRoute = {configuration, key, route};
--- a/packages/control/src/conditionTracker.ts
+++ b/packages/control/src/conditionTracker.ts
@@ -1,4 +1,4 @@
-import {type Clock} from '@crocusloom/model';
+import {compositeKey, type Clock} from '@crocusloom/model';
 import {
 	computeConditions, type Condition, type ConditionInput, type ConditionType,
 } from './conditions.js';
@@ -15,10 +15,10 @@
 	 */
 	evaluate(input: Omit<ConditionInput, 'heldForMsOf'>): readonly Condition[] {
 		const nowMs = this.clock.nowMs();
-		const heldForMsOf = (type: ConditionType, resource: string) => nowMs - (this.firstSeenAtMs.get(`${type} ${resource}`) ?? nowMs);
+		const heldForMsOf = (type: ConditionType, resource: string) => nowMs - (this.firstSeenAtMs.get(compositeKey([type, resource])) ?? nowMs);
 		const conditions = computeConditions({...input, heldForMsOf});
 		this.firstSeenAtMs = new Map(conditions.map(({type, resource}) => {
-			const key = `${type} ${resource}`;
+			const key = compositeKey([type, resource]);
 			return [key, this.firstSeenAtMs.get(key) ?? nowMs];
 		}));
 		return conditions;
--- a/packages/control/src/statusReporter.ts
+++ b/packages/control/src/statusReporter.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, type Configuration, type Dispatcher, type GroupDirectory, type GroupState, type HolderStats, type Member, type Membership, type PeerRpc, withTimeout,
+	compositeKey, type Clock, type Configuration, type Dispatcher, type GroupDirectory, type GroupState, type HolderStats, type Member, type Membership, type PeerRpc, withTimeout,
 } from '@crocusloom/model';
 import {compareConditions, type Condition} from './conditions.js';
 import {ConditionTracker} from './conditionTracker.js';
@@ -161,7 +161,7 @@
 export function mergeConditions(conditions: readonly Condition[]): readonly Condition[] {
 	const conditionByKey = new Map<string, Condition>();
 	for (const condition of conditions.toSorted((a, b) => compareConditions(a, b) || b.sinceMs - a.sinceMs)) {
-		const key = `${condition.type} ${condition.resource}`;
+		const key = compositeKey([condition.type, condition.resource]);
 		if (!conditionByKey.has(key)) {
 			conditionByKey.set(key, condition);
 		}
--- a/packages/membership/src/membershipService.ts
+++ b/packages/membership/src/membershipService.ts
@@ -125,7 +125,7 @@
 		}
 
 		const {holders} = this.holderCache;
-		const key = `${failureDomain} ${database}`;
+		const key = compositeKey([failureDomain, database]);
 		let holder = holders.get(key);
 		if (!holder) {
 			holder = this.computeHolder(database, failureDomain);
--- a/packages/work/src/holder.ts
+++ b/packages/work/src/holder.ts
@@ -1,5 +1,5 @@
 import {
-	FailureError, type ConfigurationSource, type HolderStats, type Membership, type UnitOfWork, type WorkOpener, type WorkRequest,
+	compositeKey, FailureError, type ConfigurationSource, type HolderStats, type Membership, type UnitOfWork, type WorkOpener, type WorkRequest,
 } from '@crocusloom/model';
 import {findDatabase, HeldDatabase, type HolderPorts} from './heldDatabase.js';
 import {LocalWork} from './localWork.js';
@@ -108,5 +108,5 @@
 }
 
 function heldKey(group: string, database: string): string {
-	return `${group}/${database}`;
+	return compositeKey([group, database]);
 }
--- a/packages/work/src/shedHints.ts
+++ b/packages/work/src/shedHints.ts
@@ -1,5 +1,5 @@
 import {
-	FailureError, type Clock, type Failure, type WorkRequest,
+	compositeKey, FailureError, type Clock, type Failure, type WorkRequest,
 } from '@crocusloom/model';
 
 /** Maximum time for which a hint is followed. Far below the targets of the ranks, so that a queue does not run empty meanwhile. */
@@ -62,5 +62,5 @@
 }
 
 function hintKey({database, rank, callerKey}: ShedKey): string {
-	return `${database}/${rank}/${callerKey}`;
+	return compositeKey([database, rank, callerKey]);
 }
