Bound the length of names of server parameters

Seen in a test: the name in SET counted towards no limit, so 64 names of up to 16 MiB stayed in a session.

Change: names are limited to 256 characters (54000).

--- a/packages/callers/src/settings.ts
+++ b/packages/callers/src/settings.ts
@@ -11,6 +11,8 @@
 /** Maximum number of server parameters per session. */
 const maximumServerParameters = 64;
 const maximumParameterValueLength = 1024;
+/** Maximum length of the name of a server parameter. PostgreSQL uses 63 bytes of each part of it. */
+const maximumParameterNameLength = 256;
 /** Parameter that routes the work of a session and is not applied on backend connections. */
 const applicationParameter = 'application_name';
 const proxyOptionPrefix = 'crocusloom.';
@@ -214,6 +216,10 @@
 			return;
 		}
 
+		if (name.length > maximumParameterNameLength) {
+			throw protocolError('classify', this.peer, callerSqlStates.programLimitExceeded, `the name of an option exceeds the limit of ${maximumParameterNameLength} characters`);
+		}
+
 		if (value.length > maximumParameterValueLength || (this.serverParameters.size >= maximumServerParameters && !this.serverParameters.has(name))) {
 			throw protocolError(
 				'classify',
