Bound the number of messages of one exchange

Seen in a test: 100,001 messages of 7 bytes were accepted; the limit of 32 MiB allows 4.7 million, each of which takes several objects.

Change: at most 100,000 messages up to Sync (54000, which ends the connection like too many bytes).

--- a/packages/callers/src/collector.ts
+++ b/packages/callers/src/collector.ts
@@ -16,6 +16,9 @@
 /** Messages that a caller may still send after its COPY failed. The protocol requires them to be ignored. */
 const ignoredTypes: ReadonlySet<number> = new Set([frontendTypes.copyData, frontendTypes.copyDone, frontendTypes.copyFail]);
 
+/** Maximum number of messages of one exchange, because the objects for a short message take many times its bytes. */
+const maximumExchangeMessages = 100_000;
+
 /** Groups the frames of a caller into exchanges. */
 export class ExchangeCollector {
 	/** True while waiting for the first frame of an exchange. */
@@ -106,6 +109,10 @@
 			throw protocolError('forward', this.channel.peer, callerSqlStates.programLimitExceeded, `messages up to Sync exceed the limit of ${this.limits.maximumExchangeBytes} bytes`);
 		}
 
+		if (this.frames.length >= maximumExchangeMessages) {
+			throw protocolError('forward', this.channel.peer, callerSqlStates.programLimitExceeded, `messages up to Sync exceed the limit of ${maximumExchangeMessages}`);
+		}
+
 		this.frames.push(frame);
 	}
 
