Bound what statements and portals add to exchanges and transactions

Seen in tests, with statements that each pass the limits: - With a session parameter set, each change of the statement in an exchange repeats its text in the request: 200 Binds of about 20 bytes made 12 MB of two statements of 60 KiB. With 4 MiB of statements and an exchange of 32 MiB, the request would exceed any memory. - Names of statements and portals counted towards no limit. - Portals kept the texts of replaced unnamed statements, 1,000 per transaction of up to 16 MiB each.

Change: a request may take the bytes of an exchange and of the named statements together, names 1,024 characters, and the portals of a transaction 4 MiB of texts or one longer text. More is refused with 54000 before anything is sent.

--- a/packages/callers/src/__tests__/invalidTexts.test.ts
+++ b/packages/callers/src/__tests__/invalidTexts.test.ts
@@ -1,10 +1,7 @@
-import {connect} from 'node:net';
 import {expect} from 'chai';
-import {
-	backendTypes, buildFrame, cString, FrameReader, frontendTypes, readErrorField,
-} from '@crocusloom/wire';
-import {HarnessScope, waitUntil} from './harness.js';
-import {startupPacket} from './rawCaller.js';
+import {buildFrame, cString, frontendTypes} from '@crocusloom/wire';
+import {HarnessScope} from './harness.js';
+import {sendFrames, startupPacket} from './rawCaller.js';
 
 /** A text that has a byte which is not UTF-8, as a message carries it. */
 const invalidText = (prefix: string): Buffer => Buffer.concat([Buffer.from(prefix), Buffer.of(0xFF, 0)]);
@@ -19,30 +16,6 @@
 	return packet;
 }
 
-/** Sends bytes on a new connection. Returns the SQLSTATEs of the errors and the number of exchanges that have ended. */
-async function send(port: number, startup: Buffer, frames: Buffer, expectedEnds: number): Promise<{readonly codes: ReadonlyArray<string | undefined>; readonly ends: number}> {
-	const codes: Array<string | undefined> = [];
-	let ends = 0;
-	const reader = new FrameReader('test');
-	const socket = connect(port, '127.0.0.1');
-	let isClosed = false;
-	socket.on('close', () => {
-		isClosed = true;
-	});
-	socket.on('data', chunk => {
-		for (const {type, bytes} of reader.push(chunk)) {
-			ends += type === backendTypes.readyForQuery ? 1 : 0;
-			if (type === backendTypes.errorResponse) {
-				codes.push(readErrorField(bytes, 'C'));
-			}
-		}
-	});
-	socket.write(Buffer.concat([startup, frames]));
-	await waitUntil(() => isClosed || ends >= expectedEnds);
-	socket.destroy();
-	return {codes, ends};
-}
-
 describe('texts that are not UTF-8', () => {
 	const scope = new HarnessScope();
 	beforeEach(async () => {
@@ -62,13 +35,13 @@
 	];
 	for (const [name, frames] of cases) {
 		it(`refuses ${name} and keeps the session (guards against two texts that become the same one)`, async () => {
-			const outcome = await send(scope.harness.port, validStartup, Buffer.concat([frames, query(cString('SELECT 1'))]), 3);
+			const outcome = await sendFrames(scope.harness.port, validStartup, Buffer.concat([frames, query(cString('SELECT 1'))]), 3);
 			expect(outcome).to.deep.equal({codes: ['22021'], ends: 3});
 			expect(scope.harness.fakeBackend.executedStatements.map(({text}) => text)).to.deep.equal(['SELECT 1']);
 		});
 	}
 
 	it('refuses a startup message (guards against the route of another database)', async () => {
-		expect(await send(scope.harness.port, invalidStartupPacket(), Buffer.alloc(0), 1)).to.deep.equal({codes: ['22021'], ends: 0});
+		expect(await sendFrames(scope.harness.port, invalidStartupPacket(), Buffer.alloc(0), 1)).to.deep.equal({codes: ['22021'], ends: 0});
 	});
 });
--- a/packages/callers/src/__tests__/rawCaller.ts
+++ b/packages/callers/src/__tests__/rawCaller.ts
@@ -2,6 +2,7 @@
 import {
 	backendTypes, buildFrame, cString, FrameReader, frontendTypes, readErrorField,
 } from '@crocusloom/wire';
+import {waitUntil} from './harness.js';
 
 /** Builds a StartupMessage of protocol 3.0. */
 export function startupPacket(parameters: Readonly<Record<string, string>>): Buffer {
@@ -34,6 +35,30 @@
 	]);
 }
 
+/** Sends bytes on a new connection. Returns the SQLSTATEs of the errors and the number of exchanges that have ended. */
+export async function sendFrames(port: number, startup: Buffer, frames: Buffer, expectedEnds: number): Promise<{readonly codes: ReadonlyArray<string | undefined>; readonly ends: number}> {
+	const codes: Array<string | undefined> = [];
+	let ends = 0;
+	const reader = new FrameReader('test');
+	const socket = connect(port, '127.0.0.1');
+	let isClosed = false;
+	socket.on('close', () => {
+		isClosed = true;
+	});
+	socket.on('data', chunk => {
+		for (const {type, bytes} of reader.push(chunk)) {
+			ends += type === backendTypes.readyForQuery ? 1 : 0;
+			if (type === backendTypes.errorResponse) {
+				codes.push(readErrorField(bytes, 'C'));
+			}
+		}
+	});
+	socket.write(Buffer.concat([startup, frames]));
+	await waitUntil(() => isClosed || ends >= expectedEnds);
+	socket.destroy();
+	return {codes, ends};
+}
+
 /** Caller without a driver. It always has one INSERT without an answer: it sends the next one as soon as it reads ReadyForQuery. */
 export class InsertingCaller {
 	/** Values of the INSERTs that were confirmed. */
--- a/packages/callers/src/extended.ts
+++ b/packages/callers/src/extended.ts
@@ -7,7 +7,10 @@
 import {type LocalCommand} from './localCommands.js';
 import {type ParameterValues} from './parameterChanges.js';
 import {type StatementPlan} from './plans.js';
-import {readParseMessage, type SessionStatement, type SessionStatements} from './preparedStatements.js';
+import {type SessionPortals} from './portals.js';
+import {
+	readParseMessage, requireShortName, type SessionStatement, type SessionStatements,
+} from './preparedStatements.js';
 import {type ExpectedResponse} from './response.js';
 import {type TransactionStep} from './transactionParameters.js';
 
@@ -15,8 +18,9 @@
 export type ExtendedPlannerContext = {
 	readonly peer: string;
 	readonly statements: SessionStatements;
-	/** Statement of each portal of the open transaction, by portal name. */
-	readonly portals: Map<string, SessionStatement>;
+	readonly portals: SessionPortals;
+	/** Maximum size of the frames that are sent to the backend server. They are longer than those of the caller if names are longer there or statements are parsed in place. */
+	readonly maximumPlannedBytes: number;
 	/** True if statements have to be parsed in each exchange, because server parameters of the session may change their meaning. */
 	readonly needsInlineParse: boolean;
 	/** Returns the server parameters of the session at this point of the exchange. */
@@ -29,8 +33,6 @@
 	readonly runCommands: (commands: readonly LocalCommand[]) => Buffer;
 };
 
-/** Maximum number of portals per transaction. */
-const maximumPortals = 1000;
 const parseComplete = buildFrame(backendTypes.parseComplete, Buffer.alloc(0));
 const bindComplete = buildFrame(backendTypes.bindComplete, Buffer.alloc(0));
 const closeComplete = buildFrame(backendTypes.closeComplete, Buffer.alloc(0));
@@ -47,6 +49,7 @@
 	private readonly preparedStatements = new Map<string, PreparedStatement>();
 	/** Unnamed statement on the backend connection at this point of the exchange. */
 	private backendUnnamedStatement: SessionStatement | undefined;
+	private plannedBytes = 0;
 	private hasExecution = false;
 	private needsResponseEditing = false;
 
@@ -132,10 +135,6 @@
 		const portal = this.readName(frame, frameHeaderBytes);
 		const name = this.readName(frame, portal.nextOffset);
 		const statement = this.context.statements.get(name.text);
-		if (this.context.portals.size >= maximumPortals && !this.context.portals.has(portal.text)) {
-			throw protocolError('classify', this.context.peer, callerSqlStates.programLimitExceeded, `portals of the transaction exceed the limit of ${maximumPortals}`);
-		}
-
 		this.context.portals.set(portal.text, statement);
 		if (this.context.localCommandsOf(statement.plan)) {
 			this.respondLocally(bindComplete);
@@ -161,7 +160,7 @@
 
 		if (this.backendUnnamedStatement !== statement) {
 			this.backendUnnamedStatement = statement;
-			this.frames.push(statement.parseFrame);
+			this.addFrame(statement.parseFrame);
 			this.expectedResponses.push({kind: 'hidden', endTypes: responseEndTypes.parse});
 			this.needsResponseEditing = true;
 		}
@@ -228,11 +227,25 @@
 
 	private forwardFrame(frame: Buffer, endTypes: ReadonlySet<number>): ExpectedResponse {
 		const response: ExpectedResponse = {kind: 'forward', endTypes};
-		this.frames.push(frame);
+		this.addFrame(frame);
 		this.expectedResponses.push(response);
 		return response;
 	}
 
+	private addFrame(frame: Buffer): void {
+		this.plannedBytes += frame.length;
+		if (this.plannedBytes > this.context.maximumPlannedBytes) {
+			throw protocolError(
+				'classify',
+				this.context.peer,
+				callerSqlStates.programLimitExceeded,
+				`messages up to Sync, with the statements that they use, exceed the limit of ${this.context.maximumPlannedBytes} bytes`,
+			);
+		}
+
+		this.frames.push(frame);
+	}
+
 	private respondLocally(frames: Buffer): ExpectedResponse {
 		const response: ExpectedResponse = {kind: 'local', frames};
 		this.expectedResponses.push(response);
@@ -246,6 +259,7 @@
 			throw protocolError('classify', this.context.peer, sqlStates.protocolViolation, 'malformed message of the extended query protocol');
 		}
 
+		requireShortName(name.text, this.context.peer);
 		return name;
 	}
 
--- a/packages/callers/src/preparedStatements.ts
+++ b/packages/callers/src/preparedStatements.ts
@@ -6,6 +6,9 @@
 import {planStatement, type StatementPlan} from './plans.js';
 import {type CallerLimits} from './types.js';
 
+/** Maximum length of the name of a statement or portal. */
+const maximumNameCharacters = 1024;
+
 /** A statement that the caller has parsed, named or unnamed. */
 export type SessionStatement = {
 	readonly plan: StatementPlan;
@@ -27,6 +30,7 @@
 		throw protocolError('classify', peer, sqlStates.protocolViolation, 'malformed Parse message');
 	}
 
+	requireShortName(name.text, peer);
 	const plan = planStatement(text.text);
 	if (name.text === '') {
 		return {name: '', statement: {plan, parseFrame: Buffer.from(frame)}};
@@ -39,6 +43,16 @@
 	return {name: name.text, statement: {plan, parseFrame: unnamedFrame, preparedStatement: {name: backendName, parseFrame}}};
 }
 
+/**
+ * Checks the length of the name of a statement or portal. PostgreSQL uses 63 bytes of it.
+ * @throws FailureError 54000 if it exceeds the limit
+ */
+export function requireShortName(name: string, peer: string): void {
+	if (name.length > maximumNameCharacters) {
+		throw protocolError('classify', peer, callerSqlStates.programLimitExceeded, `a name of ${name.length} characters exceeds the limit of ${maximumNameCharacters}`);
+	}
+}
+
 /** Prepared statements of one session, by the names that the caller uses. */
 export class SessionStatements {
 	unnamedStatement: SessionStatement | undefined;
--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -15,7 +15,8 @@
 import {ExtendedPlanner, type ExtendedPlannerContext} from './extended.js';
 import {type LocalCommand} from './localCommands.js';
 import {planStatement, type StatementPlan} from './plans.js';
-import {SessionStatements, type SessionStatement} from './preparedStatements.js';
+import {SessionPortals} from './portals.js';
+import {SessionStatements} from './preparedStatements.js';
 import {type CallerIdentity} from './routes.js';
 import {SessionUnitOfWork} from './sessionUnitOfWork.js';
 import {type SessionSettings} from './settings.js';
@@ -40,7 +41,7 @@
 	private readonly collector: ExchangeCollector;
 	private readonly sessionStatements: SessionStatements;
 	private readonly commandRunner: CommandRunner;
-	private readonly portals = new Map<string, SessionStatement>();
+	private readonly portals: SessionPortals;
 	private readonly exchangeRunner: ExchangeRunner;
 	private readonly plannerContext: ExtendedPlannerContext;
 	private isDraining = false;
@@ -50,6 +51,7 @@
 	constructor(private readonly sessionContext: SessionContext) {
 		const {options, limits, channel, settings} = sessionContext;
 		this.unitOfWork = new SessionUnitOfWork(options.dispatcher);
+		this.portals = new SessionPortals(channel.peer);
 		this.collector = new ExchangeCollector(channel, limits);
 		this.sessionStatements = new SessionStatements(channel.peer, limits);
 		this.commandRunner = new CommandRunner({
@@ -246,11 +248,12 @@
 	}
 
 	private createPlannerContext(): ExtendedPlannerContext {
-		const {settings, channel} = this.sessionContext;
+		const {settings, channel, limits} = this.sessionContext;
 		return {
 			peer: channel.peer,
 			statements: this.sessionStatements,
 			portals: this.portals,
+			maximumPlannedBytes: limits.maximumExchangeBytes + limits.maximumPreparedStatementBytes,
 			get needsInlineParse() {
 				return settings.hasAppliedParameters;
 			},
