Bound the savepoints that a session remembers

The parameters that a session keeps for each savepoint of a transaction had no limit. Now a transaction has at most 10,000 savepoints, and more are refused with 54000 before they are sent. Savepoints that follow each other with one name and the same parameters count once, because some drivers set one before each statement.

Measured with transactionParameters.test.ts: the case of different names failed before; all pass now, among them the order of releases.

--- a/packages/callers/src/__tests__/transactionParameters.test.ts
+++ b/packages/callers/src/__tests__/transactionParameters.test.ts
@@ -177,6 +177,63 @@
 	});
 });
 
+describe('bound of the savepoints of a transaction', () => {
+	const scope = new HarnessScope();
+	beforeEach(async () => {
+		await scope.start();
+	});
+	afterEach(() => {
+		scope.close();
+	});
+
+	const savepointCount = 10_001;
+	const cases: ReadonlyArray<{readonly name: string; readonly text: (index: number) => string; readonly code: string | undefined}> = [
+		{name: 'different names', text: index => `savepoint s${index}`, code: '54000'},
+		{name: 'one name, as drivers set before each statement', text: () => 'savepoint s', code: undefined},
+	];
+	for (const {name, text, code} of cases) {
+		it(`${code ? 'refuses' : 'accepts'} ${savepointCount} savepoints of ${name} (guards against savepoints that take memory without a limit)`, async () => {
+			const client = await scope.harness.connect();
+			await client.query('begin');
+			let receivedCode: string | undefined;
+			try {
+				await client.query(Array.from({length: savepointCount}, (_, index) => text(index)).join(';'));
+			} catch (error) {
+				receivedCode = (error as pg.DatabaseError).code;
+			}
+
+			expect(receivedCode).to.equal(code);
+		});
+	}
+
+	it('refuses savepoints of one name with a change before each (guards against savepoints that take memory without a limit)', () => {
+		const parameters = new TransactionParameters({serverParameters: new Map()});
+		const outcome = {isFailed: false, hadFailedBefore: false, isEnded: false};
+		let acceptedCount = 0;
+		for (const savepoint of Array.from({length: savepointCount}, () => 's')) {
+			const steps = [{command: {kind: 'savepoint', savepoint} as const, parameters: new Map()}];
+			acceptedCount += parameters.hasRoomFor(steps) ? 1 : 0;
+			parameters.follow(steps, outcome);
+		}
+
+		expect(acceptedCount).to.equal(savepointCount - 1);
+	});
+
+	it('follows RELEASE of savepoints of one name (guards against a return to the parameters of another savepoint)', async () => {
+		const client = await scope.harness.connect();
+		for (const text of ['begin', 'set pa = \'1\'', 'savepoint s', 'set pa = \'2\'', 'savepoint s', 'savepoint s', 'set pa = \'3\'', 'release s', 'rollback to s']) {
+			await client.query(text);
+		}
+
+		expect(await valueOf(client, 'pa')).to.equal('2');
+		for (const text of ['release s', 'rollback to s']) {
+			await client.query(text);
+		}
+
+		expect(await valueOf(client, 'pa')).to.equal('1');
+	});
+});
+
 type PipelineCase = {
 	readonly name: string;
 	/** Commands with the parameters of the session at their place. */
--- a/packages/callers/src/exchangeRunner.ts
+++ b/packages/callers/src/exchangeRunner.ts
@@ -42,6 +42,10 @@
 	async run(plannedExchange: PlannedExchange, createEndFrames: () => readonly Buffer[]): Promise<boolean> {
 		const statusBefore = this.unitOfWork.status;
 		const isInTransaction = statusBefore !== 'I';
+		if (!this.transactionParameters.hasRoomFor(plannedExchange.transactionSteps)) {
+			throw protocolError('classify', this.sessionContext.channel.peer, callerSqlStates.programLimitExceeded, 'the transaction has too many savepoints');
+		}
+
 		const exchange = this.addServerParameters(plannedExchange);
 		try {
 			const idempotencyKey = isInTransaction ? undefined : this.takeIdempotencyKey(exchange);
--- a/packages/callers/src/transactionParameters.ts
+++ b/packages/callers/src/transactionParameters.ts
@@ -16,7 +16,11 @@
 /** Access to the parameters of the session. */
 export type ParameterHolder = {serverParameters: ParameterValues};
 
-type Savepoint = {readonly name: string; readonly parameters: ParameterValues; readonly applied: ParameterValues};
+/** Savepoints of one name that follow each other without a change of parameters. */
+type Savepoints = {readonly name: string; readonly parameters: ParameterValues; readonly applied: ParameterValues; readonly count: number};
+
+/** Maximum number of savepoints in a transaction; those that follow each other with one name and the same parameters count once. */
+const maximumSavepoints = 10_000;
 
 const noParameters: ParameterValues = new Map();
 
@@ -27,7 +31,7 @@
 export class TransactionParameters {
 	/** Parameters to which ROLLBACK returns; undefined outside a transaction. */
 	private before: ParameterValues | undefined;
-	private savepoints: Savepoint[] = [];
+	private savepoints: Savepoints[] = [];
 	private appliedParameters = noParameters;
 
 	private readonly handlers: {readonly [K in TransactionCommand['kind']]: (command: Extract<TransactionCommand, {kind: K}>, parameters: ParameterValues) => void} = {
@@ -44,11 +48,10 @@
 			this.clearTransaction();
 		},
 		savepoint: ({savepoint}, parameters) => {
-			this.savepoints.push({name: savepoint, parameters, applied: this.appliedParameters});
+			this.addSavepoint(savepoint, parameters);
 		},
 		release: ({savepoint}) => {
-			const index = this.findSavepoint(savepoint);
-			this.savepoints.length = index === -1 ? this.savepoints.length : index;
+			this.releaseSavepoint(savepoint);
 		},
 		rollbackTo: ({savepoint}, parameters) => {
 			const index = this.findSavepoint(savepoint);
@@ -67,6 +70,16 @@
 		return this.appliedParameters;
 	}
 
+	/** Returns whether the transaction has room for the savepoints of an exchange. */
+	hasRoomFor(steps: readonly TransactionStep[]): boolean {
+		const added = steps.flatMap(({command, parameters}) => command.kind === 'savepoint' ? [{name: command.savepoint, parameters}] : []);
+		const addedCount = added.filter(({name, parameters}, index) => {
+			const previous = index === 0 ? this.savepoints.at(-1) : added[index - 1];
+			return previous?.name !== name || previous.parameters !== parameters;
+		}).length;
+		return addedCount === 0 || this.savepoints.length + addedCount <= maximumSavepoints;
+	}
+
 	/** Records that the parameters of the session were applied on the connection. */
 	markApplied(): void {
 		this.appliedParameters = this.holder.serverParameters;
@@ -119,6 +132,28 @@
 		this.appliedParameters = noParameters;
 	}
 
+	private addSavepoint(name: string, parameters: ParameterValues): void {
+		const applied = this.appliedParameters;
+		const last = this.savepoints.at(-1);
+		const isRepeated = last?.name === name && last.parameters === parameters && last.applied === applied;
+		if (isRepeated) {
+			this.savepoints.pop();
+		}
+
+		this.savepoints.push({
+			name, parameters, applied, count: isRepeated ? last.count + 1 : 1,
+		});
+	}
+
+	private releaseSavepoint(name: string): void {
+		const index = this.findSavepoint(name);
+		const savepoints = this.savepoints[index];
+		if (savepoints) {
+			this.savepoints.length = index;
+			this.savepoints.push(...(savepoints.count > 1 ? [{...savepoints, count: savepoints.count - 1}] : []));
+		}
+	}
+
 	private findSavepoint(name: string): number {
 		return this.savepoints.findLastIndex(savepoint => savepoint.name === name);
 	}
