Refuse standard_conforming_strings = off

By reading: the proxy classifies statements with the parser of PostgreSQL, which takes a backslash in a literal for a character. With the parameter off, the server takes it for an escape, so in a transaction both see the end of a literal, and a COMMIT after it, at different places: the commit would not wait for its majority. SET, SET LOCAL, set_config and the startup message were accepted.

Change: other values than on are refused. A set_config whose name is no constant is not recognized.

--- a/packages/callers/src/__tests__/settings.test.ts
+++ b/packages/callers/src/__tests__/settings.test.ts
@@ -62,6 +62,12 @@
 		});
 	}
 
+	it('refuses standard_conforming_strings = off in a startup message (guards against texts that the proxy and the server read by different rules)', () => {
+		expect(() => {
+			new SessionSettings('caller').set('standard_conforming_strings', 'off', fakeConfiguration);
+		}).to.throw().with.nested.property('failure.sqlState', '22023');
+	});
+
 	it('reports the DateStyle with its order (guards against a driver that reads dates in another order)', () => {
 		const settings = new SessionSettings('caller');
 		settings.set('datestyle', 'DMY', fakeConfiguration);
--- a/packages/callers/src/__tests__/statements.test.ts
+++ b/packages/callers/src/__tests__/statements.test.ts
@@ -60,6 +60,12 @@
 		['SET crocusloom.session = \'no token\'', '22023'],
 		['SET crocusloom.other = \'x\'', '22023'],
 		['SHOW crocusloom.other', '22023'],
+		['SET standard_conforming_strings = off', '0A000'],
+		['SET LOCAL standard_conforming_strings TO 0', '0A000'],
+		['SET LOCAL "Standard_Conforming_Strings" = \'off\'', '0A000'],
+		['SELECT set_config(\'standard_conforming_strings\', \'off\', true)', '0A000'],
+		['SELECT pg_catalog.set_config(E\'Standard_conforming_strings\', $1, true)', '0A000'],
+		['INSERT INTO t SELECT set_config(\'standard_conforming_strings\', \'no\', true)', '0A000'],
 	];
 	for (const [text, code] of refusedTexts) {
 		it(`refuses ${text}; guards against session state that leaks into the pool`, async () => {
@@ -81,6 +87,9 @@
 		'SET LOCAL a.b = \'1\'',
 		'-- comment\nSET TRANSACTION READ ONLY',
 		'SHOW server_version',
+		'SET LOCAL standard_conforming_strings = on',
+		'SELECT set_config(\'standard_conforming_strings\', \'on\', true)',
+		'SELECT \'set_config(standard_conforming_strings, off, true)\'',
 	];
 	for (const text of servedTexts) {
 		it(`serves ${JSON.stringify(text)}; guards against refusal of statements that transaction pooling supports`, async () => {
--- a/packages/callers/src/settings.ts
+++ b/packages/callers/src/settings.ts
@@ -63,6 +63,9 @@
 	['datestyle', (currentValue, value) => resolveDateStyle(currentValue ?? defaultDateStyle, value)],
 ]);
 
+/** Parameters by which the proxy and the backend server read texts. They have to agree, so other values are refused. */
+const fixedParameters: ReadonlySet<string> = new Set(['client_encoding', 'standard_conforming_strings']);
+
 /** Parameters that are refused, because they would affect other callers or change the identity of the session. */
 const refusedParameters: ReadonlySet<string> = new Set(['role', 'session_authorization', 'transaction_read_only', 'default_transaction_read_only']);
 
@@ -207,7 +210,7 @@
 			throw protocolError('classify', this.peer, callerSqlStates.featureNotSupported, `option "${name}" cannot be set for a session behind a pool; use SET LOCAL or BEGIN READ ONLY`);
 		}
 
-		if (name === 'client_encoding' && !noOpValuePatterns.get('client_encoding')!.test(value)) {
+		if (fixedParameters.has(name) && !noOpValuePatterns.get(name)!.test(value)) {
 			throw this.invalidValueError(name, value);
 		}
 
--- a/packages/wire/src/classify.ts
+++ b/packages/wire/src/classify.ts
@@ -86,7 +86,11 @@
 		return {...defaultClassification, mode: 'read', statementCount: 0};
 	}
 
-	const classifications = statements.map(statement => classifyStatement(statement));
+	const mayChangeLiteralRule = literalRulePattern.test(text);
+	const classifications = statements.map(statement => ({
+		...classifyStatement(statement),
+		...(mayChangeLiteralRule && changesLiteralRule(statement) && changedLiteralRule),
+	}));
 	if (classifications.length === 1) {
 		return classifications[0]!;
 	}
@@ -108,6 +112,31 @@
 	return {...defaultClassification, ...classifyBody?.(body)};
 }
 
+/** Parameter by which a server reads backslashes in literals. The parser assumes its default, on. */
+const literalRuleParameter = 'standard_conforming_strings';
+const literalRulePattern = new RegExp(literalRuleParameter, 'iv');
+const trueValuePattern = /^(?:on|true|yes|1)$/iv;
+const changedLiteralRule: Partial<Classification> = {unsupportedFeature: `${literalRuleParameter} other than on`};
+
+/** Returns whether a statement makes the server read later literals by other rules than the parser, which could not see where they end. */
+function changesLiteralRule(statement: ParseNode): boolean {
+	return hasNode(statement, (nodeType, node) => {
+		if (nodeType === 'VariableSetStmt') {
+			return node.kind === 'VAR_SET_VALUE' && isOtherLiteralRule([node.name, ...readConstants(node.args)]);
+		}
+
+		return nodeType === 'FuncCall' && functionNameOf(node) === 'set_config' && isOtherLiteralRule(readConstants(node.args));
+	});
+}
+
+function isOtherLiteralRule([name, value]: readonly unknown[]): boolean {
+	return String(name).toLowerCase() === literalRuleParameter && !trueValuePattern.test(String(value));
+}
+
+function readConstants(nodes: unknown): readonly string[] {
+	return (nodes as ReadonlyArray<{readonly A_Const?: ParseNode}> | undefined ?? []).map(({A_Const: constant}) => constantToText(constant));
+}
+
 const statementClassifiers: Readonly<Record<string, (body: ParseNode) => Partial<Classification>>> = {
 	SelectStmt: body => ({mode: isReadOnlySelect(body) ? 'read' : 'write'}),
 	VariableShowStmt: () => ({mode: 'read', usesSessionState: true}),
@@ -138,9 +167,13 @@
 const writingNodeTypes: ReadonlySet<string> = new Set(['InsertStmt', 'UpdateStmt', 'DeleteStmt', 'MergeStmt', 'LockingClause', 'IntoClause']);
 
 function callsWritingFunction(call: ParseNode): boolean {
+	return writingFunctionPattern.test(functionNameOf(call));
+}
+
+/** Returns the name of a function without its schema. */
+function functionNameOf(call: ParseNode): string {
 	const nameParts = (call.funcname as ReadonlyArray<{readonly String?: {readonly sval?: string}}> | undefined) ?? [];
-	const name = nameParts.at(-1)?.String?.sval ?? '';
-	return writingFunctionPattern.test(name);
+	return nameParts.at(-1)?.String?.sval ?? '';
 }
 
 /** Returns whether a part of the parse tree contains a node that matches. */
@@ -215,8 +248,7 @@
 		return {usesSessionState: true};
 	}
 
-	const constants = (body.args as ReadonlyArray<{readonly A_Const?: ParseNode}> | undefined) ?? [];
-	const value = constants.map(({A_Const: constant}) => constantToText(constant)).join(',');
+	const value = readConstants(body.args).join(',');
 	return {mode: 'read', proxySettings: [{name: name.slice(proxySettingPrefix.length), value}]};
 }
 
