Read the values of SET as PostgreSQL does, or refuse them

Callers saw: E'...', U&'...', $$...$$ and literals on several lines were acknowledged and applied with their delimiters. A quoted name was applied with its quotes, a word in capitals unfolded. SET search_path = 'a, b' gave two schemas, where PostgreSQL takes one of that name.

In parameters that are lists of names, a single literal is one name.

--- a/packages/callers/src/__tests__/localCommands.test.ts
+++ b/packages/callers/src/__tests__/localCommands.test.ts
@@ -13,6 +13,9 @@
 	return Object.values(stmts[0]!.stmt)[0]!.name;
 }
 
+type ParsedConstant = {readonly A_Const?: {readonly sval?: {readonly sval?: string}}};
+type ParsedSet = {readonly stmts: ReadonlyArray<{readonly stmt: {readonly VariableSetStmt?: {readonly args?: readonly ParsedConstant[]}}}>};
+
 const nameOf = (command: LocalCommand | undefined): string | undefined => command && 'name' in command ? command.name : undefined;
 
 describe('names in session statements', () => {
@@ -75,6 +78,51 @@
 	});
 });
 
+describe('values in SET', () => {
+	before(async () => loadClassifier());
+
+	const cases: ReadonlyArray<readonly [string, string, string | undefined]> = [
+		['a.b', '\'O\'\'Hara, x\'', 'O\'Hara, x'],
+		['a.b', '"Quoted Name"', 'Quoted Name'],
+		['a.b', 'Word', 'word'],
+		['a.b', '-1.5e+3', '-1.5e+3'],
+		['a.b', String.raw`E'a\'b'`, undefined],
+		['a.b', String.raw`U&'\0041'`, undefined],
+		['a.b', '$$a$$', undefined],
+		['a.b', '\'a\'\n\'b\'', undefined],
+		['search_path', '\'a, b\'', '"a, b"'],
+		['search_path', '"A", b', '"A", b'],
+		['search_path', '"A"', '"A"'],
+		['temp_tablespaces', '\'A\'', '"A"'],
+		['datestyle', '\'ISO, DMY\'', 'ISO, DMY'],
+	];
+	for (const [name, value, expected] of cases) {
+		it(`reads ${JSON.stringify(value)} of ${name} (guards against a value that is applied as another)`, () => {
+			expect(parseLocalCommands(`SET ${name} = ${value}`, 1)).to.deep.equal(expected === undefined ? undefined : [{kind: 'set', name, value: expected}]);
+		});
+	}
+
+	it('reads a single value as the parser of PostgreSQL does, or refuses it (guards against a value that is applied as another)', () => {
+		const pieces = fc.array(fc.constantFrom('\'', '\'\'', '"', 'E\'', 'U&\'', '$$', '\\', 'a', 'B', '1', ' ', '\n', '.', 'é', '-- x', '/*', '*/'), {minLength: 1, maxLength: 8});
+		let readCount = 0;
+		fc.assert(fc.property(pieces, texts => {
+			const text = `SET a.b = ${texts.join('')}`;
+			let expected: unknown;
+			try {
+				const {stmts} = parseSync(text) as ParsedSet;
+				expected = stmts.length === 1 ? stmts[0]!.stmt.VariableSetStmt?.args?.[0]?.A_Const?.sval?.sval : undefined;
+			} catch {}
+
+			const [command] = expected === undefined ? [] : parseLocalCommands(text, 1) ?? [];
+			if (command?.kind === 'set') {
+				readCount++;
+				expect(command.value).to.equal(expected);
+			}
+		}), {seed: 39, numRuns: 20_000});
+		expect(readCount).to.be.above(500);
+	});
+});
+
 describe('DEALLOCATE of a quoted name', () => {
 	const scope = new HarnessScope();
 	beforeEach(async () => {
--- a/packages/callers/src/localCommands.ts
+++ b/packages/callers/src/localCommands.ts
@@ -112,19 +112,38 @@
 	return name.startsWith('crocusloom.') ? {kind: 'show', name} : undefined;
 }
 
-function setOrReset(name: string, rawValue: string): LocalCommand {
-	const value = rawValue.trim();
-	return /^default$/iv.test(value) ? {kind: 'reset', name} : {kind: 'set', name, value: parseValue(value)};
+function setOrReset(name: string, rawValue: string): LocalCommand | undefined {
+	const text = rawValue.trim();
+	if (/^default$/iv.test(text)) {
+		return {kind: 'reset', name};
+	}
+
+	const value = parseValue(text, quotedListParameters.has(name));
+	return value === undefined ? undefined : {kind: 'set', name, value};
 }
 
-/** Parses the value of SET. A single literal is unquoted. In a list, literals become quoted names, as set_config expects. */
-function parseValue(value: string): string {
-	const items = value.match(new RegExp(`${quotedPattern.source}|[^,]+`, 'gv'))!.map(item => item.trim()).filter(item => item !== '');
-	if (items.length === 1) {
-		return items[0]!.startsWith('\'') ? unquote(items[0]!) : items[0]!;
+/** Parameters whose values are lists of names, each of which PostgreSQL quotes if it needs quotes. */
+const quotedListParameters: ReadonlySet<string> = new Set(['search_path', 'temp_tablespaces', 'local_preload_libraries', 'session_preload_libraries']);
+
+/** One value: a literal, a quoted name, a word or a number. */
+const valuePattern = /'(?:[^']|'')*'|"(?:[^"]|"")+"|(?:[+\-]\s*)?(?:[\d.]+[Ee][+\-]\d+|[\w.\u{80}-\u{10FFFF}][\w$.\u{80}-\u{10FFFF}]*)/v;
+const valueListPattern = new RegExp(String.raw`^(?:${valuePattern.source})(?:\s*,\s*(?:${valuePattern.source}))*$`, 'v');
+
+/**
+ * Parses the value of SET. In a list, and in a parameter that is a list of names, literals become quoted names, as set_config expects.
+ * @returns undefined for a value in another form, such as a literal with escapes
+ */
+function parseValue(value: string, isNameList: boolean): string | undefined {
+	if (!valueListPattern.test(value)) {
+		return undefined;
 	}
 
-	return items.map(item => item.startsWith('\'') ? `"${unquote(item).replaceAll('"', '""')}"` : item).join(', ');
+	const items = value.match(new RegExp(valuePattern.source, 'gv'))!;
+	return items.length === 1 && !isNameList ? readValue(items[0]) : items.map(item => item.startsWith('\'') ? `"${unquote(item).replaceAll('"', '""')}"` : item).join(', ');
+}
+
+function readValue(item: string): string {
+	return item.startsWith('\'') || item.startsWith('"') ? unquote(item) : foldCase(item);
 }
 
 function unquote(text: string): string {
