Return to the values of the startup message on RESET

Callers saw: RESET, RESET ALL, DISCARD ALL and SET TO DEFAULT went to the defaults of the server, where PostgreSQL goes to the values that the driver or its connection string gave in the startup message; application_name, by which work is routed, kept its last value.

--- a/packages/callers/src/__tests__/transactionParameters.test.ts
+++ b/packages/callers/src/__tests__/transactionParameters.test.ts
@@ -177,6 +177,56 @@
 	});
 });
 
+describe('RESET to the values of the startup message', () => {
+	const scope = new HarnessScope();
+	beforeEach(async () => {
+		await scope.start();
+	});
+	afterEach(() => {
+		scope.close();
+	});
+
+	const cases: ReadonlyArray<readonly [string, readonly string[], string]> = [
+		['RESET', ['set pa = \'2\'', 'reset pa'], '1'],
+		['RESET ALL', ['set pa = \'2\'', 'reset all'], '1'],
+		['DISCARD ALL', ['set pa = \'2\'', 'discard all'], '1'],
+		['SET TO DEFAULT', ['set pa = \'2\'', 'set pa to default'], '1'],
+		['RESET in a transaction', ['set pa = \'2\'', 'begin', 'select 1', 'reset pa'], '1'],
+		['a value that needs no statement', ['set datestyle = \'ISO, MDY\'', 'reset pa'], '1'],
+	];
+	for (const [name, texts, expected] of cases) {
+		it(`has the value of the startup message after ${name} (guards against defaults that the caller did not choose)`, async () => {
+			const client = await scope.harness.connect({options: '-c pa=1 -c datestyle=SQL,DMY', application_name: 'board'});
+			for (const text of texts) {
+				await client.query(text);
+			}
+
+			expect(await valueOf(client, 'pa')).to.equal(expected);
+			expect(scope.harness.fakeBackend.intents.at(-1)!.group).to.equal('g2');
+		});
+	}
+
+	it('sets a value that is the default of the server and not that of the session (guards against a SET that only resets)', async () => {
+		const client = await scope.harness.connect({options: '-c datestyle=SQL,DMY'});
+		await client.query('set datestyle = \'ISO, MDY\'');
+		expect(await valueOf(client, 'datestyle')).to.equal('default');
+		await client.query('reset datestyle');
+		expect(await valueOf(client, 'datestyle')).to.equal('SQL, DMY');
+		await client.query('set datestyle to \'ISO\'');
+		await client.query('set datestyle to \'DEFAULT\'');
+		expect(await valueOf(client, 'datestyle')).to.equal('SQL, DMY');
+	});
+
+	it('routes by the application of the startup message after RESET (guards against work that is routed by a name that was taken back)', async () => {
+		const client = await scope.harness.connect({application_name: 'board'});
+		for (const text of ['set application_name = \'other\'', 'select 1', 'reset application_name', 'select 1']) {
+			await client.query(text);
+		}
+
+		expect(scope.harness.fakeBackend.intents.map(({group}) => group)).to.deep.equal(['g1', 'g2']);
+	});
+});
+
 describe('bound of the savepoints of a transaction', () => {
 	const scope = new HarnessScope();
 	beforeEach(async () => {
--- a/packages/callers/src/dateStyle.ts
+++ b/packages/callers/src/dateStyle.ts
@@ -22,11 +22,12 @@
 
 /**
  * Returns the style that PostgreSQL has after it is set to a value.
- * @param currentDateStyle - complete style before, for example `SQL, DMY`
  * @param value - value of SET, which may name the style or the order only
+ * @param currentDateStyle - complete style before, for example `SQL, DMY`
+ * @param resetDateStyle - complete style that DEFAULT stands for
  * @returns the complete style; undefined if PostgreSQL refuses the value
  */
-export function resolveDateStyle(currentDateStyle: string, value: string): string | undefined {
+export function resolveDateStyle(value: string, currentDateStyle: string, resetDateStyle: string): string | undefined {
 	const named = value.trim() === '' ? [] : value.split(',').map(word => findWord(word));
 	if (!named.every(word => word !== undefined)) {
 		return undefined;
@@ -38,7 +39,7 @@
 		return undefined;
 	}
 
-	const [style, order] = (named.some(({isDefault}) => isDefault) ? defaultDateStyle : currentDateStyle).split(', ');
+	const [style, order] = (named.some(({isDefault}) => isDefault) ? resetDateStyle : currentDateStyle).split(', ');
 	const impliedOrder = named.find(word => word.impliedOrder !== undefined)?.impliedOrder;
 	return `${styles[0] ?? style!}, ${orders[0] ?? impliedOrder ?? order!}`;
 }
--- a/packages/callers/src/server.ts
+++ b/packages/callers/src/server.ts
@@ -252,6 +252,7 @@
 			settings.set(name.toLowerCase(), value, configuration);
 		}
 
+		settings.keepStartupParameters();
 		return settings;
 	}
 
--- a/packages/callers/src/settings.ts
+++ b/packages/callers/src/settings.ts
@@ -4,7 +4,9 @@
 import {quoteLiteral} from '@crocusloom/wire';
 import {defaultDateStyle, resolveDateStyle} from './dateStyle.js';
 import {callerSqlStates, protocolError} from './errors.js';
-import {changesBetween, type ParameterChanges, type ParameterValues} from './parameterChanges.js';
+import {
+	changesBetween, withChanges, type ParameterChanges, type ParameterValues,
+} from './parameterChanges.js';
 
 /** Maximum length of an idempotency key. */
 const maximumIdempotencyKeyLength = 256;
@@ -59,8 +61,8 @@
 }));
 
 /** Functions that complete values whose meaning depends on the value before, by parameter. They return undefined for an invalid value. */
-const valueResolvers: ReadonlyMap<string, (currentValue: string | undefined, value: string) => string | undefined> = new Map([
-	['datestyle', (currentValue, value) => resolveDateStyle(currentValue ?? defaultDateStyle, value)],
+const valueResolvers: ReadonlyMap<string, (value: string, currentValue: string | undefined, resetValue: string | undefined) => string | undefined> = new Map([
+	['datestyle', (value, currentValue = defaultDateStyle, resetValue = defaultDateStyle) => resolveDateStyle(value, currentValue, resetValue)],
 ]);
 
 /** Parameters by which the proxy and the backend server read texts. They have to agree, so other values are refused. */
@@ -78,6 +80,7 @@
 	hasSessionToken = false;
 	/** Server parameters, with `application_name`, which routes the work and is not applied. The others are applied to each unit of work. The map is replaced on a change and never modified, so that a reference is a snapshot. */
 	serverParameters: ParameterValues = new Map();
+	private startupParameters: ParameterValues = new Map();
 
 	private readonly proxyOptionGetters: Readonly<Record<string, () => string>> = {
 		'crocusloom.session': () => formatSessionToken(this.freshnessVector),
@@ -149,14 +152,17 @@
 			return;
 		}
 
-		const remainingParameters = new Map(this.serverParameters);
-		remainingParameters.delete(name);
-		this.serverParameters = remainingParameters;
+		this.replaceParameter(name, this.startupParameters.get(name));
+	}
+
+	/** Makes the current server parameters those to which RESET returns, as PostgreSQL does with the values of the startup message. */
+	keepStartupParameters(): void {
+		this.startupParameters = this.serverParameters;
 	}
 
 	/** Resets the server parameters and all options except the session token. */
 	resetAll(): void {
-		this.serverParameters = new Map();
+		this.serverParameters = this.startupParameters;
 		this.rank = undefined;
 		this.freshness = undefined;
 		this.idempotencyKey = undefined;
@@ -201,7 +207,7 @@
 
 	private setServerParameter(name: string, givenValue: string): void {
 		const resolve = valueResolvers.get(name);
-		const value = resolve ? resolve(this.serverParameters.get(name), givenValue) : givenValue;
+		const value = resolve ? resolve(givenValue, this.serverParameters.get(name), this.startupParameters.get(name)) : givenValue;
 		if (value === undefined) {
 			throw this.invalidValueError(name, givenValue);
 		}
@@ -215,7 +221,7 @@
 		}
 
 		if (noOpValuePatterns.get(name)?.test(value)) {
-			this.reset(name);
+			this.replaceParameter(name, undefined);
 			return;
 		}
 
@@ -232,7 +238,11 @@
 			);
 		}
 
-		this.serverParameters = new Map([...this.serverParameters, [name, value]]);
+		this.replaceParameter(name, value);
+	}
+
+	private replaceParameter(name: string, value: string | undefined): void {
+		this.serverParameters = withChanges(this.serverParameters, new Map([[name, value]]));
 	}
 
 	private invalidValueError(name: string, value: string): Error {
