Replace connections whose prepared statements have many bytes

A connection was replaced after 1,000 statements, whatever their size, so one caller could leave up to 4 GiB of texts (1,000 of 4 MiB) on each connection, by calculation. Now it is also replaced once the messages that prepared its statements exceed 16 MiB.

Measured with holder.test.ts: 6 statements of 4 MiB left one connection before and take two now; the test failed before and passes now.

--- a/packages/work/src/__tests__/holder.test.ts
+++ b/packages/work/src/__tests__/holder.test.ts
@@ -67,6 +67,22 @@
 		expect(server.dialCount).to.equal(1);
 	});
 
+	it('replaces a connection whose prepared statements have many bytes (guards against statements that fill the memory of a server)', async () => {
+		const {holder, server} = setUp();
+		for (let round = 0; round < 6; round++) {
+			const name = `s${round}`;
+			const longStatements = [{name, parseFrame: serialize.parse({name, text: `SELECT 1 /* ${'x'.repeat(4 * 1024 * 1024)} */`, types: []})}];
+			const frames = Buffer.concat([serialize.bind({statement: name}), serialize.execute({}), serialize.sync()]);
+			const work = holder.openSync(workRequest());
+			await work.exchange(frames, new RecordingSink().sink, exchangeOptions({preparedStatements: longStatements}));
+			work.release();
+			await runPendingTasks();
+		}
+
+		expect(server.dialCount).to.equal(2);
+		expect(server.sessions[1]!.connection.preparedStatements.size).to.be.below(3);
+	});
+
 	it('returns the error of a failed inserted Parse as the response (guards against a lost error and a statement wrongly recorded as prepared)', async () => {
 		const {holder, server} = setUp();
 		const sink = new RecordingSink();
--- a/packages/work/src/connectionPool.ts
+++ b/packages/work/src/connectionPool.ts
@@ -27,6 +27,8 @@
 export type PooledConnection = {
 	readonly connection: BackendConnection;
 	readonly responses: AsyncIterator<Buffer, undefined>;
+	/** Size of the messages that prepared the statements on this connection. */
+	preparedBytes: number;
 };
 
 type Waiter = {
@@ -282,7 +284,7 @@
 		}
 
 		const responses = connection.read()[Symbol.asyncIterator]() as PooledConnection['responses'];
-		const pooled = {connection, responses};
+		const pooled: PooledConnection = {connection, responses, preparedBytes: 0};
 		connection.closed.addEventListener('abort', () => {
 			this.removeIdle(pooled);
 		}, {once: true});
--- a/packages/work/src/localWork.ts
+++ b/packages/work/src/localWork.ts
@@ -18,6 +18,8 @@
 const maximumWithheldBytes = 4 * 1024 * 1024;
 /** Number of prepared statements above which a connection is closed on release, to bound the memory of the server. */
 const maximumPreparedStatements = 1000;
+/** A connection is also replaced once the messages that prepared its statements have more bytes, because the server keeps their texts. */
+const maximumPreparedBytes = 16 * 1024 * 1024;
 /** SQLSTATE codes that show that the prepared statements of the server differ from the recorded ones. */
 const preparedStatementSqlStates: ReadonlySet<string> = new Set(['26000', '42P05']);
 
@@ -223,12 +225,15 @@
 		}
 	}
 
-	private recordPrepared({connection}: PooledConnection, reader: ResponseReader, missingStatements: readonly PreparedStatement[]): void {
-		for (const {name} of missingStatements.slice(0, reader.succeededParseCount)) {
+	private recordPrepared(pooled: PooledConnection, reader: ResponseReader, missingStatements: readonly PreparedStatement[]): void {
+		const {connection} = pooled;
+		for (const {name, parseFrame} of missingStatements.slice(0, reader.succeededParseCount)) {
 			connection.preparedStatements.add(name);
+			pooled.preparedBytes += parseFrame.length;
 		}
 
-		this.isConnectionDirty ||= connection.preparedStatements.size > maximumPreparedStatements || preparedStatementSqlStates.has(reader.sqlState ?? '');
+		const hasTooManyStatements = connection.preparedStatements.size > maximumPreparedStatements || pooled.preparedBytes > maximumPreparedBytes;
+		this.isConnectionDirty ||= hasTooManyStatements || preparedStatementSqlStates.has(reader.sqlState ?? '');
 	}
 
 	/**
