Reserve the name of the portal that applies parameters

Seen in a test: a caller could open a portal crocusloom_parameters. By reading, PostgreSQL then refuses the portal of that name in which the proxy applies parameters, and a later statement of the transaction fails with an error about a name that its message does not contain.

Change: Bind to that name is refused with 0A000.

--- a/packages/callers/src/__tests__/bounds.test.ts
+++ b/packages/callers/src/__tests__/bounds.test.ts
@@ -59,6 +59,23 @@
 	},
 ];
 
+describe('names that the proxy reserves', () => {
+	const scope = new HarnessScope();
+	beforeEach(async () => {
+		await scope.start();
+	});
+	afterEach(() => {
+		scope.close();
+	});
+
+	it('refuses a portal with the name of the one that applies parameters (guards against a portal of the caller that is in its way)', async () => {
+		const frames = Buffer.concat([
+			queryFrame('BEGIN'), Buffer.concat([parse('', 'SELECT 1'), bind('crocusloom_parameters', ''), sync]),
+		]);
+		expect(await sendFrames(scope.harness.port, startup, frames, 3)).to.deep.equal({codes: ['0A000'], ends: 3});
+	});
+});
+
 describe('bounds of one caller', () => {
 	const scope = new HarnessScope();
 	afterEach(() => {
--- a/packages/callers/src/exchange.ts
+++ b/packages/callers/src/exchange.ts
@@ -25,6 +25,9 @@
 	readonly needsResponseEditing: boolean;
 };
 
+/** Name of the portal in which server parameters are applied. Callers cannot use it. */
+export const parametersPortalName = 'crocusloom_parameters';
+
 export const syncFrame = buildFrame(frontendTypes.sync, Buffer.alloc(0));
 
 const frameTypes = (...types: readonly number[]): ReadonlySet<number> => new Set(types);
@@ -120,8 +123,6 @@
 	];
 }
 
-const parametersPortalName = 'crocusloom_parameters';
-
 /** Concatenates frames. A single frame is returned without a copy. */
 export function concatFrames(frames: readonly Buffer[]): Buffer {
 	return frames.length === 1 ? frames[0]! : Buffer.concat(frames);
--- a/packages/callers/src/extended.ts
+++ b/packages/callers/src/extended.ts
@@ -3,7 +3,7 @@
 	backendTypes, buildFrame, cString, frameHeaderBytes, frontendTypes, readUtf8CString, type Frame,
 } from '@crocusloom/wire';
 import {callerSqlStates, protocolError} from './errors.js';
-import {responseEndTypes, type PlannedExchange} from './exchange.js';
+import {parametersPortalName, responseEndTypes, type PlannedExchange} from './exchange.js';
 import {type LocalCommand} from './localCommands.js';
 import {type ParameterValues} from './parameterChanges.js';
 import {type StatementPlan} from './plans.js';
@@ -134,6 +134,10 @@
 	private planBind(frame: Buffer): void {
 		const portal = this.readName(frame, frameHeaderBytes);
 		const name = this.readName(frame, portal.nextOffset);
+		if (portal.text === parametersPortalName) {
+			throw protocolError('classify', this.context.peer, callerSqlStates.featureNotSupported, `the portal name ${parametersPortalName} is reserved`);
+		}
+
 		const statement = this.context.statements.get(name.text);
 		this.context.portals.set(portal.text, statement);
 		if (this.context.localCommandsOf(statement.plan)) {
