--- a/packages/callers/src/exchange.ts
+++ b/packages/callers/src/exchange.ts
@@ -4,6 +4,7 @@
 } from '@crocusloom/wire';
 import {type StatementPlan} from './plans.js';
 import {type ExpectedResponse} from './response.js';
+import {type TransactionStep} from './transactionParameters.js';
 
 /** An exchange in the form in which it is sent to a backend server. */
 export type PlannedExchange = {
@@ -12,6 +13,8 @@
 	readonly protocol: 'simple' | 'extended';
 	readonly mode: StatementMode;
 	readonly plans: readonly StatementPlan[];
+	/** Transaction control commands that are executed, in order. */
+	readonly transactionSteps: readonly TransactionStep[];
 	/** True if a statement is executed, not only parsed or described. */
 	readonly hasExecution: boolean;
 	readonly preparedStatements: readonly PreparedStatement[];
@@ -22,6 +25,9 @@
 	readonly needsResponseEditing: boolean;
 };
 
+/** Name of the portal in which server parameters are applied. Callers cannot use it. */
+export const parametersPortalName = 'crocusloom_parameters';
+
 export const syncFrame = buildFrame(frontendTypes.sync, Buffer.alloc(0));
 
 const frameTypes = (...types: readonly number[]): ReadonlySet<number> => new Set(types);
@@ -117,8 +123,6 @@
 	];
 }
 
-const parametersPortalName = 'crocusloom_parameters';
-
 /** Concatenates frames. A single frame is returned without a copy. */
 export function concatFrames(frames: readonly Buffer[]): Buffer {
 	return frames.length === 1 ? frames[0]! : Buffer.concat(frames);
--- a/packages/callers/src/extended.ts
+++ b/packages/callers/src/extended.ts
@@ -1,22 +1,30 @@
 import {sqlStates, type PreparedStatement} from '@crocusloom/model';
 import {
-	backendTypes, buildFrame, cString, frameHeaderBytes, frontendTypes, readCString, type Frame,
+	backendTypes, buildFrame, cString, frameHeaderBytes, frontendTypes, readUtf8CString, type Frame,
 } from '@crocusloom/wire';
 import {callerSqlStates, protocolError} from './errors.js';
-import {responseEndTypes, type PlannedExchange} from './exchange.js';
+import {parametersPortalName, responseEndTypes, type PlannedExchange} from './exchange.js';
 import {type LocalCommand} from './localCommands.js';
+import {type ParameterValues} from './parameterChanges.js';
 import {type StatementPlan} from './plans.js';
-import {readParseMessage, type SessionStatement, type SessionStatements} from './preparedStatements.js';
+import {type SessionPortals} from './portals.js';
+import {
+	readParseMessage, requireShortName, type SessionStatement, type SessionStatements,
+} from './preparedStatements.js';
 import {type ExpectedResponse} from './response.js';
+import {type TransactionStep} from './transactionParameters.js';
 
 /** State of the session that the planner uses. */
 export type ExtendedPlannerContext = {
 	readonly peer: string;
 	readonly statements: SessionStatements;
-	/** Statement of each portal of the open transaction, by portal name. */
-	readonly portals: Map<string, SessionStatement>;
+	readonly portals: SessionPortals;
+	/** Maximum size of the frames that are sent to the backend server. They are longer than those of the caller if names are longer there or statements are parsed in place. */
+	readonly maximumPlannedBytes: number;
 	/** True if statements have to be parsed in each exchange, because server parameters of the session may change their meaning. */
 	readonly needsInlineParse: boolean;
+	/** Returns the server parameters of the session at this point of the exchange. */
+	readonly currentParameters: () => ParameterValues;
 	/** Returns the commands that the proxy runs itself for a plan, in the current state of the session. */
 	readonly localCommandsOf: (plan: StatementPlan) => readonly LocalCommand[] | undefined;
 	/** Returns the response to Describe of such commands. */
@@ -25,8 +33,6 @@
 	readonly runCommands: (commands: readonly LocalCommand[]) => Buffer;
 };
 
-/** Maximum number of portals per transaction. */
-const maximumPortals = 1000;
 const parseComplete = buildFrame(backendTypes.parseComplete, Buffer.alloc(0));
 const bindComplete = buildFrame(backendTypes.bindComplete, Buffer.alloc(0));
 const closeComplete = buildFrame(backendTypes.closeComplete, Buffer.alloc(0));
@@ -38,10 +44,12 @@
 	private readonly frames: Buffer[] = [];
 	private readonly expectedResponses: ExpectedResponse[] = [];
 	private readonly plans: StatementPlan[] = [];
+	private readonly transactionSteps: TransactionStep[] = [];
 	private readonly newStatements: Array<{readonly name: string; readonly response: ExpectedResponse}> = [];
 	private readonly preparedStatements = new Map<string, PreparedStatement>();
 	/** Unnamed statement on the backend connection at this point of the exchange. */
 	private backendUnnamedStatement: SessionStatement | undefined;
+	private plannedBytes = 0;
 	private hasExecution = false;
 	private needsResponseEditing = false;
 
@@ -85,6 +93,7 @@
 			protocol: 'extended',
 			mode: this.plans.every(({classification}) => classification.mode === 'read') ? 'read' : 'write',
 			plans: this.plans,
+			transactionSteps: this.transactionSteps,
 			hasExecution: this.hasExecution,
 			preparedStatements: [...this.preparedStatements.values()],
 			expectedResponses: this.expectedResponses,
@@ -125,11 +134,11 @@
 	private planBind(frame: Buffer): void {
 		const portal = this.readName(frame, frameHeaderBytes);
 		const name = this.readName(frame, portal.nextOffset);
-		const statement = this.context.statements.get(name.text);
-		if (this.context.portals.size >= maximumPortals && !this.context.portals.has(portal.text)) {
-			throw protocolError('classify', this.context.peer, callerSqlStates.programLimitExceeded, `portals of the transaction exceed the limit of ${maximumPortals}`);
+		if (portal.text === parametersPortalName) {
+			throw protocolError('classify', this.context.peer, callerSqlStates.featureNotSupported, `the portal name ${parametersPortalName} is reserved`);
 		}
 
+		const statement = this.context.statements.get(name.text);
 		this.context.portals.set(portal.text, statement);
 		if (this.context.localCommandsOf(statement.plan)) {
 			this.respondLocally(bindComplete);
@@ -155,7 +164,7 @@
 
 		if (this.backendUnnamedStatement !== statement) {
 			this.backendUnnamedStatement = statement;
-			this.frames.push(statement.parseFrame);
+			this.addFrame(statement.parseFrame);
 			this.expectedResponses.push({kind: 'hidden', endTypes: responseEndTypes.parse});
 			this.needsResponseEditing = true;
 		}
@@ -194,6 +203,8 @@
 
 		if (statement) {
 			this.plans.push(statement.plan);
+			const parameters = this.context.currentParameters();
+			this.transactionSteps.push(...statement.plan.classification.transactionCommands.map(command => ({command, parameters})));
 		}
 
 		this.hasExecution = true;
@@ -220,11 +231,25 @@
 
 	private forwardFrame(frame: Buffer, endTypes: ReadonlySet<number>): ExpectedResponse {
 		const response: ExpectedResponse = {kind: 'forward', endTypes};
-		this.frames.push(frame);
+		this.addFrame(frame);
 		this.expectedResponses.push(response);
 		return response;
 	}
 
+	private addFrame(frame: Buffer): void {
+		this.plannedBytes += frame.length;
+		if (this.plannedBytes > this.context.maximumPlannedBytes) {
+			throw protocolError(
+				'classify',
+				this.context.peer,
+				callerSqlStates.programLimitExceeded,
+				`messages up to Sync, with the statements that they use, exceed the limit of ${this.context.maximumPlannedBytes} bytes`,
+			);
+		}
+
+		this.frames.push(frame);
+	}
+
 	private respondLocally(frames: Buffer): ExpectedResponse {
 		const response: ExpectedResponse = {kind: 'local', frames};
 		this.expectedResponses.push(response);
@@ -233,11 +258,12 @@
 	}
 
 	private readName(frame: Buffer, offset: number): {readonly text: string; readonly nextOffset: number} {
-		const name = readCString(frame, offset);
+		const name = readUtf8CString(frame, offset);
 		if (!name) {
 			throw protocolError('classify', this.context.peer, sqlStates.protocolViolation, 'malformed message of the extended query protocol');
 		}
 
+		requireShortName(name.text, this.context.peer);
 		return name;
 	}
 
--- a/packages/callers/src/preparedStatements.ts
+++ b/packages/callers/src/preparedStatements.ts
@@ -1,12 +1,14 @@
-import {createHash} from 'node:crypto';
-import {sqlStates, type PreparedStatement} from '@crocusloom/model';
+import {backendStatementName, sqlStates, type PreparedStatement} from '@crocusloom/model';
 import {
-	buildFrame, cString, frameHeaderBytes, frontendTypes, readCString,
+	buildFrame, cString, frameHeaderBytes, frontendTypes, readUtf8CString,
 } from '@crocusloom/wire';
 import {callerSqlStates, protocolError} from './errors.js';
 import {planStatement, type StatementPlan} from './plans.js';
 import {type CallerLimits} from './types.js';
 
+/** Maximum length of the name of a statement or portal. */
+const maximumNameCharacters = 1024;
+
 /** A statement that the caller has parsed, named or unnamed. */
 export type SessionStatement = {
 	readonly plan: StatementPlan;
@@ -17,17 +19,18 @@
 };
 
 /**
- * Reads a Parse frame. On backend connections, a named statement is named after the hash of its text and parameter types, so that
+ * Reads a Parse frame. On backend connections, a named statement is named after a digest of its text and parameter types, so that
  * callers can use the same name for different texts.
  * @returns the caller's name of the statement, and the statement, which shares no memory with the frame
  */
 export function readParseMessage(frame: Buffer, peer: string): {readonly name: string; readonly statement: SessionStatement} {
-	const name = readCString(frame, frameHeaderBytes);
-	const text = name && readCString(frame, name.nextOffset);
+	const name = readUtf8CString(frame, frameHeaderBytes);
+	const text = name && readUtf8CString(frame, name.nextOffset);
 	if (!text) {
 		throw protocolError('classify', peer, sqlStates.protocolViolation, 'malformed Parse message');
 	}
 
+	requireShortName(name.text, peer);
 	const plan = planStatement(text.text);
 	if (name.text === '') {
 		return {name: '', statement: {plan, parseFrame: Buffer.from(frame)}};
@@ -35,11 +38,21 @@
 
 	const body = frame.subarray(name.nextOffset);
 	const unnamedFrame = buildFrame(frontendTypes.parse, Buffer.concat([cString(''), body]));
-	const backendName = `crocusloom_${createHash('sha256').update(body).digest('hex').slice(0, 32)}`;
+	const backendName = `crocusloom_${backendStatementName([body])}`;
 	const parseFrame = buildFrame(frontendTypes.parse, Buffer.concat([cString(backendName), body]));
 	return {name: name.text, statement: {plan, parseFrame: unnamedFrame, preparedStatement: {name: backendName, parseFrame}}};
 }
 
+/**
+ * Checks the length of the name of a statement or portal. PostgreSQL uses 63 bytes of it.
+ * @throws FailureError 54000 if it exceeds the limit
+ */
+export function requireShortName(name: string, peer: string): void {
+	if (name.length > maximumNameCharacters) {
+		throw protocolError('classify', peer, callerSqlStates.programLimitExceeded, `a name of ${name.length} characters exceeds the limit of ${maximumNameCharacters}`);
+	}
+}
+
 /** Prepared statements of one session, by the names that the caller uses. */
 export class SessionStatements {
 	unnamedStatement: SessionStatement | undefined;
--- a/packages/wire/src/classify.ts
+++ b/packages/wire/src/classify.ts
@@ -8,11 +8,22 @@
 /** A `SET crocusloom.name = value` statement, which the proxy executes itself. */
 export type ProxySetting = {readonly name: string; readonly value: string};
 
+/** A transaction control command. The names of savepoints are as PostgreSQL reads them. */
+export type TransactionCommand
+	= | {readonly kind: 'begin'}
+		| {readonly kind: 'commit'; readonly isChained: boolean}
+		| {readonly kind: 'rollback'; readonly isChained: boolean}
+		| {readonly kind: 'savepoint'; readonly savepoint: string}
+		| {readonly kind: 'release'; readonly savepoint: string}
+		| {readonly kind: 'rollbackTo'; readonly savepoint: string};
+
 /** Properties of a statement text that decide how it is routed. */
 export type Classification = {
 	readonly mode: StatementMode;
 	/** First transaction control command in the text; `none` if there is none. */
 	readonly transaction: 'none' | 'begin' | 'beginReadOnly' | 'commit' | 'rollback' | 'savepoint';
+	/** All transaction control commands of the text, in order. */
+	readonly transactionCommands: readonly TransactionCommand[];
 	readonly statementCount: number;
 	readonly proxySettings: readonly ProxySetting[];
 	/** True if the text sets or shows session state of the backend connection. */
@@ -55,7 +66,7 @@
 }
 
 const defaultClassification: Classification = {
-	mode: 'write', transaction: 'none', statementCount: 1, proxySettings: [], usesSessionState: false,
+	mode: 'write', transaction: 'none', transactionCommands: [], statementCount: 1, proxySettings: [], usesSessionState: false,
 };
 
 function classifyUncached(text: string): Classification {
@@ -75,7 +86,11 @@
 		return {...defaultClassification, mode: 'read', statementCount: 0};
 	}
 
-	const classifications = statements.map(statement => classifyStatement(statement));
+	const mayChangeLiteralRule = literalRulePattern.test(text);
+	const classifications = statements.map(statement => ({
+		...classifyStatement(statement),
+		...(mayChangeLiteralRule && changesLiteralRule(statement) && changedLiteralRule),
+	}));
 	if (classifications.length === 1) {
 		return classifications[0]!;
 	}
@@ -83,6 +98,7 @@
 	return {
 		mode: classifications.every(classification => classification.mode === 'read') ? 'read' : 'write',
 		transaction: classifications.find(classification => classification.transaction !== 'none')?.transaction ?? 'none',
+		transactionCommands: classifications.flatMap(classification => classification.transactionCommands),
 		statementCount: classifications.length,
 		proxySettings: classifications.flatMap(classification => classification.proxySettings),
 		usesSessionState: classifications.some(classification => classification.usesSessionState),
@@ -96,6 +112,31 @@
 	return {...defaultClassification, ...classifyBody?.(body)};
 }
 
+/** Parameter by which a server reads backslashes in literals. The parser assumes its default, on. */
+const literalRuleParameter = 'standard_conforming_strings';
+const literalRulePattern = new RegExp(literalRuleParameter, 'iv');
+const trueValuePattern = /^(?:on|true|yes|1)$/iv;
+const changedLiteralRule: Partial<Classification> = {unsupportedFeature: `${literalRuleParameter} other than on`};
+
+/** Returns whether a statement makes the server read later literals by other rules than the parser, which could not see where they end. */
+function changesLiteralRule(statement: ParseNode): boolean {
+	return hasNode(statement, (nodeType, node) => {
+		if (nodeType === 'VariableSetStmt') {
+			return node.kind === 'VAR_SET_VALUE' && isOtherLiteralRule([node.name, ...readConstants(node.args)]);
+		}
+
+		return nodeType === 'FuncCall' && functionNameOf(node) === 'set_config' && isOtherLiteralRule(readConstants(node.args));
+	});
+}
+
+function isOtherLiteralRule([name, value]: readonly unknown[]): boolean {
+	return String(name).toLowerCase() === literalRuleParameter && !trueValuePattern.test(String(value));
+}
+
+function readConstants(nodes: unknown): readonly string[] {
+	return (nodes as ReadonlyArray<{readonly A_Const?: ParseNode}> | undefined ?? []).map(({A_Const: constant}) => constantToText(constant));
+}
+
 const statementClassifiers: Readonly<Record<string, (body: ParseNode) => Partial<Classification>>> = {
 	SelectStmt: body => ({mode: isReadOnlySelect(body) ? 'read' : 'write'}),
 	VariableShowStmt: () => ({mode: 'read', usesSessionState: true}),
@@ -126,9 +167,13 @@
 const writingNodeTypes: ReadonlySet<string> = new Set(['InsertStmt', 'UpdateStmt', 'DeleteStmt', 'MergeStmt', 'LockingClause', 'IntoClause']);
 
 function callsWritingFunction(call: ParseNode): boolean {
+	return writingFunctionPattern.test(functionNameOf(call));
+}
+
+/** Returns the name of a function without its schema. */
+function functionNameOf(call: ParseNode): string {
 	const nameParts = (call.funcname as ReadonlyArray<{readonly String?: {readonly sval?: string}}> | undefined) ?? [];
-	const name = nameParts.at(-1)?.String?.sval ?? '';
-	return writingFunctionPattern.test(name);
+	return nameParts.at(-1)?.String?.sval ?? '';
 }
 
 /** Returns whether a part of the parse tree contains a node that matches. */
@@ -157,18 +202,37 @@
 	TRANS_STMT_ROLLBACK_TO: 'savepoint',
 };
 
+function endCommandOf(kind: 'commit' | 'rollback'): (body: ParseNode) => TransactionCommand {
+	return body => ({kind, isChained: body.chain === true});
+}
+
+function savepointCommandOf(kind: 'savepoint' | 'release' | 'rollbackTo'): (body: ParseNode) => TransactionCommand {
+	return body => ({kind, savepoint: body.savepoint_name as string});
+}
+
+const commandByStatementKind: Readonly<Record<string, (body: ParseNode) => TransactionCommand>> = {
+	TRANS_STMT_BEGIN: () => ({kind: 'begin'}),
+	TRANS_STMT_START: () => ({kind: 'begin'}),
+	TRANS_STMT_COMMIT: endCommandOf('commit'),
+	TRANS_STMT_ROLLBACK: endCommandOf('rollback'),
+	TRANS_STMT_SAVEPOINT: savepointCommandOf('savepoint'),
+	TRANS_STMT_RELEASE: savepointCommandOf('release'),
+	TRANS_STMT_ROLLBACK_TO: savepointCommandOf('rollbackTo'),
+};
+
 function classifyTransaction(body: ParseNode): Partial<Classification> {
 	const transaction = transactionByStatementKind[String(body.kind)];
 	if (!transaction) {
 		return {unsupportedFeature: 'two-phase commit'};
 	}
 
+	const transactionCommands = [commandByStatementKind[String(body.kind)]!(body)];
 	const isReadOnly = hasNode(body.options, (nodeType, node) => nodeType === 'DefElem' && isReadOnlyOption(node));
 	if (transaction === 'begin' && isReadOnly) {
-		return {transaction: 'beginReadOnly', mode: 'read'};
+		return {transaction: 'beginReadOnly', transactionCommands, mode: 'read'};
 	}
 
-	return {transaction};
+	return {transaction, transactionCommands};
 }
 
 function isReadOnlyOption(option: ParseNode): boolean {
@@ -184,8 +248,7 @@
 		return {usesSessionState: true};
 	}
 
-	const constants = (body.args as ReadonlyArray<{readonly A_Const?: ParseNode}> | undefined) ?? [];
-	const value = constants.map(({A_Const: constant}) => constantToText(constant)).join(',');
+	const value = readConstants(body.args).join(',');
 	return {mode: 'read', proxySettings: [{name: name.slice(proxySettingPrefix.length), value}]};
 }
 
--- a/packages/wire/src/frames.ts
+++ b/packages/wire/src/frames.ts
@@ -2,7 +2,9 @@
  * Frames (messages) of the PostgreSQL protocol, version 3: splits a byte stream into frames and builds the frames that a server
  * sends. Frontend frames are built with `serialize` of pg-protocol.
  */
+import {isUtf8} from 'node:buffer';
 import {sqlStates, FailureError} from '@crocusloom/model';
+import {invalidTextError, requireSendableText} from './sqlText.js';
 
 /** A complete frame. */
 export type Frame = {
@@ -166,9 +168,17 @@
 	return frame;
 }
 
-/** Encodes a text as a zero-terminated UTF-8 string. */
+/**
+ * Encodes a text as a zero-terminated UTF-8 string.
+ * @throws FailureError `protocol` with 22021 for a text that would arrive as another, as `requireSendableText` does
+ */
 export function cString(text: string): Buffer {
-	return Buffer.from(`${text}\0`, 'utf8');
+	return Buffer.from(`${requireSendableText(text)}\0`, 'utf8');
+}
+
+/** Encodes a text for a human reader. A character that a string cannot carry is replaced, because an error has to arrive. */
+function readableCString(text: string): Buffer {
+	return cString(text.replaceAll(/[\0\p{Surrogate}]/gv, '\u{FFFD}'));
 }
 
 /**
@@ -180,6 +190,20 @@
 	return end === -1 ? undefined : {text: bytes.toString('utf8', offset, end), nextOffset: end + 1};
 }
 
+/**
+ * Reads a zero-terminated string from a caller. Decoding replaces invalid bytes, so without the check two different texts could become the same one.
+ * @returns the text and the offset after its zero byte; undefined if there is no zero byte
+ * @throws FailureError `protocol` with 22021 if the string is not valid UTF-8
+ */
+export function readUtf8CString(bytes: Buffer, offset: number): ReturnType<typeof readCString> {
+	const result = readCString(bytes, offset);
+	if (result && !isUtf8(bytes.subarray(offset, result.nextOffset - 1))) {
+		throw invalidTextError('invalid byte sequence for encoding "UTF8"');
+	}
+
+	return result;
+}
+
 /** Fields of an ErrorResponse. */
 export type ErrorFields = {
 	readonly severity?: 'ERROR' | 'FATAL' | 'WARNING' | 'NOTICE';
@@ -206,7 +230,7 @@
 		parts.push(`n${fields.constraint}`);
 	}
 
-	return buildFrame(backendTypes.errorResponse, Buffer.concat([...parts.map(part => cString(part)), Buffer.of(0)]));
+	return buildFrame(backendTypes.errorResponse, Buffer.concat([...parts.map(part => readableCString(part)), Buffer.of(0)]));
 }
 
 /**
