Limit the texts that one session and all sessions of a host keep

Seen: a caller could keep 256 values and 256 shapes of nearly 1 MiB each, 512 MiB on a host of 470 to 610 MB. Each was acknowledged; the process would have ended.

Cause: only the number of names had a limit.

A session now keeps at most 1,310,720 bytes of values, shapes and names, which admits one statement of a whole line, with 128 bytes counted for each name besides. More is refused with MALFORMED at the SET or PREPARE, before it is acknowledged. The size is returned when a name is replaced or deallocated and when the session ends.

--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -22,6 +22,8 @@
 export {type SessionIdentity} from './sessionDecisions.js';
 export * from './sessionProxy.js';
 export * from './sessionParameters.js';
+export {maximumSessionTextBytes} from './sessionSettings.js';
+export {maximumHostTextBytes} from './sessionTextBudget.js';
 export * from './statement.js';
 export * from './statementRunner.js';
 export {leavingPrimaryGraceMs} from './targetSearch.js';
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -2,7 +2,8 @@
 import {type Route} from './ports.js';
 import {type SessionDecisionPorts, SessionDecisions, type SessionIdentity} from './sessionDecisions.js';
 import {sharedPreparedName} from './sessionParameters.js';
-import {SessionSettings} from './sessionSettings.js';
+import {SessionSettings, type SettingsRefusal} from './sessionSettings.js';
+import {type SessionTextBudget} from './sessionTextBudget.js';
 import {
 	type Answer, errorAnswer, localAnswer, type Statement, type TransactionState,
 } from './statement.js';
@@ -14,7 +15,7 @@
 /** Added to the idle timeout of transactions, so that a late timer does not abort the transaction of a caller that keeps to the timeout. */
 const idleTimeoutSlackMs = 250;
 
-export type SessionPorts = SessionDecisionPorts & {readonly runner: StatementRunner};
+export type SessionPorts = SessionDecisionPorts & {readonly runner: StatementRunner; readonly textBudget: SessionTextBudget};
 
 type Transaction = {
 	readonly route: Route;
@@ -33,7 +34,7 @@
 
 /** Session of one caller. Statements run one at a time. */
 export class Session {
-	private readonly settings = new SessionSettings();
+	private readonly settings: SessionSettings;
 	private readonly decisions: SessionDecisions;
 	private sessionPosition: LogPosition | undefined;
 	private transaction: Transaction | undefined;
@@ -54,6 +55,7 @@
 
 	constructor(private readonly identity: SessionIdentity, private readonly ports: SessionPorts) {
 		this.decisions = new SessionDecisions(identity, ports);
+		this.settings = new SessionSettings(ports.textBudget);
 	}
 
 	/** True if no statement is running and no transaction is open, so that the session can be closed. */
@@ -86,7 +88,7 @@
 		} finally {
 			this.isRunning = false;
 			if (this.isEnded) {
-				this.endTransaction();
+				this.release();
 			}
 		}
 	}
@@ -96,7 +98,7 @@
 		this.isEnded = true;
 		this.stopIdleTimer();
 		if (!this.isRunning) {
-			this.endTransaction();
+			this.release();
 		}
 	}
 
@@ -189,8 +191,8 @@
 	}
 
 	/** Answers a change of the settings, which the session may refuse. */
-	private answerFor(refusalReason: string | undefined): Answer {
-		return refusalReason === undefined ? localAnswer(this.state) : this.refuseMalformed(refusalReason);
+	private answerFor(refusal: SettingsRefusal | undefined): Answer {
+		return refusal ? this.refuse(refusal.kind, refusal.reason) : localAnswer(this.state);
 	}
 
 	private deallocate({name}: StatementOf<'deallocate'>): Answer {
@@ -272,6 +274,12 @@
 		}
 	}
 
+	/** Releases the transaction and the settings of an ended session. */
+	private release(): void {
+		this.endTransaction();
+		this.settings.release();
+	}
+
 	private startIdleTimer(): void {
 		const {transaction} = this;
 		const timeoutMs = this.ports.routes.configuration?.transactionIdleMs ?? 0;
@@ -301,7 +309,7 @@
 	}
 
 	/** Creates an error answer. Inside a transaction the error fails the transaction. */
-	private refuse(kind: 'malformed' | 'unknownPrepared', message: string): Answer {
+	private refuse(kind: 'malformed' | 'overloaded' | 'unknownPrepared', message: string): Answer {
 		return errorAnswer(kind, message, this.state === 'idle' ? 'idle' : 'failed');
 	}
 }
--- a/packages/proxy/src/sessionProxy.ts
+++ b/packages/proxy/src/sessionProxy.ts
@@ -13,6 +13,7 @@
 import {ServiceView} from './serviceView.js';
 import {Session} from './session.js';
 import {type SessionIdentity} from './sessionDecisions.js';
+import {SessionTextBudget} from './sessionTextBudget.js';
 import {StatementRunner} from './statementRunner.js';
 
 /** Interval of connection maintenance and of the search for unknown primaries. */
@@ -47,6 +48,7 @@
 	private readonly retiredViews = new Set<ServiceView>();
 	private readonly runner: StatementRunner;
 	private readonly decisionLog: DecisionLog;
+	private readonly textBudget = new SessionTextBudget();
 	private servers: readonly BackendServer[] = [];
 	private hasServers = false;
 	/** Time at which the configuration and the servers were first known. */
@@ -106,7 +108,7 @@
 		this.sessionCount++;
 		const identity: SessionIdentity = {name: `${user}#${this.sessionCount}`, database, user};
 		return new Session(identity, {
-			clock: this.ports.clock, routes: this.routes, configurationAge: this.configurationAge, runner: this.runner, decisionLog: this.decisionLog,
+			clock: this.ports.clock, routes: this.routes, configurationAge: this.configurationAge, runner: this.runner, decisionLog: this.decisionLog, textBudget: this.textBudget,
 		});
 	}
 
--- a/packages/proxy/src/sessionSettings.ts
+++ b/packages/proxy/src/sessionSettings.ts
@@ -1,43 +1,69 @@
 import {noParameters, type SessionParameters} from './sessionParameters.js';
+import {type SessionTextBudget} from './sessionTextBudget.js';
 import {type PreparedStatement} from './statement.js';
 
-/** Maximum number of parameters, and of prepared statements, per session. Bounds memory. */
+/** Maximum number of parameters, and of prepared statements, per session. Bounds memory, and the cost of the copy that each change of a parameter makes. */
 const maximumNamesPerSession = 256;
+/** Maximum size of the parameters and prepared statements of a session. Admits one statement whose line has the maximum length of 1 MiB. */
+export const maximumSessionTextBytes = 1280 * 1024;
+/** Size that is counted for a name besides its texts: an upper bound of the entry in a map and the headers of the strings. */
+export const nameOverheadBytes = 128;
+
+/** Why a change of the settings is refused. `overloaded` means that a retry, also at another host, may succeed. */
+export type SettingsRefusal = {readonly kind: 'malformed' | 'overloaded'; readonly reason: string};
 
 /** Parameters and prepared statements of one session. */
 export class SessionSettings {
 	private currentParameters: SessionParameters = noParameters;
 	private readonly prepared = new Map<string, PreparedStatement>();
+	private heldBytes = 0;
+
+	constructor(private readonly budget: SessionTextBudget) {}
 
-	/** Parameters at present. */
+	/** Parameters at present. A change replaces the map, since connections keep the one that is set on them. */
 	get parameters(): SessionParameters {
 		return this.currentParameters;
 	}
 
+	/** Size of the parameters and prepared statements. */
+	get sizeBytes(): number {
+		return this.heldBytes;
+	}
+
 	/**
 	 * Sets a parameter.
 	 * @returns why it is refused, or undefined if it is set
 	 */
-	set(name: string, value: string): string | undefined {
-		if (this.currentParameters.size >= maximumNamesPerSession && !this.currentParameters.has(name)) {
-			return `a session may set ${maximumNamesPerSession} values`;
+	set(name: string, value: string): SettingsRefusal | undefined {
+		const replaced = this.currentParameters.get(name);
+		if (replaced === undefined && this.currentParameters.size >= maximumNamesPerSession) {
+			return {kind: 'malformed', reason: `a session may set ${maximumNamesPerSession} values`};
 		}
 
-		this.currentParameters = new Map([...this.currentParameters, [name, value]]);
-		return undefined;
+		const refusal = this.resize(sizeOf(name, replaced), sizeOf(name, value));
+		if (!refusal && replaced !== value) {
+			this.currentParameters = new Map([...this.currentParameters, [name, value]]);
+		}
+
+		return refusal;
 	}
 
 	/**
 	 * Keeps the definition of a prepared statement.
 	 * @returns why it is refused, or undefined if it is kept
 	 */
-	prepare(name: string, statement: PreparedStatement): string | undefined {
-		if (this.prepared.size >= maximumNamesPerSession && !this.prepared.has(name)) {
-			return `a session may prepare ${maximumNamesPerSession} statements`;
+	prepare(name: string, statement: PreparedStatement): SettingsRefusal | undefined {
+		const replaced = this.prepared.get(name);
+		if (!replaced && this.prepared.size >= maximumNamesPerSession) {
+			return {kind: 'malformed', reason: `a session may prepare ${maximumNamesPerSession} statements`};
 		}
 
-		this.prepared.set(name, statement);
-		return undefined;
+		const refusal = this.resize(sizeOf(name, replaced?.shape), sizeOf(name, statement.shape));
+		if (!refusal) {
+			this.prepared.set(name, statement);
+		}
+
+		return refusal;
 	}
 
 	/** Returns the prepared statement of a name, or undefined if there is none. */
@@ -50,6 +76,38 @@
 	 * @returns false if there is none of the name
 	 */
 	deallocate(name: string): boolean {
+		const forgotten = this.prepared.get(name);
+		this.resize(sizeOf(name, forgotten?.shape), 0);
 		return this.prepared.delete(name);
 	}
+
+	/** Forgets everything and returns its size to the budget, when the session ends. */
+	release(): void {
+		this.resize(this.heldBytes, 0);
+		this.currentParameters = noParameters;
+		this.prepared.clear();
+	}
+
+	/**
+	 * Counts a text that replaces another one.
+	 * @returns why the text is refused, in which case nothing is counted
+	 */
+	private resize(replacedBytes: number, addedBytes: number): SettingsRefusal | undefined {
+		const sizeBytes = this.heldBytes - replacedBytes + addedBytes;
+		if (addedBytes > replacedBytes && sizeBytes > maximumSessionTextBytes) {
+			return {kind: 'malformed', reason: `a session may keep ${maximumSessionTextBytes} bytes of values, shapes and names`};
+		}
+
+		if (!this.budget.resize(this.heldBytes, sizeBytes)) {
+			return {kind: 'overloaded', reason: 'the sessions of this host keep too many values and shapes'};
+		}
+
+		this.heldBytes = sizeBytes;
+		return undefined;
+	}
+}
+
+/** Returns the size that is counted for a name and its text, whose characters are one byte each; 0 if there is no text. */
+function sizeOf(name: string, text: string | undefined): number {
+	return text === undefined ? 0 : name.length + text.length + nameOverheadBytes;
 }
