Keep copies of names, values and shapes, not parts of their lines

Seen: 60 SET and 60 PREPARE with short texts after a long id left 120 MiB in use, measured as heap and external memory after a collection.

Cause: a part of a string refers to the whole of it, so each short text kept its line of up to 1 MiB. The limit in bytes counted the short text only.

--- a/packages/proxy/src/sessionSettings.ts
+++ b/packages/proxy/src/sessionSettings.ts
@@ -1,3 +1,4 @@
+import {copyText} from './copyText.js';
 import {noParameters, type SessionParameters} from './sessionParameters.js';
 import {type SessionTextBudget} from './sessionTextBudget.js';
 import {type PreparedStatement} from './statement.js';
@@ -42,7 +43,7 @@
 
 		const refusal = this.resize(sizeOf(name, replaced), sizeOf(name, value));
 		if (!refusal && replaced !== value) {
-			this.currentParameters = new Map([...this.currentParameters, [name, value]]);
+			this.currentParameters = new Map([...this.currentParameters, [copyText(name), copyText(value)]]);
 		}
 
 		return refusal;
@@ -60,7 +61,7 @@
 
 		const refusal = this.resize(sizeOf(name, replaced?.shape), sizeOf(name, statement.shape));
 		if (!refusal) {
-			this.prepared.set(name, statement);
+			this.prepared.set(copyText(name), {mode: statement.mode, shape: copyText(statement.shape)});
 		}
 
 		return refusal;
