--- a/packages/proxy/src/__tests__/sessionSettings.test.ts
+++ b/packages/proxy/src/__tests__/sessionSettings.test.ts
@@ -76,6 +76,17 @@
 		expect([...parameters]).to.deep.equal([['a', '1']]);
 	});
 
+	it('returns the same parameters until a value changes (guards against a copy of all values for each statement)', () => {
+		const settings = new SessionSettings(new SessionTextBudget());
+		settings.set('a', '1');
+		settings.set('b', '1');
+		const {parameters} = settings;
+		settings.set('a', '1');
+		expect(settings.parameters).to.equal(parameters);
+		settings.set('a', '2');
+		expect([...settings.parameters]).to.deep.equal([['a', '2'], ['b', '1']]);
+	});
+
 	it('returns the size of a text that is kept after the end of the session (guards against a budget that shrinks)', () => {
 		const budget = new SessionTextBudget();
 		const settings = new SessionSettings(budget);
--- a/packages/proxy/src/sessionSettings.ts
+++ b/packages/proxy/src/sessionSettings.ts
@@ -3,7 +3,7 @@
 import {type SessionTextBudget} from './sessionTextBudget.js';
 import {type PreparedStatement} from './statement.js';
 
-/** Maximum number of parameters, and of prepared statements, per session. Bounds memory, and the cost of the copy that each change of a parameter makes. */
+/** Maximum number of parameters, and of prepared statements, per session. Bounds memory, and the cost of the copy that a statement after a change makes. */
 const maximumNamesPerSession = 256;
 /** Maximum size of the parameters and prepared statements of a session. Admits one statement whose line has the maximum length of 1 MiB. */
 export const maximumSessionTextBytes = 1280 * 1024;
@@ -15,14 +15,17 @@
 
 /** Parameters and prepared statements of one session. */
 export class SessionSettings {
-	private currentParameters: SessionParameters = noParameters;
+	private readonly values = new Map<string, string>();
+	/** Copy of the values; undefined if they have changed since. */
+	private currentParameters: SessionParameters | undefined = noParameters;
 	private readonly prepared = new Map<string, PreparedStatement>();
 	private heldBytes = 0;
 
 	constructor(private readonly budget: SessionTextBudget) {}
 
-	/** Parameters at present. A change replaces the map, since connections keep the one that is set on them. */
+	/** Parameters at present, as a map that never changes, since connections keep the one that is set on them. */
 	get parameters(): SessionParameters {
+		this.currentParameters ??= new Map(this.values);
 		return this.currentParameters;
 	}
 
@@ -36,14 +39,15 @@
 	 * @returns why it is refused, or undefined if it is set
 	 */
 	set(name: string, value: string): SettingsRefusal | undefined {
-		const replaced = this.currentParameters.get(name);
-		if (replaced === undefined && this.currentParameters.size >= maximumNamesPerSession) {
+		const replaced = this.values.get(name);
+		if (replaced === undefined && this.values.size >= maximumNamesPerSession) {
 			return {kind: 'malformed', reason: `a session may set ${maximumNamesPerSession} values`};
 		}
 
 		const refusal = this.resize(sizeOf(name, replaced), sizeOf(name, value));
 		if (!refusal && replaced !== value) {
-			this.currentParameters = new Map([...this.currentParameters, [copyText(name), copyText(value)]]);
+			this.values.set(copyText(name), copyText(value));
+			this.currentParameters = undefined;
 		}
 
 		return refusal;
@@ -85,6 +89,7 @@
 	/** Forgets everything and returns its size to the budget, when the session ends. */
 	release(): void {
 		this.resize(this.heldBytes, 0);
+		this.values.clear();
 		this.currentParameters = noParameters;
 		this.prepared.clear();
 	}
