--- a/packages/proxy/src/sessionProxy.ts
+++ b/packages/proxy/src/sessionProxy.ts
@@ -7,7 +7,7 @@
 import {DecisionLog} from './decisionLog.js';
 import {HostCount} from './connectionShare.js';
 import {
-	type BackendDialer, type BackendServer, type ConfirmServers, type IsNamedInOrder, type ProxyConfiguration,
+	type BackendDialer, type BackendServer, type CheckRequest, type ConfirmServers, type IsNamedInOrder, type ProxyConfiguration,
 } from './ports.js';
 import {ranksOf, RouteTable} from './routeTable.js';
 import {type ServiceRecords} from './serviceRecords.js';
@@ -32,6 +32,7 @@
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly dialer: BackendDialer;
+	readonly checkRequest: CheckRequest;
 	readonly confirmServers: ConfirmServers;
 	readonly isNamedInOrder: IsNamedInOrder;
 	readonly serviceRecords: ServiceRecords;
@@ -112,7 +113,13 @@
 		const shortUser = copyText(user.slice(0, maximumUserLength));
 		const identity: SessionIdentity = {name: `${shortUser}#${this.sessionCount}`, database: copyText(database), user: shortUser};
 		return new Session(identity, {
-			clock: this.ports.clock, routes: this.routes, configurationAge: this.configurationAge, runner: this.runner, decisionLog: this.decisionLog, textBudget: this.textBudget,
+			clock: this.ports.clock,
+			routes: this.routes,
+			configurationAge: this.configurationAge,
+			runner: this.runner,
+			decisionLog: this.decisionLog,
+			checkRequest: this.ports.checkRequest,
+			textBudget: this.textBudget,
 		});
 	}
 
--- a/packages/proxy/src/sessionSettings.ts
+++ b/packages/proxy/src/sessionSettings.ts
@@ -65,7 +65,7 @@
 
 		const refusal = this.resize(sizeOf(name, replaced?.shape), sizeOf(name, statement.shape));
 		if (!refusal) {
-			this.prepared.set(copyText(name), {mode: statement.mode, shape: copyText(statement.shape)});
+			this.prepared.set(copyText(name), {...statement, shape: copyText(statement.shape)});
 		}
 
 		return refusal;
