--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -1,7 +1,8 @@
 import {laterPosition, type LogPosition, quoteText} from '@crocusloom/model';
 import {type CheckRequest, type Route} from './ports.js';
 import {type SessionDecisionPorts, SessionDecisions, type SessionIdentity} from './sessionDecisions.js';
-import {SessionSettings} from './sessionSettings.js';
+import {SessionSettings, type SettingsRefusal} from './sessionSettings.js';
+import {type SessionTextBudget} from './sessionTextBudget.js';
 import {
 	type Answer, errorAnswer, localAnswer, prepareStatement, type Statement, type TransactionState,
 } from './statement.js';
@@ -16,7 +17,7 @@
 /** Position with the longest text, because the position that a read will require is not known before its server is chosen. */
 const widestPosition: LogPosition = {term: 999_999_999_999_999, offsetBytes: 999_999_999_999_999};
 
-export type SessionPorts = SessionDecisionPorts & {readonly runner: StatementRunner; readonly checkRequest: CheckRequest};
+export type SessionPorts = SessionDecisionPorts & {readonly runner: StatementRunner; readonly checkRequest: CheckRequest; readonly textBudget: SessionTextBudget};
 
 type Transaction = {
 	readonly route: Route;
@@ -35,7 +36,7 @@
 
 /** Session of one caller. Statements run one at a time. */
 export class Session {
-	private readonly settings = new SessionSettings();
+	private readonly settings: SessionSettings;
 	private readonly decisions: SessionDecisions;
 	private sessionPosition: LogPosition | undefined;
 	private transaction: Transaction | undefined;
@@ -56,6 +57,7 @@
 
 	constructor(private readonly identity: SessionIdentity, private readonly ports: SessionPorts) {
 		this.decisions = new SessionDecisions(identity, ports);
+		this.settings = new SessionSettings(ports.textBudget);
 	}
 
 	/** True if no statement is running and no transaction is open, so that the session can be closed. */
@@ -88,7 +90,7 @@
 		} finally {
 			this.isRunning = false;
 			if (this.isEnded) {
-				this.endTransaction();
+				this.release();
 			}
 		}
 	}
@@ -98,7 +100,7 @@
 		this.isEnded = true;
 		this.stopIdleTimer();
 		if (!this.isRunning) {
-			this.endTransaction();
+			this.release();
 		}
 	}
 
@@ -193,8 +195,12 @@
 	}
 
 	/** Answers a change of the settings, which the session may refuse. */
-	private answerFor(refusalReason: string | undefined): Answer {
-		return refusalReason === undefined ? localAnswer(this.state) : this.refuseMalformed(refusalReason);
+	private answerFor(refusal: SettingsRefusal | string | undefined): Answer {
+		if (typeof refusal === 'string') {
+			return this.refuseMalformed(refusal);
+		}
+
+		return refusal ? this.refuse(refusal.kind, refusal.reason) : localAnswer(this.state);
 	}
 
 	private deallocate({name}: StatementOf<'deallocate'>): Answer {
@@ -285,6 +291,12 @@
 		}
 	}
 
+	/** Releases the transaction and the settings of an ended session. */
+	private release(): void {
+		this.endTransaction();
+		this.settings.release();
+	}
+
 	private startIdleTimer(): void {
 		const {transaction} = this;
 		const timeoutMs = this.ports.routes.configuration?.transactionIdleMs ?? 0;
@@ -314,7 +326,7 @@
 	}
 
 	/** Creates an error answer. Inside a transaction the error fails the transaction. */
-	private refuse(kind: 'malformed' | 'unknownPrepared', message: string): Answer {
+	private refuse(kind: 'malformed' | 'overloaded' | 'unknownPrepared', message: string): Answer {
 		return errorAnswer(kind, message, this.state === 'idle' ? 'idle' : 'failed');
 	}
 }
