Count the condition on a position only where it is sent

A read within 38 bytes of the maximum length was refused on routes to the primary and inside transactions, where no condition is sent with it and it fits into a message.

--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -210,7 +210,12 @@
 	}
 
 	private async runData(id: string, work: DataWork): Promise<Answer> {
-		const refusalReason = this.ports.checkRequest({command: work.command, minimumPosition: work.mode === 'read' ? widestPosition : undefined});
+		const route = this.transaction?.route ?? this.ports.routes.routeFor(this.identity.database);
+		if (!route) {
+			return this.refuseUnknownDatabase(id);
+		}
+
+		const refusalReason = this.ports.checkRequest({command: work.command, minimumPosition: this.widestPositionFor(work, route)});
 		if (refusalReason !== undefined) {
 			return this.refuseMalformed(refusalReason);
 		}
@@ -220,11 +225,6 @@
 			return this.runInTransaction(id, this.transaction, work);
 		}
 
-		const route = this.ports.routes.routeFor(this.identity.database);
-		if (!route) {
-			return this.refuseUnknownDatabase(id);
-		}
-
 		const startedMs = this.ports.clock.nowMs();
 		const result = await this.ports.runner.runSingle(this.contextFor(id, route, startedMs), work);
 		this.decisions.record({
@@ -237,6 +237,11 @@
 		return result.answer;
 	}
 
+	/** Returns the longest condition that may be sent with the work: none with writes, inside transactions and on routes to the primary. */
+	private widestPositionFor({mode}: DataWork, {freshness}: Route): LogPosition | undefined {
+		return mode === 'read' && !this.transaction && freshness.kind !== 'primary' ? widestPosition : undefined;
+	}
+
 	private async runInTransaction(id: string, transaction: Transaction, work: DataWork): Promise<Answer> {
 		const startedMs = this.ports.clock.nowMs();
 		const context = this.contextFor(id, transaction.route, transaction.arrivedMs);
