End a failed transaction at its server when its caller stays idle

A statement that the proxy refuses itself fails the transaction of the session, which stays open on its connection until the caller ends it. The idle timeout ended only transactions that had not failed, so that a caller that sends nothing more kept a connection, and what its transaction holds at the server, without a limit. The case "whose caller stays idle" failed before: no rollback within 3.5 s of an idle timeout of 3 s.

--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -106,7 +106,7 @@
 
 	/** Rolls back an open transaction between statements, because the process stops or the idle timeout has passed. */
 	abortTransaction(): void {
-		if (this.state === 'open' && !this.isRunning) {
+		if (this.state !== 'idle' && !this.isRunning) {
 			this.endTransaction();
 			this.state = 'failed';
 		}
