Do not reset a connection with many prepared statements inside a transaction

A connection with 200 names was reset with DISCARD before the next statement, also inside a transaction. The protocol does not say what DISCARD does there; a server that refuses it, or ends the transaction, would have failed the transaction. Inside a transaction the limit is now 400 names, more than a transaction of the protocol can reach. The case "discards nothing" failed before: one DISCARD inside the transaction.

--- a/packages/proxy/src/pooledConnection.ts
+++ b/packages/proxy/src/pooledConnection.ts
@@ -3,8 +3,12 @@
 import {parameterSyncCommands, noParameters, type SessionParameters} from './sessionParameters.js';
 import {type Answer, type BackendCommand, type PreparedStatement} from './statement.js';
 
-/** Maximum number of prepared statements on a connection. Beyond it the connection is reset, which bounds memory on both sides. */
+/** Maximum number of prepared statements on a connection. Beyond it the connection is reset before further work, which bounds memory on both sides. */
 const maximumPreparedStatements = 200;
+/** The same inside a transaction. A server may refuse a reset there, so it comes only after many more statements than a transaction has. */
+const maximumPreparedInTransaction = 400;
+
+const discard: BackendCommand = {kind: 'discard'};
 
 /** A pooled connection and the session state that is set on it. */
 export class PooledConnection {
@@ -39,10 +43,9 @@
 	 * @throws ConnectionError if the backend server does not accept one of the commands
 	 */
 	async syncSession(parameters: SessionParameters, prepared: PreparedStatement | undefined): Promise<void> {
-		const commands = parameterSyncCommands(this.parameters, parameters);
-		if (prepared && this.preparedNames.size >= maximumPreparedStatements && !this.preparedNames.has(prepared.backendName)) {
-			commands.splice(0, commands.length, {kind: 'discard'}, ...parameterSyncCommands(noParameters, parameters));
-		}
+		const commands = this.hasTooManyFor(prepared)
+			? [discard, ...parameterSyncCommands(noParameters, parameters)]
+			: parameterSyncCommands(this.parameters, parameters);
 
 		if (commands.some(({kind}) => kind === 'discard')) {
 			this.preparedNames.clear();
@@ -76,6 +79,12 @@
 		this.backendConnection.close();
 	}
 
+	/** True if the connection must be reset before the statement. */
+	private hasTooManyFor(prepared: PreparedStatement | undefined): boolean {
+		const maximum = this.isInTransaction ? maximumPreparedInTransaction : maximumPreparedStatements;
+		return prepared !== undefined && this.preparedNames.size >= maximum && !this.preparedNames.has(prepared.backendName);
+	}
+
 	/**
 	 * Runs a command that sets up the connection. An answer with rows or a digest belongs to another statement, so the
 	 * connection is closed.
