Reset a connection whose server does not know a prepared statement

The host forgot only the name and prepared it again. A server that lost the prepared statements of a connection may have lost its values too, as DISCARD clears both, and the statement then ran without the values of its session. The connection is now reset and set up anew. That a database loses both has not been seen.

--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -302,7 +302,7 @@
 	/** Forgets and reports a prepared statement that the server does not know although this proxy has prepared it on the connection. */
 	private forgetUnknownPrepared(connection: PooledConnection, command: BackendCommand, {error}: Answer): void {
 		if (error?.kind === 'unknownPrepared' && command.kind === 'executePrepared') {
-			connection.forgetPrepared(command.preparedName);
+			connection.forgetState();
 			this.ports.log.warn({
 				server: this.id, backendConnection: connection.number, preparedAs: command.preparedName, requestId: command.id,
 			}, 'a backend server does not know a prepared statement');
--- a/packages/proxy/src/pooledConnection.ts
+++ b/packages/proxy/src/pooledConnection.ts
@@ -20,6 +20,8 @@
 	isClosedHere = false;
 	private parameters: SessionParameters = noParameters;
 	private readonly preparedNames = new Set<BackendStatementName>();
+	/** False after the server did not know a prepared statement, so that it may lack the parameters as well. */
+	private isStateKnown = true;
 
 	/**
 	 * @param openedMs - monotonic time in milliseconds at which the connection was opened
@@ -33,7 +35,7 @@
 
 	/** True if exactly these parameters are set on the connection. */
 	hasParameters(parameters: SessionParameters): boolean {
-		return parameterSyncCommands(this.parameters, parameters).length === 0;
+		return this.isStateKnown && parameterSyncCommands(this.parameters, parameters).length === 0;
 	}
 
 	/**
@@ -43,7 +45,7 @@
 	 * @throws ConnectionError if the backend server does not accept one of the commands
 	 */
 	async syncSession(parameters: SessionParameters, prepared: PreparedStatement | undefined): Promise<void> {
-		const commands = this.hasTooManyFor(prepared)
+		const commands = !this.isStateKnown || this.hasTooManyFor(prepared)
 			? [discard, ...parameterSyncCommands(noParameters, parameters)]
 			: parameterSyncCommands(this.parameters, parameters);
 
@@ -63,15 +65,16 @@
 			throw error;
 		}
 
+		this.isStateKnown = true;
 		this.parameters = parameters;
 		if (prepared) {
 			this.preparedNames.add(prepared.backendName);
 		}
 	}
 
-	/** Removes a prepared statement that the backend server reported as unknown, so that it is prepared again. */
-	forgetPrepared(name: BackendStatementName): void {
-		this.preparedNames.delete(name);
+	/** Records that the backend server did not know a prepared statement, so that the connection is reset before further work. */
+	forgetState(): void {
+		this.isStateKnown = false;
 	}
 
 	close(): void {
