Refuse a commit that no message can carry before its connection is used

A commit was sent on without a check. Callers' lines may be one byte longer than a message, and such a commit, with an id of about 1 MiB, was refused by the codec after BEGIN had been sent, which closed the connection to the database. The case "commit whose id makes it longer" failed before: no rollback, since the connection had been closed. The answer is MALFORMED as before.

--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -145,7 +145,13 @@
 			return this.refuseMalformed('no transaction is open');
 		}
 
-		const answer = await this.runInTransaction(statement.id, transaction, {mode: 'write', command: {kind: 'commit', id: statement.id}, prepared: undefined});
+		const work: DataWork = {mode: 'write', command: {kind: 'commit', id: statement.id}, prepared: undefined};
+		const refusalReason = this.ports.checkRequest({command: work.command});
+		if (refusalReason !== undefined) {
+			return this.refuseMalformed(refusalReason);
+		}
+
+		const answer = await this.runInTransaction(statement.id, transaction, work);
 		if (answer.error) {
 			return answer;
 		}
