--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -1,10 +1,9 @@
 import {laterPosition, type LogPosition} from '@crocusloom/model';
-import {type Route} from './ports.js';
+import {type CheckRequest, type Route} from './ports.js';
 import {type SessionDecisionPorts, SessionDecisions, type SessionIdentity} from './sessionDecisions.js';
-import {sharedPreparedName} from './sessionParameters.js';
 import {SessionSettings} from './sessionSettings.js';
 import {
-	type Answer, errorAnswer, localAnswer, type Statement, type TransactionState,
+	type Answer, errorAnswer, localAnswer, prepareStatement, type Statement, type TransactionState,
 } from './statement.js';
 import {isRefused, type StatementRunner} from './statementRunner.js';
 import {
@@ -14,7 +13,10 @@
 /** Added to the idle timeout of transactions, so that a late timer does not abort the transaction of a caller that keeps to the timeout. */
 const idleTimeoutSlackMs = 250;
 
-export type SessionPorts = SessionDecisionPorts & {readonly runner: StatementRunner};
+/** Position with the longest text, because the position that a read will require is not known before its server is chosen. */
+const widestPosition: LogPosition = {term: 999_999_999_999_999, offsetBytes: 999_999_999_999_999};
+
+export type SessionPorts = SessionDecisionPorts & {readonly runner: StatementRunner; readonly checkRequest: CheckRequest};
 
 type Transaction = {
 	readonly route: Route;
@@ -174,18 +176,20 @@
 		return this.runData(statement.id, {
 			mode: prepared.mode,
 			command: {
-				kind: 'executePrepared', id: statement.id, preparedName: sharedPreparedName(prepared), argumentsText: statement.argumentsText,
+				kind: 'executePrepared', id: statement.id, preparedName: prepared.backendName, argumentsText: statement.argumentsText,
 			},
 			prepared,
 		});
 	}
 
 	private set({name, value}: StatementOf<'set'>): Answer {
-		return this.answerFor(this.settings.set(name, value));
+		return this.answerFor(this.ports.checkRequest({command: {kind: 'set', name, value}}) ?? this.settings.set(name, value));
 	}
 
 	private prepare({name, mode, shape}: StatementOf<'prepare'>): Answer {
-		return this.answerFor(this.settings.prepare(name, {mode, shape}));
+		const prepared = prepareStatement({mode, shape});
+		const refusalReason = this.ports.checkRequest({command: {kind: 'prepare', preparedName: prepared.backendName, prepared}});
+		return this.answerFor(refusalReason ?? this.settings.prepare(name, prepared));
 	}
 
 	/** Answers a change of the settings, which the session may refuse. */
@@ -200,6 +204,11 @@
 	}
 
 	private async runData(id: string, work: DataWork): Promise<Answer> {
+		const refusalReason = this.ports.checkRequest({command: work.command, minimumPosition: work.mode === 'read' ? widestPosition : undefined});
+		if (refusalReason !== undefined) {
+			return this.refuseMalformed(refusalReason);
+		}
+
 		if (this.transaction) {
 			this.transaction.hasWritten ||= work.mode === 'write';
 			return this.runInTransaction(id, this.transaction, work);
@@ -212,7 +221,9 @@
 
 		const startedMs = this.ports.clock.nowMs();
 		const result = await this.ports.runner.runSingle(this.contextFor(id, route, startedMs), work);
-		this.decisions.record(id, work.mode, result, startedMs);
+		this.decisions.record({
+			requestId: id, operation: work.mode, startedMs, command: work.command,
+		}, result);
 		if (work.mode === 'write' && !result.answer.error) {
 			this.recordCommit(result.answer);
 		}
@@ -226,7 +237,7 @@
 		if (!transaction.openTransaction) {
 			const beginResult = await this.ports.runner.begin(context, transaction.readOnly);
 			if (isRefused(beginResult)) {
-				this.decisions.record(id, 'begin', beginResult, startedMs);
+				this.decisions.record({requestId: id, operation: 'begin', startedMs}, beginResult);
 				return {...beginResult.answer, state: work.command.kind === 'commit' ? 'idle' : 'failed'};
 			}
 
@@ -234,7 +245,9 @@
 		}
 
 		const result = await this.ports.runner.runInTransaction(context, transaction.openTransaction, work, transaction.hasWritten);
-		this.decisions.record(id, work.command.kind === 'commit' ? 'commit' : work.mode, result, startedMs);
+		this.decisions.record({
+			requestId: id, operation: work.command.kind === 'commit' ? 'commit' : work.mode, startedMs, command: work.command,
+		}, result);
 		return this.validateTransactionAnswer(result.answer, transaction, work);
 	}
 
@@ -294,9 +307,9 @@
 
 	private refuseUnknownDatabase(id: string): Answer {
 		const answer = errorAnswer('unknownDatabase', `no route has the name ${this.identity.database}`, 'idle');
-		this.decisions.record(id, 'route', {
-			answer, server: undefined, leadTerm: undefined, minimumPosition: undefined, attempts: 0, waitedMs: 0,
-		}, this.ports.clock.nowMs());
+		this.decisions.record({requestId: id, operation: 'route', startedMs: this.ports.clock.nowMs()}, {
+			answer, server: undefined, connectionNumber: undefined, leadTerm: undefined, minimumPosition: undefined, attempts: 0, waitedMs: 0,
+		});
 		return answer;
 	}
 
--- a/packages/proxy/src/transactionRunner.ts
+++ b/packages/proxy/src/transactionRunner.ts
@@ -1,5 +1,6 @@
 import {errorMessageOf} from '@crocusloom/model';
 import {type PooledConnection} from './pooledConnection.js';
+import {UnsendableRequestError} from './ports.js';
 import {type Answer, errorAnswer} from './statement.js';
 import {newExecution, resultOf, type StatementExecution} from './statementExecution.js';
 import {requireNewWorkAccepted, type StatementSteps} from './statementSteps.js';
@@ -37,7 +38,7 @@
 		const {backend, connection, view} = transaction;
 		const target: Target = {backend, primary: undefined, minimumPosition: undefined};
 		const execution: StatementExecution = {
-			...newExecution(context, clock.nowMs()), target, view, attemptCount: 1,
+			...newExecution(context, clock.nowMs()), target, view, connectionNumber: connection.number, attemptCount: 1,
 		};
 		try {
 			const answer = await access.withSlot(execution, backend, true, async () => this.runOnConnection(execution, transaction, work, hasWritten));
@@ -63,6 +64,10 @@
 		await access.setUpSession(execution, connection, work.prepared);
 		execution.isWriteSent = isCommit && hasWritten;
 		const answer = await access.run(execution, connection, work.command, work.mode);
+		if (answer.error?.kind === 'unknownPrepared') {
+			return errorAnswer('aborted', 'the server no longer has the prepared statement; the transaction is rolled back', 'failed');
+		}
+
 		const mayAnswer = isCommit || await access.withDeadline(execution, isPrimaryProven, () => undefined);
 		return mayAnswer ? answer : abortForReplacedPrimary(connection);
 	}
@@ -127,6 +132,10 @@
 function abortAfterError(execution: StatementExecution, connection: PooledConnection, error: unknown): Answer {
 	connection.close();
 	const reason = errorMessageOf(error);
+	if (error instanceof UnsendableRequestError) {
+		return errorAnswer('malformed', reason, 'failed');
+	}
+
 	return execution.isWriteSent
 		? errorAnswer('inDoubt', `the commit was sent and not answered: ${reason}`, 'idle')
 		: errorAnswer('aborted', `the transaction is rolled back: ${reason}`, 'failed');
