--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -1,6 +1,6 @@
 import {FailureError, sqlStates} from '@crocusloom/model';
 import {
-	backendTypes, buildFrame, frameHeaderBytes, readCString, readyForQuery,
+	backendTypes, buildFrame, frameHeaderBytes, readUtf8CString, readyForQuery,
 } from '@crocusloom/wire';
 import {type CallerChannel} from './channel.js';
 import {ExchangeCollector, type CollectedExchange} from './collector.js';
@@ -15,7 +15,8 @@
 import {ExtendedPlanner, type ExtendedPlannerContext} from './extended.js';
 import {type LocalCommand} from './localCommands.js';
 import {planStatement, type StatementPlan} from './plans.js';
-import {SessionStatements, type SessionStatement} from './preparedStatements.js';
+import {SessionPortals} from './portals.js';
+import {SessionStatements} from './preparedStatements.js';
 import {type CallerIdentity} from './routes.js';
 import {SessionUnitOfWork} from './sessionUnitOfWork.js';
 import {type SessionSettings} from './settings.js';
@@ -40,7 +41,7 @@
 	private readonly collector: ExchangeCollector;
 	private readonly sessionStatements: SessionStatements;
 	private readonly commandRunner: CommandRunner;
-	private readonly portals = new Map<string, SessionStatement>();
+	private readonly portals: SessionPortals;
 	private readonly exchangeRunner: ExchangeRunner;
 	private readonly plannerContext: ExtendedPlannerContext;
 	private isDraining = false;
@@ -50,6 +51,7 @@
 	constructor(private readonly sessionContext: SessionContext) {
 		const {options, limits, channel, settings} = sessionContext;
 		this.unitOfWork = new SessionUnitOfWork(options.dispatcher);
+		this.portals = new SessionPortals(channel.peer);
 		this.collector = new ExchangeCollector(channel, limits);
 		this.sessionStatements = new SessionStatements(channel.peer, limits);
 		this.commandRunner = new CommandRunner({
@@ -122,7 +124,7 @@
 
 		if (this.unitOfWork.status === 'I') {
 			this.portals.clear();
-			this.exchangeRunner.clearTransactionParameters();
+			this.exchangeRunner.transactionParameters.clear();
 		}
 	}
 
@@ -163,7 +165,7 @@
 	}
 
 	private planSimpleQuery(frame: Buffer): PlannedExchange {
-		const queryString = readCString(frame, frameHeaderBytes);
+		const queryString = readUtf8CString(frame, frameHeaderBytes);
 		if (queryString?.nextOffset !== frame.length) {
 			throw protocolError('classify', this.sessionContext.channel.peer, sqlStates.protocolViolation, 'malformed Query message');
 		}
@@ -182,6 +184,7 @@
 			protocol: 'simple',
 			mode: plan.classification.mode,
 			plans: [plan],
+			transactionSteps: plan.classification.transactionCommands.map(command => ({command, parameters: this.sessionContext.settings.serverParameters})),
 			hasExecution: true,
 			preparedStatements: [],
 			expectedResponses: localFrames ? [{kind: 'local', frames: localFrames}] : [{kind: 'forward', endTypes: responseEndTypes.simpleQuery}],
@@ -238,22 +241,23 @@
 		const {hasLostTransaction} = this.unitOfWork;
 		if (hasLostTransaction) {
 			this.unitOfWork.endWithStatus('I');
-			this.exchangeRunner.restoreParameters();
-			this.exchangeRunner.clearTransactionParameters();
+			this.exchangeRunner.transactionParameters.rollBack();
 		}
 
 		return hasLostTransaction;
 	}
 
 	private createPlannerContext(): ExtendedPlannerContext {
-		const {settings, channel} = this.sessionContext;
+		const {settings, channel, limits} = this.sessionContext;
 		return {
 			peer: channel.peer,
 			statements: this.sessionStatements,
 			portals: this.portals,
+			maximumPlannedBytes: limits.maximumExchangeBytes + limits.maximumPreparedStatementBytes,
 			get needsInlineParse() {
-				return settings.serverParameters.size > 0;
+				return settings.hasAppliedParameters;
 			},
+			currentParameters: () => settings.serverParameters,
 			localCommandsOf: plan => this.localCommandsOf(plan),
 			describeCommands: commands => this.commandRunner.describe(commands),
 			runCommands: commands => this.commandRunner.run(commands, false),
--- a/packages/callers/src/settings.ts
+++ b/packages/callers/src/settings.ts
@@ -1,13 +1,22 @@
 import {
 	advanceVector, formatSessionToken, parseSessionToken, type Configuration, type FreshnessVector, type LogPosition,
 } from '@crocusloom/model';
+import {quoteLiteral} from '@crocusloom/wire';
+import {defaultDateStyle, resolveDateStyle} from './dateStyle.js';
 import {callerSqlStates, protocolError} from './errors.js';
+import {
+	changesBetween, withChanges, type ParameterChanges, type ParameterValues,
+} from './parameterChanges.js';
 
 /** Maximum length of an idempotency key. */
 const maximumIdempotencyKeyLength = 256;
 /** Maximum number of server parameters per session. */
 const maximumServerParameters = 64;
 const maximumParameterValueLength = 1024;
+/** Maximum length of the name of a server parameter. PostgreSQL uses 63 bytes of each part of it. */
+const maximumParameterNameLength = 256;
+/** Parameter that routes the work of a session and is not applied on backend connections. */
+const applicationParameter = 'application_name';
 const proxyOptionPrefix = 'crocusloom.';
 
 // eslint-disable-next-line unicorn/text-encoding-identifier-case -- PostgreSQL reports the encoding in this spelling.
@@ -22,7 +31,7 @@
 	['default_transaction_read_only', 'off'],
 	['in_hot_standby', 'off'],
 	['is_superuser', 'off'],
-	['DateStyle', 'ISO, MDY'],
+	['DateStyle', defaultDateStyle],
 	['IntervalStyle', 'postgres'],
 	['TimeZone', 'UTC'],
 	['integer_datetimes', 'on'],
@@ -31,39 +40,47 @@
 
 /** Returns the reported parameters with the values that the startup message of the session set. */
 export function reportedParameterValues(settings: SessionSettings): ReadonlyArray<readonly [string, string]> {
-	return reportedParameters.map(([name, value]) => [name, name === 'application_name' ? settings.application : settings.serverParameters.get(name.toLowerCase()) ?? value]);
+	return reportedParameters.map(([name, value]) => [name, settings.serverParameters.get(name.toLowerCase()) ?? value]);
 }
 
-/** Values that need not be applied, because they are in force on backend connections or make no difference. */
-const noOpValuePatterns: Readonly<Record<string, RegExp>> = {
-	application_name: /^/v,
+/** Values that need not be applied, because they are in force on backend connections or make no difference, whatever value was set before. */
+const noOpValuePatterns: ReadonlyMap<string, RegExp> = new Map(Object.entries({
 	client_encoding: /^(?:utf-?8|unicode)$/iv,
-	extra_float_digits: /^[0-3]$/v,
-	datestyle: /^"?iso(?:\s*,\s*mdy)?"?$/iv,
+	// Since PostgreSQL 12, all values from 1 give the shortest exact output, and 0 rounds.
+	extra_float_digits: /^[1-3]$/v,
+	datestyle: new RegExp(`^${defaultDateStyle}$`, 'v'),
 	timezone: /^(?:utc|etc\/utc)$/iv,
 	intervalstyle: /^postgres$/iv,
 	standard_conforming_strings: /^(?:on|true|1)$/iv,
 	bytea_output: /^hex$/iv,
 	client_min_messages: /^notice$/iv,
-	search_path: /^(?:(?:"\$user"\s*,\s*)?public)$/iv,
+	search_path: /^"\$user"\s*,\s*public$/iv,
 	statement_timeout: /^0$/v,
 	lock_timeout: /^0$/v,
 	idle_in_transaction_session_timeout: /^0$/v,
-};
+}));
+
+/** Functions that complete values whose meaning depends on the value before, by parameter. They return undefined for an invalid value. */
+const valueResolvers: ReadonlyMap<string, (value: string, currentValue: string | undefined, resetValue: string | undefined) => string | undefined> = new Map([
+	['datestyle', (value, currentValue = defaultDateStyle, resetValue = defaultDateStyle) => resolveDateStyle(value, currentValue, resetValue)],
+]);
+
+/** Parameters by which the proxy and the backend server read texts. They have to agree, so other values are refused. */
+const fixedParameters: ReadonlySet<string> = new Set(['client_encoding', 'standard_conforming_strings']);
 
 /** Parameters that are refused, because they would affect other callers or change the identity of the session. */
 const refusedParameters: ReadonlySet<string> = new Set(['role', 'session_authorization', 'transaction_read_only', 'default_transaction_read_only']);
 
 /** Settings of a session: the `crocusloom.*` options, which the proxy handles, and server parameters, which it applies on backend connections. */
 export class SessionSettings {
-	application = '';
 	rank: string | undefined;
 	freshness: string | undefined;
 	idempotencyKey: string | undefined;
 	freshnessVector: FreshnessVector = new Map();
 	hasSessionToken = false;
-	/** Server parameters that are applied to each unit of work. The map is replaced on a change and never modified, so that a reference is a snapshot. */
-	serverParameters: ReadonlyMap<string, string> = new Map();
+	/** Server parameters, with `application_name`, which routes the work and is not applied. The others are applied to each unit of work. The map is replaced on a change and never modified, so that a reference is a snapshot. */
+	serverParameters: ParameterValues = new Map();
+	private startupParameters: ParameterValues = new Map();
 
 	private readonly proxyOptionGetters: Readonly<Record<string, () => string>> = {
 		'crocusloom.session': () => formatSessionToken(this.freshnessVector),
@@ -106,6 +123,15 @@
 
 	constructor(private readonly peer: string) {}
 
+	get application(): string {
+		return this.serverParameters.get(applicationParameter) ?? '';
+	}
+
+	/** True if the session has parameters that are applied on backend connections. */
+	get hasAppliedParameters(): boolean {
+		return this.serverParameters.size > (this.serverParameters.has(applicationParameter) ? 1 : 0);
+	}
+
 	/**
 	 * Sets a parameter.
 	 * @param name - name in lower case, of a `crocusloom.*` option or a server parameter
@@ -126,14 +152,17 @@
 			return;
 		}
 
-		const remainingParameters = new Map(this.serverParameters);
-		remainingParameters.delete(name);
-		this.serverParameters = remainingParameters;
+		this.replaceParameter(name, this.startupParameters.get(name));
+	}
+
+	/** Makes the current server parameters those to which RESET returns, as PostgreSQL does with the values of the startup message. */
+	keepStartupParameters(): void {
+		this.startupParameters = this.serverParameters;
 	}
 
 	/** Resets the server parameters and all options except the session token. */
 	resetAll(): void {
-		this.serverParameters = new Map();
+		this.serverParameters = this.startupParameters;
 		this.rank = undefined;
 		this.freshness = undefined;
 		this.idempotencyKey = undefined;
@@ -176,22 +205,28 @@
 		return true;
 	}
 
-	private setServerParameter(name: string, value: string): void {
+	private setServerParameter(name: string, givenValue: string): void {
+		const resolve = valueResolvers.get(name);
+		const value = resolve ? resolve(givenValue, this.serverParameters.get(name), this.startupParameters.get(name)) : givenValue;
+		if (value === undefined) {
+			throw this.invalidValueError(name, givenValue);
+		}
+
 		if (refusedParameters.has(name)) {
 			throw protocolError('classify', this.peer, callerSqlStates.featureNotSupported, `option "${name}" cannot be set for a session behind a pool; use SET LOCAL or BEGIN READ ONLY`);
 		}
 
-		if (name === 'client_encoding' && !noOpValuePatterns.client_encoding!.test(value)) {
+		if (fixedParameters.has(name) && !noOpValuePatterns.get(name)!.test(value)) {
 			throw this.invalidValueError(name, value);
 		}
 
-		if (name === 'application_name') {
-			this.application = value;
+		if (noOpValuePatterns.get(name)?.test(value)) {
+			this.replaceParameter(name, undefined);
+			return;
 		}
 
-		if (noOpValuePatterns[name]?.test(value)) {
-			this.reset(name);
-			return;
+		if (name.length > maximumParameterNameLength) {
+			throw protocolError('classify', this.peer, callerSqlStates.programLimitExceeded, `the name of an option exceeds the limit of ${maximumParameterNameLength} characters`);
 		}
 
 		if (value.length > maximumParameterValueLength || (this.serverParameters.size >= maximumServerParameters && !this.serverParameters.has(name))) {
@@ -203,7 +238,11 @@
 			);
 		}
 
-		this.serverParameters = new Map([...this.serverParameters, [name, value]]);
+		this.replaceParameter(name, value);
+	}
+
+	private replaceParameter(name: string, value: string | undefined): void {
+		this.serverParameters = withChanges(this.serverParameters, new Map([[name, value]]));
 	}
 
 	private invalidValueError(name: string, value: string): Error {
@@ -211,13 +250,12 @@
 	}
 }
 
-/** Builds the statement that sets the parameters until the end of the transaction. */
-export function setConfigStatement(parameters: ReadonlyMap<string, string>): string {
-	return `SELECT ${[...parameters].map(([name, value]) => `set_config(${quoteLiteral(name)}, ${quoteLiteral(value)}, true)`).join(', ')}`;
+/** Returns what has to be set on a backend connection to get from some parameters to others. */
+export function backendChanges(from: ParameterValues, to: ParameterValues): ParameterChanges {
+	return new Map([...changesBetween(from, to)].filter(([name]) => name !== applicationParameter));
 }
 
-/** Quotes a text as an SQL literal that is valid with either value of standard_conforming_strings. */
-export function quoteLiteral(text: string): string {
-	const escaped = text.replaceAll('\'', '\'\'');
-	return escaped.includes('\\') ? `E'${escaped.replaceAll('\\', '\\\\')}'` : `'${escaped}'`;
+/** Builds the statement that sets the parameters until the end of the transaction. NULL sets the default. */
+export function setConfigStatement(changes: ParameterChanges): string {
+	return `SELECT ${[...changes].map(([name, value]) => `set_config(${quoteLiteral(name)}, ${value === undefined ? 'NULL' : quoteLiteral(value)}, true)`).join(', ')}`;
 }
