--- a/packages/proxy/src/__tests__/backend.test.ts
+++ b/packages/proxy/src/__tests__/backend.test.ts
@@ -1,9 +1,9 @@
 import {systemClock} from '@crocusloom/model';
 import {RecordingLogger, waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
-import {Backend} from '../backend.js';
+import {Backend} from '../servers/backend.js';
 import {type BackendDialer} from '../ports.js';
-import {probeStatus} from '../leadershipProver.js';
+import {probeStatus} from '../servers/leadershipProver.js';
 import {MemoryService} from '../testing/index.js';
 
 function backendOf(service: MemoryService, log: RecordingLogger, dialer: BackendDialer = service): Backend {
--- a/packages/proxy/src/__tests__/commitEvidence.test.ts
+++ b/packages/proxy/src/__tests__/commitEvidence.test.ts
@@ -1,7 +1,7 @@
 import {type LogPosition} from '@crocusloom/model';
 import {expect} from 'chai';
-import {CommitEvidence, type CommitProof} from '../commitEvidence.js';
-import {CommitSamples} from '../commitSamples.js';
+import {CommitEvidence, type CommitProof} from '../commits/commitEvidence.js';
+import {CommitSamples} from '../commits/commitSamples.js';
 
 function at(offsetBytes: number, term = 1): LogPosition {
 	return {term, offsetBytes};
--- a/packages/proxy/src/__tests__/configurationAge.test.ts
+++ b/packages/proxy/src/__tests__/configurationAge.test.ts
@@ -1,7 +1,7 @@
 import {ClockContinuity, type Metrics, noopMetrics} from '@crocusloom/model';
 import {FakeClock, RecordingLogger} from '@crocusloom/model/testing';
 import {expect} from 'chai';
-import {ConfigurationAge} from '../configurationAge.js';
+import {ConfigurationAge} from '../sessions/configurationAge.js';
 
 const maximumAgeMs = 3000;
 const checkIntervalMs = 100;
--- a/packages/proxy/src/__tests__/confirmationRules.test.ts
+++ b/packages/proxy/src/__tests__/confirmationRules.test.ts
@@ -1,9 +1,9 @@
 import {type LogPosition} from '@crocusloom/model';
 import {expect} from 'chai';
-import {type Backend} from '../backend.js';
+import {type Backend} from '../servers/backend.js';
 import {
 	type ConfirmationMembership, countSilentRounds, isCommitSafe, type ProbeRound, reasonToGiveUp, type SilentRounds,
-} from '../confirmationRules.js';
+} from '../commits/confirmationRules.js';
 
 const position: LogPosition = {term: 3, offsetBytes: 50};
 const earlierPosition: LogPosition = {term: 3, offsetBytes: 49};
--- a/packages/proxy/src/__tests__/congestion.test.ts
+++ b/packages/proxy/src/__tests__/congestion.test.ts
@@ -1,8 +1,8 @@
 import {mock} from 'node:test';
 import {RecordingLogger} from '@crocusloom/model/testing';
 import {expect} from 'chai';
-import {Backend} from '../backend.js';
-import {connectionShareFor} from '../connectionShare.js';
+import {Backend} from '../servers/backend.js';
+import {connectionShareFor} from '../connections/connectionShare.js';
 import {MemoryService} from '../testing/index.js';
 import {mockedClock, tick} from './mockedTime.js';
 
--- a/packages/proxy/src/__tests__/connectionPool.test.ts
+++ b/packages/proxy/src/__tests__/connectionPool.test.ts
@@ -1,9 +1,9 @@
 import {systemClock} from '@crocusloom/model';
 import {RecordingLogger, waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
-import {ConnectionPool} from '../connectionPool.js';
-import {type ConnectionShare, connectionShareFor} from '../connectionShare.js';
-import {noParameters} from '../sessionParameters.js';
+import {ConnectionPool} from '../connections/connectionPool.js';
+import {type ConnectionShare, connectionShareFor} from '../connections/connectionShare.js';
+import {noParameters} from '../sessions/sessionParameters.js';
 import {MemoryService} from '../testing/index.js';
 
 /** Creates a share without scarcity. */
--- a/packages/proxy/src/__tests__/connectionState.test.ts
+++ b/packages/proxy/src/__tests__/connectionState.test.ts
@@ -5,8 +5,8 @@
 import {
 	type BackendConnection, type BackendDialer, type BackendServer, ConnectionError, UnsendableRequestError,
 } from '../ports.js';
-import {type Session} from '../session.js';
-import {type Answer, errorAnswer, type Statement} from '../statement.js';
+import {type Session} from '../sessions/session.js';
+import {type Answer, errorAnswer, type Statement} from '../statements/statement.js';
 import {MemoryService, type RunRecord} from '../testing/index.js';
 import {
 	errorOf, type Harness, run, startProxy,
--- a/packages/proxy/src/__tests__/decisions.test.ts
+++ b/packages/proxy/src/__tests__/decisions.test.ts
@@ -1,13 +1,13 @@
 import {noopMetrics, noopLogger} from '@crocusloom/model';
 import {RecordingLogger} from '@crocusloom/model/testing';
 import {expect} from 'chai';
-import {CommitSamples} from '../commitSamples.js';
-import {HostCount, connectionShareFor} from '../connectionShare.js';
-import {DecisionLog, type RequestDecision} from '../decisionLog.js';
-import {type ConnectivityCheck, IsolationDetector} from '../isolationDetector.js';
-import {ranksOf, RouteTable} from '../routeTable.js';
-import {parameterSyncCommands} from '../sessionParameters.js';
-import {SlotLimit} from '../slotLimit.js';
+import {CommitSamples} from '../commits/commitSamples.js';
+import {HostCount, connectionShareFor} from '../connections/connectionShare.js';
+import {DecisionLog, type RequestDecision} from '../sessions/decisionLog.js';
+import {type ConnectivityCheck, IsolationDetector} from '../connections/isolationDetector.js';
+import {ranksOf, RouteTable} from '../sessions/routeTable.js';
+import {parameterSyncCommands} from '../sessions/sessionParameters.js';
+import {SlotLimit} from '../servers/slotLimit.js';
 import {type ProxyConfiguration, type Route} from '../ports.js';
 import {manualClock} from './proxyHarness.js';
 
--- a/packages/proxy/src/__tests__/departedServer.test.ts
+++ b/packages/proxy/src/__tests__/departedServer.test.ts
@@ -1,8 +1,8 @@
 import {noopMetrics, systemClock} from '@crocusloom/model';
 import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
-import {promotionSettleMs} from '../orphanedPauseCleaner.js';
-import {PromotionTask} from '../promotion.js';
+import {promotionSettleMs} from '../promotions/orphanedPauseCleaner.js';
+import {PromotionTask} from '../promotions/promotion.js';
 import {MemoryLease, type MemoryServer, MemoryService} from '../testing/index.js';
 import {
 	createPromotionService, errorOf, type Harness, run, startProxy, waitUntilServed,
--- a/packages/proxy/src/__tests__/joiningServer.test.ts
+++ b/packages/proxy/src/__tests__/joiningServer.test.ts
@@ -2,7 +2,7 @@
 import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {type PromotionResult, type PromotionService} from '../ports.js';
-import {PromotionTask} from '../promotion.js';
+import {PromotionTask} from '../promotions/promotion.js';
 import {
 	HostDialer, MemoryLease, type MemoryServer, MemoryService, promotionServiceOf,
 } from '../testing/index.js';
--- a/packages/proxy/src/__tests__/lateCommands.test.ts
+++ b/packages/proxy/src/__tests__/lateCommands.test.ts
@@ -4,7 +4,7 @@
 import {
 	type BackendConnection, type BackendDialer, type BackendServer, type IsNamedInOrder, type PromotionLease, type PromotionService,
 } from '../ports.js';
-import {PromotionTask} from '../promotion.js';
+import {PromotionTask} from '../promotions/promotion.js';
 import {
 	HostDialer, MemoryLease, MemoryService, promotionServiceOf,
 } from '../testing/index.js';
--- a/packages/proxy/src/__tests__/leavingServer.test.ts
+++ b/packages/proxy/src/__tests__/leavingServer.test.ts
@@ -2,14 +2,14 @@
 import {noopLogger, noopMetrics, systemClock} from '@crocusloom/model';
 import {RecordingLogger, waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
-import {Backend} from '../backend.js';
-import {connectionShareFor} from '../connectionShare.js';
+import {Backend} from '../servers/backend.js';
+import {connectionShareFor} from '../connections/connectionShare.js';
 import {type Route} from '../ports.js';
-import {type ServiceView} from '../serviceView.js';
-import {isRefused, StatementRunner} from '../statementRunner.js';
-import {leavingPrimaryGraceMs} from '../targetSearch.js';
+import {type ServiceView} from '../servers/serviceView.js';
+import {isRefused, StatementRunner} from '../statements/statementRunner.js';
+import {leavingPrimaryGraceMs} from '../statements/targetSearch.js';
 import {MemoryService} from '../testing/index.js';
-import {type DataWork, type WorkContext} from '../work.js';
+import {type DataWork, type WorkContext} from '../statements/work.js';
 import {advanceTo, mockedClock} from './mockedTime.js';
 import {
 	errorOf, type Harness, run, startProxy,
--- a/packages/proxy/src/__tests__/lostCommitPaths.test.ts
+++ b/packages/proxy/src/__tests__/lostCommitPaths.test.ts
@@ -4,7 +4,7 @@
 import {
 	type BackendConnection, type BackendDialer, type BackendServer,
 } from '../ports.js';
-import {PromotionTask} from '../promotion.js';
+import {PromotionTask} from '../promotions/promotion.js';
 import {
 	HostDialer, MemoryLease, MemoryService, MemoryServiceRecords, promotionServiceOf,
 } from '../testing/index.js';
--- a/packages/proxy/src/__tests__/orphanedPauseCleaner.test.ts
+++ b/packages/proxy/src/__tests__/orphanedPauseCleaner.test.ts
@@ -1,6 +1,6 @@
 import {systemClock} from '@crocusloom/model';
 import {expect} from 'chai';
-import {OrphanedPauseCleaner, promotionSettleMs} from '../orphanedPauseCleaner.js';
+import {OrphanedPauseCleaner, promotionSettleMs} from '../promotions/orphanedPauseCleaner.js';
 import {type MemoryServer} from '../testing/index.js';
 import {advanceableClock, type Harness, startProxy} from './proxyHarness.js';
 
--- a/packages/proxy/src/__tests__/promotion.test.ts
+++ b/packages/proxy/src/__tests__/promotion.test.ts
@@ -1,9 +1,9 @@
 import {type Clock, noopMetrics, systemClock} from '@crocusloom/model';
 import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
-import {PromotionTask} from '../promotion.js';
+import {PromotionTask} from '../promotions/promotion.js';
 import {type PromotionRequest, type PromotionResult, type PromotionService} from '../ports.js';
-import {unconfirmedServerGraceMs} from '../serverContact.js';
+import {unconfirmedServerGraceMs} from '../servers/serverContact.js';
 import {
 	MemoryLease, type MemoryServer, MemoryService, promotionServiceOf,
 } from '../testing/index.js';
--- a/packages/proxy/src/__tests__/promotionOrder.test.ts
+++ b/packages/proxy/src/__tests__/promotionOrder.test.ts
@@ -2,8 +2,8 @@
 import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
 import {type PromotionOrder, type PromotionResult, type PromotionService} from '../ports.js';
-import {PromotionTask} from '../promotion.js';
-import {orderSettleMs, unsettledOrderMs} from '../promotionOrder.js';
+import {PromotionTask} from '../promotions/promotion.js';
+import {orderSettleMs, unsettledOrderMs} from '../promotions/promotionOrder.js';
 import {MemoryLease, type MemoryServer, promotionServiceOf} from '../testing/index.js';
 import {
 	advanceableClock, createPromotionService, type Harness, startProxy,
--- a/packages/proxy/src/__tests__/promotionWithoutEffect.test.ts
+++ b/packages/proxy/src/__tests__/promotionWithoutEffect.test.ts
@@ -1,7 +1,7 @@
 import {noopMetrics, systemClock} from '@crocusloom/model';
 import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
-import {PromotionTask} from '../promotion.js';
+import {PromotionTask} from '../promotions/promotion.js';
 import {type PromotionService} from '../ports.js';
 import {MemoryLease, type MemoryServer, type MemoryService} from '../testing/index.js';
 import {
--- a/packages/proxy/src/__tests__/proxyHarness.ts
+++ b/packages/proxy/src/__tests__/proxyHarness.ts
@@ -4,11 +4,11 @@
 import {
 	type BackendDialer, type BackendServer, type ConfirmServers, type FreshnessRule, type IsNamedInOrder, type PromotionService, type ProxyConfiguration, type Route,
 } from '../ports.js';
-import {type ServiceRecords} from '../serviceRecords.js';
-import {type ServiceView} from '../serviceView.js';
-import {type Session} from '../session.js';
-import {SessionProxy} from '../sessionProxy.js';
-import {type Answer, type ErrorKind, type Statement} from '../statement.js';
+import {type ServiceRecords} from '../servers/serviceRecords.js';
+import {type ServiceView} from '../servers/serviceView.js';
+import {type Session} from '../sessions/session.js';
+import {SessionProxy} from '../sessions/sessionProxy.js';
+import {type Answer, type ErrorKind, type Statement} from '../statements/statement.js';
 import {MemoryService, MemoryServiceRecords, promotionServiceOf} from '../testing/index.js';
 
 const freshnessRules: Readonly<Record<string, FreshnessRule>> = {
--- a/packages/proxy/src/__tests__/reachedServerRecorder.test.ts
+++ b/packages/proxy/src/__tests__/reachedServerRecorder.test.ts
@@ -1,6 +1,6 @@
 import {systemClock} from '@crocusloom/model';
 import {expect} from 'chai';
-import {ReachedServerRecorder} from '../reachedServerRecorder.js';
+import {ReachedServerRecorder} from '../servers/reachedServerRecorder.js';
 import {MemoryService, MemoryServiceRecords} from '../testing/index.js';
 import {advanceableClock, type Harness, startProxy} from './proxyHarness.js';
 
--- a/packages/proxy/src/__tests__/resumeAfterPromotion.test.ts
+++ b/packages/proxy/src/__tests__/resumeAfterPromotion.test.ts
@@ -1,8 +1,8 @@
 import {noopMetrics, systemClock} from '@crocusloom/model';
 import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
-import {PromotionTask} from '../promotion.js';
-import {recordVisibleMs} from '../termRecorder.js';
+import {PromotionTask} from '../promotions/promotion.js';
+import {recordVisibleMs} from '../servers/termRecorder.js';
 import {MemoryLease, MemoryService, MemoryServiceRecords} from '../testing/index.js';
 import {createPromotionService, type Harness, startProxy} from './proxyHarness.js';
 
--- a/packages/proxy/src/__tests__/session.test.ts
+++ b/packages/proxy/src/__tests__/session.test.ts
@@ -1,7 +1,7 @@
 import {systemClock} from '@crocusloom/model';
 import {waitUntil} from '@crocusloom/model/testing';
 import {expect} from 'chai';
-import {type Session} from '../session.js';
+import {type Session} from '../sessions/session.js';
 import {MemoryService} from '../testing/index.js';
 import {
 	errorOf, type Harness, run, startProxy, waitUntilServed,
--- a/packages/proxy/src/__tests__/sessionSettings.test.ts
+++ b/packages/proxy/src/__tests__/sessionSettings.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
-import {maximumSessionTextBytes, nameOverheadBytes, SessionSettings} from '../sessionSettings.js';
-import {SessionTextBudget} from '../sessionTextBudget.js';
-import {prepareStatement} from '../statement.js';
+import {maximumSessionTextBytes, nameOverheadBytes, SessionSettings} from '../sessions/sessionSettings.js';
+import {SessionTextBudget} from '../sessions/sessionTextBudget.js';
+import {prepareStatement} from '../statements/statement.js';
 
 const lineBytes = 1024 * 1024;
 const name = 'n';
--- a/packages/proxy/src/__tests__/writeConfirmer.test.ts
+++ b/packages/proxy/src/__tests__/writeConfirmer.test.ts
@@ -1,10 +1,10 @@
 import {noopMetrics, systemClock} from '@crocusloom/model';
 import {RecordingLogger} from '@crocusloom/model/testing';
 import {expect} from 'chai';
-import {type Answer} from '../statement.js';
-import {newExecution, type StatementExecution} from '../statementExecution.js';
-import {type WorkContext} from '../work.js';
-import {WriteConfirmer} from '../writeConfirmer.js';
+import {type Answer} from '../statements/statement.js';
+import {newExecution, type StatementExecution} from '../statements/statementExecution.js';
+import {type WorkContext} from '../statements/work.js';
+import {WriteConfirmer} from '../statements/writeConfirmer.js';
 import {type Harness, startProxy} from './proxyHarness.js';
 
 const context: WorkContext = {
--- a/packages/proxy/src/commitWitnesses.ts
+++ b/packages/proxy/src/commits/commitWitnesses.ts
@@ -1,5 +1,5 @@
 import {type Clock, type ClockContinuity} from '@crocusloom/model';
-import {type Backend} from './backend.js';
+import {type Backend} from '../servers/backend.js';
 
 /**
  * Time for which a server must have been listed without a restart before it counts as a witness. Longer than the time from the last
--- a/packages/proxy/src/confirmationRules.ts
+++ b/packages/proxy/src/commits/confirmationRules.ts
@@ -1,5 +1,5 @@
 import {comparePositions, type LogPosition} from '@crocusloom/model';
-import {type Backend} from './backend.js';
+import {type Backend} from '../servers/backend.js';
 import {witnessAgeMs} from './commitWitnesses.js';
 
 /** Rounds without an answer of any witness, or of a server that must have the commit, after which a commit is not confirmed. */
--- a/packages/proxy/src/connectionPool.ts
+++ b/packages/proxy/src/connections/connectionPool.ts
@@ -5,8 +5,8 @@
 import {PooledConnection} from './pooledConnection.js';
 import {
 	type BackendDialer, type BackendServer, ConnectionError, type ConnectionFailure,
-} from './ports.js';
-import {type SessionParameters} from './sessionParameters.js';
+} from '../ports.js';
+import {type SessionParameters} from '../sessions/sessionParameters.js';
 
 /** Time in which a backend server must accept a connection. A new connection also waits for a slot of the server. */
 const dialTimeoutMs = 700;
--- a/packages/proxy/src/pooledConnection.ts
+++ b/packages/proxy/src/connections/pooledConnection.ts
@@ -1,7 +1,7 @@
 import {type BackendStatementName} from '@crocusloom/model';
-import {type BackendConnection, ConnectionError} from './ports.js';
-import {parameterSyncCommands, noParameters, type SessionParameters} from './sessionParameters.js';
-import {type Answer, type BackendCommand, type PreparedStatement} from './statement.js';
+import {type BackendConnection, ConnectionError} from '../ports.js';
+import {parameterSyncCommands, noParameters, type SessionParameters} from '../sessions/sessionParameters.js';
+import {type Answer, type BackendCommand, type PreparedStatement} from '../statements/statement.js';
 
 /** Maximum number of prepared statements on a connection. Beyond it the connection is reset before further work, which bounds memory on both sides. */
 const maximumPreparedStatements = 200;
--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -2,7 +2,7 @@
  * Ports of the session proxy: interfaces through which it reaches backend servers and the platform, and the configuration
  * that it receives.
  */
-import {type Answer, type BackendRequest, type ServerStatus} from './statement.js';
+import {type Answer, type BackendRequest, type ServerStatus} from './statements/statement.js';
 
 /** A backend server as listed by service discovery. */
 export type BackendServer = {
--- a/packages/proxy/src/promotionFollowUp.ts
+++ b/packages/proxy/src/promotions/promotionFollowUp.ts
@@ -1,14 +1,14 @@
 import {
 	type Clock, comparePositions, formatPosition, type Logger,
 } from '@crocusloom/model';
-import {type Backend} from './backend.js';
-import {probeStatus} from './leadershipProver.js';
+import {type Backend} from '../servers/backend.js';
+import {probeStatus} from '../servers/leadershipProver.js';
 import {promotionSettleMs} from './orphanedPauseCleaner.js';
 import {type Candidate, pollIntervalMs} from './promotionOrder.js';
 import {type ReplicationPauses, sendControlCommand} from './replicationPauses.js';
-import {type ServiceView} from './serviceView.js';
-import {type ServerStatus} from './statement.js';
-import {type TermRecorder} from './termRecorder.js';
+import {type ServiceView} from '../servers/serviceView.js';
+import {type ServerStatus} from '../statements/statement.js';
+import {type TermRecorder} from '../servers/termRecorder.js';
 
 /** Time for which the old primary is repeatedly told to step down after a promotion. */
 const stepDownTimeoutMs = 20_000;
--- a/packages/proxy/src/promotionOrder.ts
+++ b/packages/proxy/src/promotions/promotionOrder.ts
@@ -1,15 +1,15 @@
 import {
 	type Clock, formatPosition, type Logger, type Metrics,
 } from '@crocusloom/model';
-import {type Backend} from './backend.js';
-import {probeStatus} from './leadershipProver.js';
+import {type Backend} from '../servers/backend.js';
+import {probeStatus} from '../servers/leadershipProver.js';
 import {promotionSettleMs} from './orphanedPauseCleaner.js';
 import {
 	type PromotionLease, type PromotionOrder, type PromotionResult, type PromotionService, type RecordedOrder,
-} from './ports.js';
+} from '../ports.js';
 import {type ReplicationPauses} from './replicationPauses.js';
-import {type ServiceView} from './serviceView.js';
-import {type ServerStatus} from './statement.js';
+import {type ServiceView} from '../servers/serviceView.js';
+import {type ServerStatus} from '../statements/statement.js';
 
 /** Interval of status polls while a promotion waits for a server. */
 export const pollIntervalMs = 40;
--- a/packages/proxy/src/replicationPauses.ts
+++ b/packages/proxy/src/promotions/replicationPauses.ts
@@ -1,7 +1,7 @@
 import {type Logger} from '@crocusloom/model';
-import {type Backend} from './backend.js';
-import {probeStatus} from './leadershipProver.js';
-import {type BackendCommand, type ServerStatus} from './statement.js';
+import {type Backend} from '../servers/backend.js';
+import {probeStatus} from '../servers/leadershipProver.js';
+import {type BackendCommand, type ServerStatus} from '../statements/statement.js';
 
 /** Time in which a server must answer a control command of a promotion. */
 const commandTimeoutMs = 500;
--- a/packages/proxy/src/successorChoice.ts
+++ b/packages/proxy/src/promotions/successorChoice.ts
@@ -1,14 +1,14 @@
 import {
 	type Clock, comparePositions, formatPosition, type Logger, type LogPosition,
 } from '@crocusloom/model';
-import {type Backend} from './backend.js';
-import {type CommitProof} from './commitEvidence.js';
-import {probeStatus} from './leadershipProver.js';
+import {type Backend} from '../servers/backend.js';
+import {type CommitProof} from '../commits/commitEvidence.js';
+import {probeStatus} from '../servers/leadershipProver.js';
 import {type Candidate, pollIntervalMs, PromotionHalt} from './promotionOrder.js';
-import {type ReachedServerRecorder} from './reachedServerRecorder.js';
+import {type ReachedServerRecorder} from '../servers/reachedServerRecorder.js';
 import {type ReplicationPauses, sendControlCommand} from './replicationPauses.js';
-import {unconfirmedServerGraceMs} from './serverContact.js';
-import {type ServiceView} from './serviceView.js';
+import {unconfirmedServerGraceMs} from '../servers/serverContact.js';
+import {type ServiceView} from '../servers/serviceView.js';
 
 /** Time in which a replica must receive the complete log of a primary that stepped down. */
 const catchUpTimeoutMs = 1500;
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/servers/backend.ts
@@ -5,14 +5,14 @@
 	AdmissionQueue, type RankPolicy, type SlotGrant, type SlotRequest,
 } from '@crocusloom/work';
 import {BackendLoad} from './backendLoad.js';
-import {ConnectionPool} from './connectionPool.js';
-import {type ConnectionShare} from './connectionShare.js';
+import {ConnectionPool} from '../connections/connectionPool.js';
+import {type ConnectionShare} from '../connections/connectionShare.js';
 import {ControlCommands} from './controlCommands.js';
-import {type PooledConnection} from './pooledConnection.js';
-import {type BackendDialer, type BackendServer} from './ports.js';
+import {type PooledConnection} from '../connections/pooledConnection.js';
+import {type BackendDialer, type BackendServer} from '../ports.js';
 import {ServerContact} from './serverContact.js';
 import {ServerPositions} from './serverPositions.js';
-import {type Answer, type BackendCommand, type ServerStatus} from './statement.js';
+import {type Answer, type BackendCommand, type ServerStatus} from '../statements/statement.js';
 
 export type BackendPorts = {
 	readonly dialer: BackendDialer;
--- a/packages/proxy/src/controlCommands.ts
+++ b/packages/proxy/src/servers/controlCommands.ts
@@ -1,10 +1,10 @@
 import {type Clock} from '@crocusloom/model';
-import {type ConnectionPool} from './connectionPool.js';
-import {type PooledConnection} from './pooledConnection.js';
-import {type BackendDialer, type BackendServer, ConnectionError} from './ports.js';
-import {noParameters} from './sessionParameters.js';
-import {type BackendCommand, type ServerStatus} from './statement.js';
-import {withTimeout} from './withTimeout.js';
+import {type ConnectionPool} from '../connections/connectionPool.js';
+import {type PooledConnection} from '../connections/pooledConnection.js';
+import {type BackendDialer, type BackendServer, ConnectionError} from '../ports.js';
+import {noParameters} from '../sessions/sessionParameters.js';
+import {type BackendCommand, type ServerStatus} from '../statements/statement.js';
+import {withTimeout} from '../statements/withTimeout.js';
 
 export type ControlCommandPorts = {
 	readonly dialer: BackendDialer;
--- a/packages/proxy/src/primaryMonitor.ts
+++ b/packages/proxy/src/servers/primaryMonitor.ts
@@ -2,8 +2,8 @@
 import {type Backend} from './backend.js';
 import {probeStatus} from './leadershipProver.js';
 import {type ServiceView} from './serviceView.js';
-import {type ServerStatus} from './statement.js';
-import {isTrueWithin} from './withTimeout.js';
+import {type ServerStatus} from '../statements/statement.js';
+import {isTrueWithin} from '../statements/withTimeout.js';
 
 /** Time without contact after which the primary is probed. */
 const silenceThresholdMs = 200;
--- a/packages/proxy/src/serverContact.ts
+++ b/packages/proxy/src/servers/serverContact.ts
@@ -1,5 +1,5 @@
 import {type Clock, errorMessageOf, type Logger} from '@crocusloom/model';
-import {type BackendDialer, type BackendServer, type ConnectionFailure} from './ports.js';
+import {type BackendDialer, type BackendServer, type ConnectionFailure} from '../ports.js';
 
 /** Time without contact, while work is in flight, after which the reachability of the server's host is checked. */
 const silenceThresholdMs = 250;
--- a/packages/proxy/src/serverPositions.ts
+++ b/packages/proxy/src/servers/serverPositions.ts
@@ -1,7 +1,7 @@
 import {
 	type Clock, holdsPosition, laterPosition, type LogPosition,
 } from '@crocusloom/model';
-import {witnessAgeMs} from './commitWitnesses.js';
+import {witnessAgeMs} from '../commits/commitWitnesses.js';
 
 /** Initial backoff after a replica lacked a position. During it, the replica gets no read that needs a newer position than it is known to have applied. */
 const initialLagBackoffMs = 40;
--- a/packages/proxy/src/serviceView.ts
+++ b/packages/proxy/src/servers/serviceView.ts
@@ -3,22 +3,22 @@
 } from '@crocusloom/model';
 import {type RankPolicy} from '@crocusloom/work';
 import {type Backend, type BackendLimits, type BackendPorts} from './backend.js';
-import {type CommitConfirmation, CommitConfirmer} from './commitConfirmation.js';
-import {type AcknowledgedCommit, type ConfirmationMembership} from './confirmationRules.js';
-import {type CommitProof} from './commitEvidence.js';
-import {CommitHistory} from './commitHistory.js';
-import {type CommitSamples} from './commitSamples.js';
-import {CommitWitnesses, type WitnessPorts} from './commitWitnesses.js';
-import {connectionShareFor} from './connectionShare.js';
+import {type CommitConfirmation, CommitConfirmer} from '../commits/commitConfirmation.js';
+import {type AcknowledgedCommit, type ConfirmationMembership} from '../commits/confirmationRules.js';
+import {type CommitProof} from '../commits/commitEvidence.js';
+import {CommitHistory} from '../commits/commitHistory.js';
+import {type CommitSamples} from '../commits/commitSamples.js';
+import {CommitWitnesses, type WitnessPorts} from '../commits/commitWitnesses.js';
+import {connectionShareFor} from '../connections/connectionShare.js';
 import {type KnownPrimary, LeadershipProver, type ProofOutcome} from './leadershipProver.js';
-import {type PooledConnection} from './pooledConnection.js';
+import {type PooledConnection} from '../connections/pooledConnection.js';
 import {
 	type BackendServer, type ConfirmServers, type IsNamedInOrder, type ServiceSpec,
-} from './ports.js';
+} from '../ports.js';
 import {PrimarySearch} from './primarySearch.js';
 import {ServiceBackends} from './serviceBackends.js';
 import {type ServiceRecord, type ServiceRecords} from './serviceRecords.js';
-import {type ServerStatus} from './statement.js';
+import {type ServerStatus} from '../statements/statement.js';
 
 /** A primary that this proxy had contact with within this time counts as reachable without a check. */
 const recentContactMs = 250;
--- a/packages/proxy/src/termRecorder.ts
+++ b/packages/proxy/src/servers/termRecorder.ts
@@ -1,5 +1,5 @@
 import {type Clock} from '@crocusloom/model';
-import {maximumCopyAgeMs} from './commitWitnesses.js';
+import {maximumCopyAgeMs} from '../commits/commitWitnesses.js';
 import {type ServiceView} from './serviceView.js';
 
 /**
--- a/packages/proxy/src/routeTable.ts
+++ b/packages/proxy/src/sessions/routeTable.ts
@@ -1,6 +1,6 @@
 import {type Logger} from '@crocusloom/model';
 import {type RankPolicy} from '@crocusloom/work';
-import {type ProxyConfiguration, type Route} from './ports.js';
+import {type ProxyConfiguration, type Route} from '../ports.js';
 
 /** Share of a server's slot time that is guaranteed to each rank except the most urgent one. */
 const floorShare = 0.12;
--- a/packages/proxy/src/sessionParameters.ts
+++ b/packages/proxy/src/sessions/sessionParameters.ts
@@ -1,4 +1,4 @@
-import {type BackendCommand} from './statement.js';
+import {type BackendCommand} from '../statements/statement.js';
 
 /** Parameters that are set on a session or a connection, by name. */
 export type SessionParameters = ReadonlyMap<string, string>;
--- a/packages/proxy/src/backendAccess.ts
+++ b/packages/proxy/src/statements/backendAccess.ts
@@ -1,9 +1,9 @@
 import {type Clock} from '@crocusloom/model';
 import {type SlotGrant} from '@crocusloom/work';
-import {type Backend} from './backend.js';
-import {type PooledConnection} from './pooledConnection.js';
-import {ConnectionError} from './ports.js';
-import {rankOf} from './routeTable.js';
+import {type Backend} from '../servers/backend.js';
+import {type PooledConnection} from '../connections/pooledConnection.js';
+import {ConnectionError} from '../ports.js';
+import {rankOf} from '../sessions/routeTable.js';
 import {
 	type AccessMode, type Answer, type BackendCommand, type PreparedStatement,
 } from './statement.js';
--- a/packages/proxy/src/placement.ts
+++ b/packages/proxy/src/statements/placement.ts
@@ -1,6 +1,6 @@
 import {type LogPosition} from '@crocusloom/model';
-import {type Backend} from './backend.js';
-import {type ServiceView} from './serviceView.js';
+import {type Backend} from '../servers/backend.js';
+import {type ServiceView} from '../servers/serviceView.js';
 
 /** Latency penalty for a server in another failure domain, for the longer network path and the cost of its traffic. */
 const otherDomainPenaltyMs = 4;
--- a/packages/proxy/src/primaryProofs.ts
+++ b/packages/proxy/src/statements/primaryProofs.ts
@@ -1,5 +1,5 @@
-import {type KnownPrimary} from './leadershipProver.js';
-import {type PooledConnection} from './pooledConnection.js';
+import {type KnownPrimary} from '../servers/leadershipProver.js';
+import {type PooledConnection} from '../connections/pooledConnection.js';
 import {type Answer} from './statement.js';
 import {type StatementExecution} from './statementExecution.js';
 import {Refusal, type SearchPorts} from './targetSearch.js';
--- a/packages/proxy/src/singleStatementRunner.ts
+++ b/packages/proxy/src/statements/singleStatementRunner.ts
@@ -1,5 +1,5 @@
-import {type PooledConnection} from './pooledConnection.js';
-import {ConnectionError} from './ports.js';
+import {type PooledConnection} from '../connections/pooledConnection.js';
+import {ConnectionError} from '../ports.js';
 import {type Answer, isNotRun} from './statement.js';
 import {type StatementExecution} from './statementExecution.js';
 import {requireNewWorkAccepted, type StatementSteps} from './statementSteps.js';
--- a/packages/proxy/src/statementExecution.ts
+++ b/packages/proxy/src/statements/statementExecution.ts
@@ -1,6 +1,6 @@
 import {type Clock} from '@crocusloom/model';
-import {type Backend} from './backend.js';
-import {type ServiceView} from './serviceView.js';
+import {type Backend} from '../servers/backend.js';
+import {type ServiceView} from '../servers/serviceView.js';
 import {type Answer} from './statement.js';
 import {type Target, type WorkContext, type WorkResult} from './work.js';
 
--- a/packages/proxy/src/statementRetries.ts
+++ b/packages/proxy/src/statements/statementRetries.ts
@@ -1,5 +1,5 @@
 import {FailureError, errorMessageOf, type NotRunReason} from '@crocusloom/model';
-import {UnsendableRequestError} from './ports.js';
+import {UnsendableRequestError} from '../ports.js';
 import {
 	type Answer, type AnswerError, errorAnswer, isNotRun,
 } from './statement.js';
--- a/packages/proxy/src/statementSteps.ts
+++ b/packages/proxy/src/statements/statementSteps.ts
@@ -1,5 +1,5 @@
 import {type Clock} from '@crocusloom/model';
-import {type Backend} from './backend.js';
+import {type Backend} from '../servers/backend.js';
 import {BackendAccess} from './backendAccess.js';
 import {PrimaryProofs} from './primaryProofs.js';
 import {StatementRetries} from './statementRetries.js';
--- a/packages/proxy/src/transactionRunner.ts
+++ b/packages/proxy/src/statements/transactionRunner.ts
@@ -1,6 +1,6 @@
 import {errorMessageOf} from '@crocusloom/model';
-import {type PooledConnection} from './pooledConnection.js';
-import {UnsendableRequestError} from './ports.js';
+import {type PooledConnection} from '../connections/pooledConnection.js';
+import {UnsendableRequestError} from '../ports.js';
 import {type Answer, errorAnswer} from './statement.js';
 import {newExecution, resultOf, type StatementExecution} from './statementExecution.js';
 import {requireNewWorkAccepted, type StatementSteps} from './statementSteps.js';
--- a/packages/proxy/src/work.ts
+++ b/packages/proxy/src/statements/work.ts
@@ -2,12 +2,12 @@
  * Work that sessions pass to the statement runner, and the results that it returns.
  */
 import {type LogPosition} from '@crocusloom/model';
-import {type Backend} from './backend.js';
-import {type KnownPrimary} from './leadershipProver.js';
-import {type PooledConnection} from './pooledConnection.js';
-import {type Route} from './ports.js';
-import {type ServiceView} from './serviceView.js';
-import {type SessionParameters} from './sessionParameters.js';
+import {type Backend} from '../servers/backend.js';
+import {type KnownPrimary} from '../servers/leadershipProver.js';
+import {type PooledConnection} from '../connections/pooledConnection.js';
+import {type Route} from '../ports.js';
+import {type ServiceView} from '../servers/serviceView.js';
+import {type SessionParameters} from '../sessions/sessionParameters.js';
 import {
 	type AccessMode, type Answer, type BackendCommand, type PreparedStatement,
 } from './statement.js';
--- a/packages/proxy/src/writeConfirmer.ts
+++ b/packages/proxy/src/statements/writeConfirmer.ts
@@ -1,7 +1,7 @@
 import {
 	type Clock, formatPosition, type Logger, type Metrics,
 } from '@crocusloom/model';
-import {type CommitConfirmation} from './commitConfirmation.js';
+import {type CommitConfirmation} from '../commits/commitConfirmation.js';
 import {type Answer, errorAnswer} from './statement.js';
 import {remainingMs, type StatementExecution} from './statementExecution.js';
 
--- a/packages/proxy/src/testing/hostDialer.ts
+++ b/packages/proxy/src/testing/hostDialer.ts
@@ -4,7 +4,7 @@
 } from '../ports.js';
 import {
 	type Answer, type BackendCommand, type BackendRequest, type ServerStatus,
-} from '../statement.js';
+} from '../statements/statement.js';
 
 type CommandListener = (serverId: string, command: BackendCommand) => void;
 
--- a/packages/proxy/src/testing/memoryService.ts
+++ b/packages/proxy/src/testing/memoryService.ts
@@ -9,7 +9,7 @@
 } from '../ports.js';
 import {
 	type Answer, type BackendCommand, type BackendRequest, errorAnswer, type ServerStatus, type StatementDefinition, type TransactionState,
-} from '../statement.js';
+} from '../statements/statement.js';
 
 type LogEntry = {readonly position: LogPosition; readonly writeId: string};
 
--- a/packages/proxy/src/testing/memoryServiceRecords.ts
+++ b/packages/proxy/src/testing/memoryServiceRecords.ts
@@ -1,4 +1,4 @@
-import {emptyServiceRecord, type ServiceRecord, type ServiceRecords} from '../serviceRecords.js';
+import {emptyServiceRecord, type ServiceRecord, type ServiceRecords} from '../servers/serviceRecords.js';
 
 /** Records of services that several hosts share in memory. */
 export class MemoryServiceRecords implements ServiceRecords {
