Close a connection to a database whose last session left long values on it

A pooled connection kept up to 1.25 MiB of values of a session that had ended, here and at the database, outside any bound. Beyond 64 KiB it is now closed when it is released. The new test failed before: the second read used the same connection.

--- a/packages/proxy/src/__tests__/session.test.ts
+++ b/packages/proxy/src/__tests__/session.test.ts
@@ -50,6 +50,23 @@
 		}
 	});
 
+	const keptValues: ReadonlyArray<{readonly name: string; readonly lengthBytes: number; readonly isKept: boolean}> = [
+		{name: 'a short value', lengthBytes: 100, isKept: true},
+		{name: 'a value of 100 kB', lengthBytes: 100_000, isKept: false},
+	];
+	async function expectKept({lengthBytes, isKept}: typeof keptValues[number]): Promise<void> {
+		await start();
+		await run(session, `SET a ${'x'.repeat(lengthBytes)}`);
+		await run(session, 'READ x');
+		await run(session, 'READ x');
+		const connections = harness.service.runs.filter(({command}) => command.kind === 'data').map(({connection}) => connection);
+		expect(connections[0] === connections[1]).to.equal(isKept);
+	}
+
+	for (const keptValue of keptValues) {
+		it(`${keptValue.isKept ? 'uses' : 'does not use'} a connection again that has ${keptValue.name} (guards against memory that ended sessions keep)`, async () => expectKept(keptValue));
+	}
+
 	it('runs the shape that each session prepared under the same name (guards against name collisions between callers)', async () => {
 		await start();
 		const otherSession = harness.proxy.openSession('strict', 'v');
--- a/packages/proxy/src/connections/connectionPool.ts
+++ b/packages/proxy/src/connections/connectionPool.ts
@@ -104,7 +104,7 @@
 	/** Releases a connection to the pool. It must be outside a transaction or closed. */
 	release(connection: PooledConnection): void {
 		this.inUseCount--;
-		if (connection.isOpen && !this.isClosed) {
+		if (connection.isOpen && !this.isClosed && !connection.keepsTooMuch) {
 			this.makeAvailable(connection);
 		} else {
 			connection.close();
--- a/packages/proxy/src/connections/pooledConnection.ts
+++ b/packages/proxy/src/connections/pooledConnection.ts
@@ -8,6 +8,9 @@
 /** The same inside a transaction. A server may refuse a reset there, so it comes only after many more statements than a transaction has. */
 const maximumPreparedInTransaction = 400;
 
+/** Maximum length of the values that a connection in the pool keeps of its last session. */
+const maximumIdleParameterBytes = 64 * 1024;
+
 const discard: BackendCommand = {kind: 'discard'};
 
 /** A pooled connection and the session state that is set on it. */
@@ -19,6 +22,8 @@
 	/** True once this proxy has closed the connection. */
 	isClosedHere = false;
 	private parameters: SessionParameters = noParameters;
+	/** Length of the names and values of the parameters; each character takes one byte on the wire. */
+	private parameterBytes = 0;
 	private readonly preparedNames = new Set<BackendStatementName>();
 	/** False after the server did not know a prepared statement, so that it may lack the parameters as well. */
 	private isStateKnown = true;
@@ -33,6 +38,11 @@
 		return this.backendConnection.isOpen;
 	}
 
+	/** True if the values of its last session are too long to be kept, here and at the server, until the next session sets others. */
+	get keepsTooMuch(): boolean {
+		return this.parameterBytes > maximumIdleParameterBytes;
+	}
+
 	/** True if exactly these parameters are set on the connection. */
 	hasParameters(parameters: SessionParameters): boolean {
 		return this.isStateKnown && parameterSyncCommands(this.parameters, parameters).length === 0;
@@ -66,7 +76,7 @@
 		}
 
 		this.isStateKnown = true;
-		this.parameters = parameters;
+		this.keepParameters(parameters);
 		if (prepared) {
 			this.preparedNames.add(prepared.backendName);
 		}
@@ -88,6 +98,13 @@
 		return prepared !== undefined && this.preparedNames.size >= maximum && !this.preparedNames.has(prepared.backendName);
 	}
 
+	private keepParameters(parameters: SessionParameters): void {
+		if (parameters !== this.parameters) {
+			this.parameters = parameters;
+			this.parameterBytes = [...parameters].reduce((sumBytes, [name, value]) => sumBytes + name.length + value.length, 0);
+		}
+	}
+
 	/**
 	 * Runs a command that sets up the connection. An answer with rows or a digest belongs to another statement, so the
 	 * connection is closed.
