--- a/packages/proxy/src/commits/commitConfirmation.ts
+++ b/packages/proxy/src/commits/commitConfirmation.ts
@@ -1,5 +1,7 @@
 import {type Clock} from '@crocusloom/model';
 import {type Backend} from '../servers/backend.js';
+import {statusTimeoutMs} from '../servers/leadershipProver.js';
+import {isTrueWithin} from '../statements/withTimeout.js';
 import {
 	type AcknowledgedCommit,
 	type AwaitedCommit,
@@ -13,8 +15,6 @@
 	type SentProbe,
 	type SilentRounds,
 } from './confirmationRules.js';
-import {statusTimeoutMs} from '../servers/leadershipProver.js';
-import {isTrueWithin} from '../statements/withTimeout.js';
 
 /** Time in which a witness usually answers. After it the other witnesses are asked as well. */
 const hedgeDelayMs = 40;
--- a/packages/proxy/src/commits/commitHistory.ts
+++ b/packages/proxy/src/commits/commitHistory.ts
@@ -1,11 +1,11 @@
 import {type Clock, type ClockContinuity, type LogPosition} from '@crocusloom/model';
 import {type Backend} from '../servers/backend.js';
-import {CommitEvidence, type CommitProof} from './commitEvidence.js';
-import {CommitSampler} from './commitSampler.js';
-import {type CommitSample, CommitSamples} from './commitSamples.js';
 import {Departures} from '../servers/departures.js';
 import {type KnownPrimary, type ProofOutcome} from '../servers/leadershipProver.js';
 import {type ConfirmServers} from '../ports.js';
+import {CommitEvidence, type CommitProof} from './commitEvidence.js';
+import {CommitSampler} from './commitSampler.js';
+import {type CommitSample, CommitSamples} from './commitSamples.js';
 
 export type CommitHistoryPorts = {
 	/** Returns the primary, or undefined while it is unknown. */
--- a/packages/proxy/src/commits/commitSampler.ts
+++ b/packages/proxy/src/commits/commitSampler.ts
@@ -2,11 +2,11 @@
 	type Clock, type ClockContinuity, comparePositions, type LogPosition,
 } from '@crocusloom/model';
 import {type Backend} from '../servers/backend.js';
-import {type CommitProof} from './commitEvidence.js';
-import {freshnessMarginMs, type CommitSamples} from './commitSamples.js';
 import {type KnownPrimary, probeStatus, type ProofOutcome} from '../servers/leadershipProver.js';
 import {type ConfirmServers} from '../ports.js';
 import {settledWithin} from '../statements/withTimeout.js';
+import {freshnessMarginMs, type CommitSamples} from './commitSamples.js';
+import {type CommitProof} from './commitEvidence.js';
 
 /** Minimum number of servers besides the primary for a sample that is taken without it. */
 const minimumOthersForSample = 2;
--- a/packages/proxy/src/connections/connectionPool.ts
+++ b/packages/proxy/src/connections/connectionPool.ts
@@ -1,12 +1,12 @@
 import {type Clock, type Logger, type RandomSource} from '@crocusloom/model';
-import {type ConnectionShare} from './connectionShare.js';
-import {DialBackoff} from './dialBackoff.js';
-import {IdleLimits} from './idleLimits.js';
-import {PooledConnection} from './pooledConnection.js';
 import {
 	type BackendDialer, type BackendServer, ConnectionError, type ConnectionFailure,
 } from '../ports.js';
 import {type SessionParameters} from '../sessions/sessionParameters.js';
+import {type ConnectionShare} from './connectionShare.js';
+import {DialBackoff} from './dialBackoff.js';
+import {IdleLimits} from './idleLimits.js';
+import {PooledConnection} from './pooledConnection.js';
 
 /** Time in which a backend server must accept a connection. A new connection also waits for a slot of the server. */
 const dialTimeoutMs = 700;
--- a/packages/proxy/src/connections/connectivity.ts
+++ b/packages/proxy/src/connections/connectivity.ts
@@ -1,8 +1,8 @@
 import {type Clock} from '@crocusloom/model';
 import {type Backend} from '../servers/backend.js';
-import {type ConnectivityCheck} from './isolationDetector.js';
 import {type ServiceView} from '../servers/serviceView.js';
 import {isTrueWithin} from '../statements/withTimeout.js';
+import {type ConnectivityCheck} from './isolationDetector.js';
 
 /** Time in which a healthy store answers. The primaries are checked only after this time, because each check costs them a connection. */
 const primaryCheckDelayMs = 60;
--- a/packages/proxy/src/connections/dialBackoff.ts
+++ b/packages/proxy/src/connections/dialBackoff.ts
@@ -1,6 +1,6 @@
 import {type Clock, type RandomSource} from '@crocusloom/model';
-import {type ConnectionShare} from './connectionShare.js';
 import {type ConnectionFailure} from '../ports.js';
+import {type ConnectionShare} from './connectionShare.js';
 
 /** Backoff after the server refused a connection because of its limit, while this host holds less than its guaranteed share. */
 const guaranteedShareBackoffMs = 200;
--- a/packages/proxy/src/promotions/orphanedPauseCleaner.ts
+++ b/packages/proxy/src/promotions/orphanedPauseCleaner.ts
@@ -1,9 +1,9 @@
 import {type Clock, type Logger} from '@crocusloom/model';
 import {type Backend} from '../servers/backend.js';
 import {probeStatus} from '../servers/leadershipProver.js';
-import {sendControlCommand} from './replicationPauses.js';
 import {type ServiceView} from '../servers/serviceView.js';
 import {type ServerStatus} from '../statements/statement.js';
+import {sendControlCommand} from './replicationPauses.js';
 
 /** Time after which a promotion request whose response was lost can no longer take effect. */
 export const promotionSettleMs = 2500;
--- a/packages/proxy/src/promotions/promotion.ts
+++ b/packages/proxy/src/promotions/promotion.ts
@@ -1,18 +1,18 @@
 import {formatPosition, type Logger, errorMessageOf} from '@crocusloom/model';
-import {OrphanedPauseCleaner} from './orphanedPauseCleaner.js';
 import {probeStatus} from '../servers/leadershipProver.js';
 import {PrimaryMonitor, type PromotionNeed} from '../servers/primaryMonitor.js';
+import {ReachedServerRecorder} from '../servers/reachedServerRecorder.js';
+import {type ServiceView} from '../servers/serviceView.js';
+import {type ServerStatus} from '../statements/statement.js';
+import {TermRecorder} from '../servers/termRecorder.js';
+import {OrphanedPauseCleaner} from './orphanedPauseCleaner.js';
 import {PromotionFollowUp} from './promotionFollowUp.js';
 import {
 	type Candidate, pollIntervalMs, PromotionHalt, PromotionOrders, type PromotionPorts, type PromotionTarget,
 } from './promotionOrder.js';
-import {ReachedServerRecorder} from '../servers/reachedServerRecorder.js';
 import {ReplicationPauses} from './replicationPauses.js';
 import {findObstacle} from './promotionObstacles.js';
-import {type ServiceView} from '../servers/serviceView.js';
-import {type ServerStatus} from '../statements/statement.js';
 import {type PromotionTerms, requireAllCommits, SuccessorChoice} from './successorChoice.js';
-import {TermRecorder} from '../servers/termRecorder.js';
 
 /** Interval between two checks of each primary. */
 const checkIntervalMs = 100;
--- a/packages/proxy/src/promotions/promotionFollowUp.ts
+++ b/packages/proxy/src/promotions/promotionFollowUp.ts
@@ -3,12 +3,12 @@
 } from '@crocusloom/model';
 import {type Backend} from '../servers/backend.js';
 import {probeStatus} from '../servers/leadershipProver.js';
-import {promotionSettleMs} from './orphanedPauseCleaner.js';
-import {type Candidate, pollIntervalMs} from './promotionOrder.js';
-import {type ReplicationPauses, sendControlCommand} from './replicationPauses.js';
 import {type ServiceView} from '../servers/serviceView.js';
 import {type ServerStatus} from '../statements/statement.js';
 import {type TermRecorder} from '../servers/termRecorder.js';
+import {promotionSettleMs} from './orphanedPauseCleaner.js';
+import {type Candidate, pollIntervalMs} from './promotionOrder.js';
+import {type ReplicationPauses, sendControlCommand} from './replicationPauses.js';
 
 /** Time for which the old primary is repeatedly told to step down after a promotion. */
 const stepDownTimeoutMs = 20_000;
--- a/packages/proxy/src/promotions/promotionObstacles.ts
+++ b/packages/proxy/src/promotions/promotionObstacles.ts
@@ -1,9 +1,9 @@
 import {comparePositions} from '@crocusloom/model';
 import {type Backend} from '../servers/backend.js';
 import {probeStatus} from '../servers/leadershipProver.js';
+import {type ServiceView} from '../servers/serviceView.js';
 import {type Candidate} from './promotionOrder.js';
 import {type ReplicationPauses} from './replicationPauses.js';
-import {type ServiceView} from '../servers/serviceView.js';
 
 /** What a promotion found about the servers when it chose the one to be promoted. */
 export type PromotionBasis = {
--- a/packages/proxy/src/promotions/promotionOrder.ts
+++ b/packages/proxy/src/promotions/promotionOrder.ts
@@ -3,13 +3,13 @@
 } from '@crocusloom/model';
 import {type Backend} from '../servers/backend.js';
 import {probeStatus} from '../servers/leadershipProver.js';
-import {promotionSettleMs} from './orphanedPauseCleaner.js';
 import {
 	type PromotionLease, type PromotionOrder, type PromotionResult, type PromotionService, type RecordedOrder,
 } from '../ports.js';
-import {type ReplicationPauses} from './replicationPauses.js';
 import {type ServiceView} from '../servers/serviceView.js';
 import {type ServerStatus} from '../statements/statement.js';
+import {type ReplicationPauses} from './replicationPauses.js';
+import {promotionSettleMs} from './orphanedPauseCleaner.js';
 
 /** Interval of status polls while a promotion waits for a server. */
 export const pollIntervalMs = 40;
--- a/packages/proxy/src/promotions/successorChoice.ts
+++ b/packages/proxy/src/promotions/successorChoice.ts
@@ -4,11 +4,11 @@
 import {type Backend} from '../servers/backend.js';
 import {type CommitProof} from '../commits/commitEvidence.js';
 import {probeStatus} from '../servers/leadershipProver.js';
-import {type Candidate, pollIntervalMs, PromotionHalt} from './promotionOrder.js';
 import {type ReachedServerRecorder} from '../servers/reachedServerRecorder.js';
-import {type ReplicationPauses, sendControlCommand} from './replicationPauses.js';
 import {unconfirmedServerGraceMs} from '../servers/serverContact.js';
 import {type ServiceView} from '../servers/serviceView.js';
+import {type ReplicationPauses, sendControlCommand} from './replicationPauses.js';
+import {type Candidate, pollIntervalMs, PromotionHalt} from './promotionOrder.js';
 
 /** Time in which a replica must receive the complete log of a primary that stepped down. */
 const catchUpTimeoutMs = 1500;
--- a/packages/proxy/src/servers/backend.ts
+++ b/packages/proxy/src/servers/backend.ts
@@ -4,15 +4,15 @@
 import {
 	AdmissionQueue, type RankPolicy, type SlotGrant, type SlotRequest,
 } from '@crocusloom/work';
-import {BackendLoad} from './backendLoad.js';
 import {ConnectionPool} from '../connections/connectionPool.js';
 import {type ConnectionShare} from '../connections/connectionShare.js';
-import {ControlCommands} from './controlCommands.js';
 import {type PooledConnection} from '../connections/pooledConnection.js';
 import {type BackendDialer, type BackendServer} from '../ports.js';
-import {ServerContact} from './serverContact.js';
-import {ServerPositions} from './serverPositions.js';
 import {type Answer, type BackendCommand, type ServerStatus} from '../statements/statement.js';
+import {ServerPositions} from './serverPositions.js';
+import {ServerContact} from './serverContact.js';
+import {ControlCommands} from './controlCommands.js';
+import {BackendLoad} from './backendLoad.js';
 
 export type BackendPorts = {
 	readonly dialer: BackendDialer;
--- a/packages/proxy/src/servers/departures.ts
+++ b/packages/proxy/src/servers/departures.ts
@@ -1,6 +1,6 @@
 import {type Clock} from '@crocusloom/model';
-import {type Backend} from './backend.js';
 import {type CommitEvidence} from '../commits/commitEvidence.js';
+import {type Backend} from './backend.js';
 import {type KnownPrimary} from './leadershipProver.js';
 
 export type DeparturePorts = {
--- a/packages/proxy/src/servers/leadershipProver.ts
+++ b/packages/proxy/src/servers/leadershipProver.ts
@@ -1,7 +1,7 @@
 import {type LogPosition} from '@crocusloom/model';
-import {type Backend} from './backend.js';
 import {type PooledConnection} from '../connections/pooledConnection.js';
 import {type ServerStatus} from '../statements/statement.js';
+import {type Backend} from './backend.js';
 
 /** Default time in which a server must answer a status probe. */
 export const statusTimeoutMs = 250;
--- a/packages/proxy/src/servers/primaryMonitor.ts
+++ b/packages/proxy/src/servers/primaryMonitor.ts
@@ -1,9 +1,9 @@
 import {type Clock, type Logger} from '@crocusloom/model';
+import {type ServerStatus} from '../statements/statement.js';
+import {isTrueWithin} from '../statements/withTimeout.js';
 import {type Backend} from './backend.js';
 import {probeStatus} from './leadershipProver.js';
 import {type ServiceView} from './serviceView.js';
-import {type ServerStatus} from '../statements/statement.js';
-import {isTrueWithin} from '../statements/withTimeout.js';
 
 /** Time without contact after which the primary is probed. */
 const silenceThresholdMs = 200;
--- a/packages/proxy/src/servers/primarySearch.ts
+++ b/packages/proxy/src/servers/primarySearch.ts
@@ -1,7 +1,7 @@
 import {type Clock, type Logger} from '@crocusloom/model';
+import {type ServerStatus} from '../statements/statement.js';
 import {type Backend} from './backend.js';
 import {type KnownPrimary, probeStatus} from './leadershipProver.js';
-import {type ServerStatus} from '../statements/statement.js';
 
 /** Minimum time between two searches for the primary. */
 const minimumSearchIntervalMs = 100;
--- a/packages/proxy/src/servers/serviceBackends.ts
+++ b/packages/proxy/src/servers/serviceBackends.ts
@@ -1,5 +1,5 @@
-import {Backend, type BackendLimits, type BackendPorts} from './backend.js';
 import {type BackendServer} from '../ports.js';
+import {Backend, type BackendLimits, type BackendPorts} from './backend.js';
 
 export type ServiceBackendsPorts = BackendPorts & {
 	/** Name of the service, for the log. */
--- a/packages/proxy/src/servers/serviceView.ts
+++ b/packages/proxy/src/servers/serviceView.ts
@@ -2,7 +2,6 @@
 	type Clock, type ClockContinuity, type Logger, type LogPosition,
 } from '@crocusloom/model';
 import {type RankPolicy} from '@crocusloom/work';
-import {type Backend, type BackendLimits, type BackendPorts} from './backend.js';
 import {type CommitConfirmation, CommitConfirmer} from '../commits/commitConfirmation.js';
 import {type AcknowledgedCommit, type ConfirmationMembership} from '../commits/confirmationRules.js';
 import {type CommitProof} from '../commits/commitEvidence.js';
@@ -10,15 +9,16 @@
 import {type CommitSamples} from '../commits/commitSamples.js';
 import {CommitWitnesses, type WitnessPorts} from '../commits/commitWitnesses.js';
 import {connectionShareFor} from '../connections/connectionShare.js';
-import {type KnownPrimary, LeadershipProver, type ProofOutcome} from './leadershipProver.js';
 import {type PooledConnection} from '../connections/pooledConnection.js';
 import {
 	type BackendServer, type ConfirmServers, type IsNamedInOrder, type ServiceSpec,
 } from '../ports.js';
-import {PrimarySearch} from './primarySearch.js';
-import {ServiceBackends} from './serviceBackends.js';
-import {type ServiceRecord, type ServiceRecords} from './serviceRecords.js';
 import {type ServerStatus} from '../statements/statement.js';
+import {type ServiceRecord, type ServiceRecords} from './serviceRecords.js';
+import {ServiceBackends} from './serviceBackends.js';
+import {PrimarySearch} from './primarySearch.js';
+import {type KnownPrimary, LeadershipProver, type ProofOutcome} from './leadershipProver.js';
+import {type Backend, type BackendLimits, type BackendPorts} from './backend.js';
 
 /** A primary that this proxy had contact with within this time counts as reachable without a check. */
 const recentContactMs = 250;
--- a/packages/proxy/src/sessions/session.ts
+++ b/packages/proxy/src/sessions/session.ts
@@ -1,8 +1,5 @@
 import {laterPosition, type LogPosition, quoteText} from '@crocusloom/model';
 import {type CheckRequest, type Route} from '../ports.js';
-import {type SessionDecisionPorts, SessionDecisions, type SessionIdentity} from './sessionDecisions.js';
-import {SessionSettings, type SettingsRefusal} from './sessionSettings.js';
-import {type SessionTextBudget} from './sessionTextBudget.js';
 import {
 	type Answer, errorAnswer, localAnswer, prepareStatement, type Statement, type TransactionState,
 } from '../statements/statement.js';
@@ -10,6 +7,9 @@
 import {
 	type DataWork, type OpenTransaction, type WorkContext,
 } from '../statements/work.js';
+import {type SessionDecisionPorts, SessionDecisions, type SessionIdentity} from './sessionDecisions.js';
+import {SessionSettings, type SettingsRefusal} from './sessionSettings.js';
+import {type SessionTextBudget} from './sessionTextBudget.js';
 
 /** Added to the idle timeout of transactions, so that a late timer does not abort the transaction of a caller that keeps to the timeout. */
 const idleTimeoutSlackMs = 250;
--- a/packages/proxy/src/sessions/sessionDecisions.ts
+++ b/packages/proxy/src/sessions/sessionDecisions.ts
@@ -1,9 +1,9 @@
 import {type Clock, formatPosition} from '@crocusloom/model';
+import {type BackendCommand} from '../statements/statement.js';
+import {type WorkResult} from '../statements/work.js';
 import {type ConfigurationAge} from './configurationAge.js';
 import {type DecisionLog} from './decisionLog.js';
 import {type RouteTable} from './routeTable.js';
-import {type BackendCommand} from '../statements/statement.js';
-import {type WorkResult} from '../statements/work.js';
 
 export type SessionDecisionPorts = {
 	readonly clock: Clock;
--- a/packages/proxy/src/sessions/sessionProxy.ts
+++ b/packages/proxy/src/sessions/sessionProxy.ts
@@ -2,20 +2,20 @@
 	type Clock, ClockContinuity, type Logger, type Metrics, type RandomSource,
 } from '@crocusloom/model';
 import {freshnessMarginMs} from '../commits/commitSamples.js';
-import {ConfigurationAge} from './configurationAge.js';
 import {copyText} from '../copyText.js';
-import {DecisionLog} from './decisionLog.js';
 import {HostCount} from '../connections/connectionShare.js';
 import {
 	type BackendDialer, type BackendServer, type CheckRequest, type ConfirmServers, type IsNamedInOrder, type ProxyConfiguration,
 } from '../ports.js';
-import {ranksOf, RouteTable} from './routeTable.js';
 import {type ServiceRecords} from '../servers/serviceRecords.js';
 import {ServiceView} from '../servers/serviceView.js';
+import {StatementRunner} from '../statements/statementRunner.js';
+import {ConfigurationAge} from './configurationAge.js';
+import {DecisionLog} from './decisionLog.js';
+import {ranksOf, RouteTable} from './routeTable.js';
 import {Session} from './session.js';
 import {type SessionIdentity} from './sessionDecisions.js';
 import {SessionTextBudget} from './sessionTextBudget.js';
-import {StatementRunner} from '../statements/statementRunner.js';
 
 /** Interval of connection maintenance and of the search for unknown primaries. */
 const maintenanceIntervalMs = 100;
--- a/packages/proxy/src/sessions/sessionSettings.ts
+++ b/packages/proxy/src/sessions/sessionSettings.ts
@@ -1,7 +1,7 @@
 import {copyText} from '../copyText.js';
+import {type PreparedStatement} from '../statements/statement.js';
 import {noParameters, type SessionParameters} from './sessionParameters.js';
 import {type SessionTextBudget} from './sessionTextBudget.js';
-import {type PreparedStatement} from '../statements/statement.js';
 
 /** Maximum number of parameters, and of prepared statements, per session. Bounds memory, and the cost of the copy that a statement after a change makes. */
 const maximumNamesPerSession = 256;
--- a/packages/proxy/src/statements/targetSearch.ts
+++ b/packages/proxy/src/statements/targetSearch.ts
@@ -1,6 +1,6 @@
 import {type Clock, laterPosition, quoteText} from '@crocusloom/model';
-import {chooseReadBackend} from './placement.js';
 import {type ServiceView} from '../servers/serviceView.js';
+import {chooseReadBackend} from './placement.js';
 import {type AnswerError} from './statement.js';
 import {type StatementExecution} from './statementExecution.js';
 import {type Target} from './work.js';
